--- /dev/null
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -0,0 +1,903 @@
+//! Renting, lending and returning machines.
+//!
+//! Every owner says what its queues would need beyond the machines it has, and which of its machines
+//! are idle. The leader lends idle machines to those who need them, rents the rest, and shares both
+//! out. An owner returns what stays idle and deletes what is lost.
+
+use crate::controller::{
+    Bucket, Controller, Digest, Idle, Level, Method, Move, Need, PeerReply, PeerRequest, Purpose, Target,
+};
+use crate::ids::{ControllerId, MachineId, Partition, Stamp};
+use crate::membership::{ROSTER_PREFIX, Stage, TYPES_KEY};
+use crate::picture::RosterEntry;
+use crate::placement::{Amounts, JobTerms};
+use crate::protocol::{MachineList, MachineNames, MachineType, MachineTypes, Rental, Report, TxnAnswer};
+use crate::settings::Settings;
+use serde_json::json;
+use std::collections::{BTreeMap, HashMap};
+
+/// Tasks of one job that found no machine.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    /// The job's partition.
+    pub partition: Partition,
+    /// What each takes.
+    pub size: Amounts,
+    /// Allowed types.
+    pub models: Option<Vec<String>>,
+    /// The only allowed zone.
+    pub zone: Option<String>,
+    /// All in one zone.
+    pub one_zone: bool,
+    /// Most in one zone.
+    pub most_per_zone: Option<u32>,
+    /// Tasks now in each zone.
+    pub in_zone: BTreeMap<String, u32>,
+    /// May use spot machines.
+    pub spot: bool,
+    /// A service.
+    pub service: bool,
+    /// Production work.
+    pub urgent: bool,
+    /// Seconds until it has to be started to be in time.
+    pub slack_s: f64,
+    /// How many.
+    pub count: u32,
+}
+
+impl Wish {
+    /// A wish for none yet, in a job's terms.
+    pub fn new(partition: Partition, terms: &JobTerms, urgent: bool, slack_s: f64) -> Self {
+        Self {
+            partition,
+            size: terms.size,
+            models: terms.models.clone(),
+            zone: terms.zone.clone(),
+            one_zone: terms.one_zone,
+            most_per_zone: terms.most_per_zone,
+            in_zone: terms.in_zone.clone(),
+            spot: terms.spot,
+            service: terms.service,
+            urgent,
+            slack_s,
+            count: 0,
+        }
+    }
+
+    fn allows(&self, model: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.models.as_ref().is_none_or(|m| m.iter().any(|x| x == model))
+            && self.zone.as_ref().is_none_or(|z| z == zone)
+            && (!self.one_zone || self.in_zone.iter().all(|(z, n)| *n == 0 || z == zone))
+            && self
+                .most_per_zone
+                .is_none_or(|most| self.in_zone.get(zone).copied().unwrap_or(0) < most)
+    }
+}
+
+/// A machine that is on its way, or that would be rented.
+#[derive(Debug, Clone)]
+pub struct Coming {
+    /// Type.
+    pub model: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+    /// Room left.
+    pub free: Amounts,
+}
+
+/// Kind of machine: type, zone, spot.
+pub type Kind = (String, String, bool);
+
+fn room_for(size: &Amounts, free: &Amounts) -> u32 {
+    size.iter()
+        .zip(free)
+        .filter(|(s, _)| **s > 0.0)
+        .map(|(s, f)| ((f + 1e-6) / s).max(0.0) as u32)
+        .min()
+        .unwrap_or(u32::MAX)
+}
+
+/// The machines to rent for what finds no room on those that are coming: for each task the kind that
+/// costs least for it, counting how many of its like fit on one.
+pub fn plan(
+    wishes: &[Wish],
+    mut coming: Vec<Coming>,
+    types: &[MachineType],
+    refused: &dyn Fn(&Kind) -> bool,
+    in_zones: &BTreeMap<String, u32>,
+) -> Vec<Need> {
+    let mut needs: BTreeMap<Kind, (u32, bool)> = BTreeMap::new();
+    let mut in_zones = in_zones.clone();
+    let mut order: Vec<&Wish> = wishes.iter().collect();
+    order.sort_by(|a, b| b.urgent.cmp(&a.urgent).then(a.slack_s.total_cmp(&b.slack_s)));
+    for wish in order {
+        let mut wish = wish.clone();
+        while wish.count > 0 {
+            let found = coming
+                .iter_mut()
+                .find(|c| wish.allows(&c.model, &c.zone, c.spot) && room_for(&wish.size, &c.free) > 0);
+            if let Some(c) = found {
+                c.free.iter_mut().zip(wish.size).for_each(|(f, s)| *f -= s);
+                *wish.in_zone.entry(c.zone.clone()).or_default() += 1;
+                wish.count -= 1;
+                continue;
+            }
+            let mut best: Option<(f64, u32, Kind, Amounts)> = None;
+            for t in types {
+                let total = [t.cpus, t.gpus, t.memory_gb];
+                let fit = room_for(&wish.size, &total).min(wish.count);
+                if fit == 0 {
+                    continue;
+                }
+                for zone in &t.zones {
+                    for spot in [true, false] {
+                        let kind = (t.name.clone(), zone.clone(), spot);
+                        if !wish.allows(&t.name, zone, spot) || refused(&kind) {
+                            continue;
+                        }
+                        let price = if spot { t.spot_price } else { t.price };
+                        let cost = price / f64::from(fit);
+                        let crowd =
+                            in_zones.get(zone).copied().unwrap_or(0) + 8 * wish.in_zone.get(zone).copied().unwrap_or(0);
+                        let better = best
+                            .as_ref()
+                            .is_none_or(|(c, n, _, _)| cost < c - 1e-9 || (cost < c + 1e-9 && crowd < *n));
+                        if better {
+                            best = Some((cost, crowd, kind, total));
+                        }
+                    }
+                }
+            }
+            let Some((_, _, kind, total)) = best else { break };
+            let need = needs.entry(kind.clone()).or_default();
+            need.0 += 1;
+            need.1 |= wish.urgent;
+            *in_zones.entry(kind.1.clone()).or_default() += 1;
+            coming.push(Coming {
+                model: kind.0,
+                zone: kind.1,
+                spot: kind.2,
+                free: total,
+            });
+        }
+    }
+    needs
+        .into_iter()
+        .map(|((model, zone, spot), (count, urgent))| Need {
+            model,
+            zone,
+            spot,
+            count,
+            urgent,
+        })
+        .collect()
+}
+
+/// The cloud as this controller sees it, and what is under way there.
+#[derive(Debug)]
+pub(crate) struct Cloud {
+    pub(crate) wishes: Vec<Wish>,
+    pub(crate) stale_keys: Vec<String>,
+    pub(crate) types_writing: bool,
+    types_at: u64,
+    types_asked: u64,
+    types_written: u64,
+    budget: Bucket,
+    /// Kinds refused by the cloud, until when.
+    refused: HashMap<Kind, u64>,
+    digests: BTreeMap<Partition, (Digest, u64)>,
+    renting: u32,
+    rental_count: u64,
+    /// Rentals that got no clear answer: the same request is sent again.
+    retry: Vec<(Rental, Vec<Partition>)>,
+    /// Rented, and not in the roster yet.
+    unlisted: Vec<(MachineId, Partition, Kind)>,
+    writing_roster: bool,
+    /// The revision that a partition's digest must know before it counts.
+    fresh_from: BTreeMap<Partition, u64>,
+    lent_at: BTreeMap<Partition, u64>,
+    moves: BTreeMap<ControllerId, Vec<Move>>,
+    strangers: BTreeMap<MachineId, (Kind, u64)>,
+    deleted: HashMap<MachineId, u64>,
+    deleting: bool,
+    drops: Vec<MachineId>,
+    due: u64,
+    hosts_at: u64,
+}
+
+impl Cloud {
+    pub(crate) fn new(set: &Settings) -> Self {
+        let rate = set.platform.facts.cloud.rps / f64::from(set.partitions());
+        Self {
+            wishes: Vec::new(),
+            stale_keys: Vec::new(),
+            types_writing: false,
+            types_at: 0,
+            types_asked: 0,
+            types_written: 0,
+            budget: Bucket::new(rate, rate.max(1.0)),
+            refused: HashMap::new(),
+            digests: BTreeMap::new(),
+            renting: 0,
+            rental_count: 0,
+            retry: Vec::new(),
+            unlisted: Vec::new(),
+            writing_roster: false,
+            fresh_from: BTreeMap::new(),
+            lent_at: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            strangers: BTreeMap::new(),
+            deleted: HashMap::new(),
+            deleting: false,
+            drops: Vec::new(),
+            due: 0,
+            hosts_at: 0,
+        }
+    }
+
+    /// A report came from a machine that is not in the roster.
+    pub(crate) fn note_stranger(&mut self, report: &Report, now: u64) {
+        if self.deleted.contains_key(&report.machine) {
+            return;
+        }
+        let kind = (report.model.clone(), report.zone.clone(), report.spot);
+        self.strangers.entry(report.machine.clone()).or_insert((kind, now));
+    }
+}
+
+impl Controller {
+    /// The leader, whose cloud calls are more, gets most of the budget.
+    fn cloud_budget(&mut self, reserve: f64) -> bool {
+        let rps = self.set.platform.facts.cloud.rps;
+        let others = f64::from(self.set.partitions().saturating_sub(1));
+        let part = if others == 0.0 {
+            0.9
+        } else if self.is_leader() {
+            0.6
+        } else {
+            0.35 / others
+        };
+        self.cloud.budget.set_rate(rps * part, (rps * part * 2.0).max(1.0));
+        self.cloud.budget.take(self.now.ms, 1.0, reserve)
+    }
+
+    fn cloud_call(&mut self, method: Method, path: impl Into<String>, body: String, purpose: Purpose) {
+        let timeout = 2 * self.set.report_ms();
+        self.call(Target::Cloud, method, path, body, timeout, purpose);
+    }
+
+    pub(crate) fn tick_capacity(&mut self) {
+        let now = self.now.ms;
+        self.want_types();
+        if now < self.cloud.due || !self.entitled() {
+            return;
+        }
+        self.cloud.due = now + self.set.report_ms() / 5;
+        self.retire();
+        self.send_deletes();
+        self.send_drops();
+        if self.is_leader() {
+            for digest in self.own_digests() {
+                self.cloud.digests.insert(digest.partition, (digest, now));
+            }
+            self.share_out();
+            let me = self.me.clone();
+            let moves = self.cloud.moves.remove(&me).unwrap_or_default();
+            self.carry_out(moves);
+            self.adopt_strangers();
+            self.write_roster();
+            self.list_hosts();
+        } else {
+            self.cloud.digests.clear();
+            self.cloud.unlisted.clear();
+            self.cloud.retry.clear();
+            self.cloud.strangers.clear();
+        }
+    }
+
+    fn want_types(&mut self) {
+        let now = self.now.ms;
+        let lead = self.is_leader();
+        let every = if self.types.is_empty() {
+            self.set.report_ms()
+        } else if lead {
+            2 * self.set.worker_lease_ms()
+        } else {
+            return;
+        };
+        if self.cloud.types_asked != 0 && now < self.cloud.types_asked + every {
+            return;
+        }
+        if !self.cloud_budget(0.0) {
+            return;
+        }
+        self.cloud.types_asked = now.max(1);
+        self.cloud_call(Method::Get, "/machine_types", String::new(), Purpose::Types);
+    }
+
+    pub(crate) fn on_types(&mut self, result: Option<(u16, Vec<u8>)>) {
+        let Some((200, body)) = result else { return };
+        let Ok(types) = serde_json::from_slice::<MachineTypes>(&body) else {
+            return;
+        };
+        let now = self.now.ms;
+        self.cloud.types_at = now;
+        let first = self.types.is_empty();
+        self.types = types.types.clone();
+        if first {
+            self.want_batch();
+        }
+        // Stored, so that a controller that starts while the cloud is down knows them.
+        let due = self.cloud.types_written == 0 || now > self.cloud.types_written + 4 * self.set.worker_lease_ms();
+        if self.is_leader() && due && !self.cloud.types_writing {
+            self.cloud.types_writing = true;
+            self.cloud.types_written = now.max(1);
+            let condition = self.leader_condition();
+            self.txn(
+                vec![condition],
+                vec![json!({ "write": TYPES_KEY, "value": types })],
+                Purpose::TypesWrite,
+            );
+        }
+    }
+
+    /// What this controller's partitions need and have to spare.
+    fn own_digests(&self) -> Vec<Digest> {
+        let now = self.now.ms;
+        let acting = self.tenures.iter().filter(|(_, t)| t.stage == Stage::Active);
+        let mut digests = Vec::new();
+        for (p, _) in acting {
+            let mut coming = Vec::new();
+            let mut idle = Vec::new();
+            let mut in_zones: BTreeMap<String, u32> = BTreeMap::new();
+            let mut demand = 0.0;
+            for (id, m) in self.machines.iter().filter(|(_, m)| m.partition == *p && !m.gone) {
+                *in_zones.entry(m.zone.clone()).or_default() += 1;
+                let Some(t) = self.types.iter().find(|t| t.name == m.model) else {
+                    continue;
+                };
+                demand += m.held.iter().map(|h| h.size[1].max(h.size[0] / 100.0)).sum::<f64>();
+                if !m.up() && !m.retiring {
+                    coming.push(Coming {
+                        model: m.model.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                        free: [t.cpus, t.gpus, t.memory_gb],
+                    });
+                }
+                let spare = m
+                    .idle_since
+                    .is_some_and(|t| now.saturating_sub(t) > self.set.report_ms());
+                if spare && m.usable(now, 2 * self.set.report_ms()) {
+                    idle.push(Idle {
+                        machine: id.clone(),
+                        model: m.model.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    });
+                }
+            }
+            let wishes: Vec<Wish> = self
+                .cloud
+                .wishes
+                .iter()
+                .filter(|w| w.partition == *p)
+                .cloned()
+                .collect();
+            demand += wishes
+                .iter()
+                .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
+                .sum::<f64>();
+            let refused = |kind: &Kind| self.cloud.refused.get(kind).is_some_and(|t| now < *t);
+            let needs = plan(&wishes, coming, &self.types, &refused, &in_zones);
+            digests.push(Digest {
+                partition: *p,
+                ledger: self.member.ledger,
+                demand,
+                needs,
+                idle,
+            });
+        }
+        digests
+    }
+
+    pub(crate) fn say_hello(&mut self) {
+        let now = self.now.ms;
+        let every = 2 * self.set.report_ms() / 5;
+        let leader = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
+        let names: Vec<String> = self.set.platform.siblings.iter().map(|s| s.host_name.clone()).collect();
+        for name in names {
+            let to = ControllerId::new(name);
+            let peer = self.member.peers.entry(to.clone()).or_default();
+            if peer.asking || (peer.asked != 0 && now < peer.asked + every) {
+                continue;
+            }
+            peer.asking = true;
+            peer.asked = now.max(1);
+            let digests = if leader.as_ref() == Some(&to) && self.entitled() {
+                self.own_digests()
+            } else {
+                Vec::new()
+            };
+            let request = PeerRequest::Hello {
+                name: self.me.as_str().to_owned(),
+                entitled: self.entitled(),
+                digests,
+            };
+            let timeout = self.set.report_ms() / 2;
+            self.ask(to.clone(), request, timeout, Purpose::Hello { to });
+        }
+    }
+
+    pub(crate) fn on_hello(&mut self, id: u64, name: String, entitled: bool, digests: Vec<Digest>) {
+        let now = self.now.ms;
+        let from = ControllerId::new(name);
+        let lead = self.is_leader();
+        if let Some(peer) = self.member.peers.get_mut(&from) {
+            peer.entitled = entitled;
+            peer.heard = Some(now);
+        }
+        let mut moves = Vec::new();
+        let mut refused = Vec::new();
+        if lead {
+            for digest in digests {
+                // Only the owner speaks for a partition.
+                if self.holding(digest.partition).is_some_and(|h| h.owner == from) {
+                    self.cloud.digests.insert(digest.partition, (digest, now));
+                }
+            }
+            moves = self.cloud.moves.remove(&from).unwrap_or_default();
+            refused = self
+                .cloud
+                .refused
+                .iter()
+                .filter(|(_, t)| now < **t)
+                .map(|((model, zone, spot), _)| Need {
+                    model: model.clone(),
+                    zone: zone.clone(),
+                    spot: *spot,
+                    count: 0,
+                    urgent: false,
+                })
+                .collect();
+        }
+        let entitled = self.entitled();
+        self.out.push(crate::controller::Output::Tell {
+            id,
+            reply: PeerReply::Hello {
+                entitled,
+                moves,
+                refused,
+            },
+        });
+    }
+
+    pub(crate) fn on_moves(&mut self, from: &ControllerId, moves: Vec<Move>, refused: Vec<Need>) {
+        let leads = self.member.leader.as_ref().is_some_and(|(l, _)| l.name == *from);
+        if !leads || self.is_leader() {
+            return;
+        }
+        let until = self.now.ms + self.set.report_ms();
+        self.cloud.refused = refused
+            .into_iter()
+            .map(|n| ((n.model, n.zone, n.spot), until))
+            .collect();
+        self.carry_out(moves);
+    }
+
+    /// Hands over machines as the leader asks, if they are still empty.
+    fn carry_out(&mut self, moves: Vec<Move>) {
+        for mv in moves {
+            let now = self.now.ms;
+            let patience = 2 * self.set.report_ms();
+            let free = self.machines.get(&mv.machine).is_some_and(|m| {
+                m.partition != mv.to && m.held.is_empty() && m.idle_since.is_some() && m.usable(now, patience)
+            });
+            if free && self.entitled() {
+                self.log(Level::Info, format!("{} goes to partition {}", mv.machine, mv.to));
+                self.hand_over(&mv.machine, mv.to);
+            }
+        }
+    }
+
+    /// The leader's round: lends what is idle, then rents.
+    fn share_out(&mut self) {
+        let now = self.now.ms;
+        let recent = 2 * self.set.report_ms();
+        self.cloud.refused.retain(|_, t| now < *t);
+        let fresh: Vec<Digest> = self
+            .cloud
+            .digests
+            .values()
+            .filter(|(d, at)| {
+                now.saturating_sub(*at) < recent
+                    && d.ledger >= self.cloud.fresh_from.get(&d.partition).copied().unwrap_or(0)
+                    && self
+                        .cloud
+                        .lent_at
+                        .get(&d.partition)
+                        .is_none_or(|t| now.saturating_sub(*t) > recent && *at > *t)
+            })
+            .map(|(d, _)| d.clone())
+            .collect();
+        let mut idle: Vec<(Partition, Idle)> = fresh
+            .iter()
+            .filter(|d| d.needs.is_empty())
+            .flat_map(|d| d.idle.iter().map(|i| (d.partition, i.clone())))
+            .collect();
+        let mut wanted: BTreeMap<Kind, Vec<(Partition, bool)>> = BTreeMap::new();
+        // Shares by demand: whoever has most demand to its name is served first where kinds run out.
+        let mut order: Vec<&Digest> = fresh.iter().collect();
+        order.sort_by(|a, b| {
+            let urgent = |d: &Digest| d.needs.iter().any(|n| n.urgent);
+            urgent(b).cmp(&urgent(a)).then(b.demand.total_cmp(&a.demand))
+        });
+        for d in order {
+            for need in &d.needs {
+                for _ in 0..need.count {
+                    let kind = (need.model.clone(), need.zone.clone(), need.spot);
+                    // An idle machine of the same type will do in any zone, unless it is a spot machine
+                    // and the work may not use one.
+                    let found = idle.iter().position(|(p, i)| {
+                        *p != d.partition && i.model == need.model && i.zone == need.zone && (need.spot || !i.spot)
+                    });
+                    if let Some(at) = found {
+                        let (from, i) = idle.swap_remove(at);
+                        if let Some(owner) = self.holding(from).map(|h| h.owner.clone()) {
+                            self.cloud.lent_at.insert(d.partition, now);
+                            self.cloud.lent_at.insert(from, now);
+                            self.cloud.moves.entry(owner).or_default().push(Move {
+                                machine: i.machine,
+                                to: d.partition,
+                            });
+                        }
+                        continue;
+                    }
+                    wanted.entry(kind).or_default().push((d.partition, need.urgent));
+                }
+            }
+        }
+        self.send_rentals(wanted);
+    }
+
+    fn send_rentals(&mut self, wanted: BTreeMap<Kind, Vec<(Partition, bool)>>) {
+        if let Some((rental, split)) = self.cloud.retry.pop() {
+            if self.cloud_budget(0.0) {
+                self.rent(rental, split);
+            } else {
+                self.cloud.retry.push((rental, split));
+            }
+            return;
+        }
+        if self.cloud.renting > 0 || !self.cloud.unlisted.is_empty() {
+            return;
+        }
+        let Some((_, leader_stamp)) = self.member.leader.clone() else {
+            return;
+        };
+        let mut kinds: Vec<(Kind, Vec<(Partition, bool)>)> = wanted.into_iter().collect();
+        kinds.sort_by_key(|(_, w)| std::cmp::Reverse(w.iter().filter(|(_, urgent)| *urgent).count()));
+        for (kind, parts) in kinds {
+            if self.cloud.refused.contains_key(&kind) || !self.cloud_budget(0.0) {
+                continue;
+            }
+            let split: Vec<Partition> = parts.iter().map(|(p, _)| *p).take(50).collect();
+            self.cloud.rental_count += 1;
+            // The revision at which this leader took its key is nobody else's.
+            let rental = Rental {
+                request: format!("r-{leader_stamp}-{}", self.cloud.rental_count),
+                model: kind.0,
+                zone: kind.1,
+                spot: kind.2,
+                count: split.len() as u32,
+            };
+            self.rent(rental, split);
+        }
+    }
+
+    fn rent(&mut self, rental: Rental, split: Vec<Partition>) {
+        self.cloud.renting += 1;
+        let body = serde_json::to_string(&rental).unwrap_or_default();
+        self.cloud_call(Method::Post, "/hosts", body, Purpose::Rent { rental, split });
+    }
+
+    pub(crate) fn on_rent(&mut self, rental: Rental, split: Vec<Partition>, result: Option<(u16, Vec<u8>)>) {
+        self.cloud.renting = self.cloud.renting.saturating_sub(1);
+        let now = self.now.ms;
+        let kind = (rental.model.clone(), rental.zone.clone(), rental.spot);
+        let pause = self.set.worker_lease_ms();
+        match result {
+            Some((200, body)) => {
+                let names = serde_json::from_slice::<MachineNames>(&body).map_or(Vec::new(), |n| n.machines);
+                self.log(
+                    Level::Info,
+                    format!(
+                        "rented {} of {} {} in {}{}",
+                        names.len(),
+                        rental.count,
+                        rental.model,
+                        rental.zone,
+                        if rental.spot { " (spot)" } else { "" }
+                    ),
+                );
+                if names.len() < split.len() {
+                    self.cloud.refused.insert(kind.clone(), now + pause);
+                }
+                for (name, p) in names.into_iter().zip(split) {
+                    self.cloud.unlisted.push((name, p, kind.clone()));
+                }
+                self.write_roster();
+            }
+            Some((503, body)) if String::from_utf8_lossy(&body).contains("capacity") => {
+                self.log(
+                    Level::Info,
+                    format!("the cloud has no {} in {} (spot: {})", kind.0, kind.1, kind.2),
+                );
+                self.cloud.refused.insert(kind, now + pause);
+            }
+            Some((400, body)) => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                self.log(Level::Error, format!("the cloud refused a rental as malformed: {text}"));
+                self.cloud.refused.insert(kind, now + pause);
+            }
+            // 429, an outage, or no answer: the same request again, which rents nothing twice.
+            _ => self.cloud.retry.push((rental, split)),
+        }
+    }
+
+    /// Enters rented machines in the roster. Only then may anybody use them.
+    fn write_roster(&mut self) {
+        if self.cloud.writing_roster || self.cloud.unlisted.is_empty() || !self.is_leader() {
+            return;
+        }
+        if !self.state_writes.take(self.now.ms, 0.0, 0.1) {
+            return;
+        }
+        let room = self.set.platform.facts.state.txn_ops as usize;
+        let n = self.cloud.unlisted.len().min(room);
+        let mut conditions = vec![self.leader_condition(), self.epoch_condition()];
+        let mut changes = Vec::new();
+        let (mut machines, mut partitions) = (Vec::new(), Vec::new());
+        for (id, p, kind) in self.cloud.unlisted.iter().take(n) {
+            let entry = RosterEntry {
+                part: *p,
+                model: kind.0.clone(),
+                zone: kind.1.clone(),
+                spot: kind.2,
+                addr: String::new(),
+                seen: (0, 0),
+                at: self.now.wall_ms,
+            };
+            let key = format!("{ROSTER_PREFIX}{id}");
+            conditions.push(json!({ "k": key, "stamp": Stamp(0) }));
+            changes.push(json!({ "write": key, "value": entry }));
+            machines.push(id.clone());
+            partitions.push(*p);
+        }
+        self.cloud.writing_roster = true;
+        self.txn(conditions, changes, Purpose::RosterWrite { machines, partitions });
+    }
+
+    pub(crate) fn on_roster_write(
+        &mut self,
+        machines: Vec<MachineId>,
+        partitions: Vec<Partition>,
+        result: Option<(u16, Vec<u8>)>,
+    ) {
+        self.cloud.writing_roster = false;
+        let (status, answer) = match result {
+            Some((status, body)) => (status, serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default()),
+            None => (0, TxnAnswer::default()),
+        };
+        let listed: Vec<MachineId> = match status {
+            200 => {
+                for p in partitions {
+                    self.cloud.fresh_from.insert(p, answer.ledger);
+                }
+                machines
+            }
+            // An earlier copy has landed.
+            409 => machines
+                .into_iter()
+                .filter(|m| {
+                    answer
+                        .failed
+                        .iter()
+                        .any(|k| k.strip_prefix(ROSTER_PREFIX) == Some(m.as_str()))
+                })
+                .collect(),
+            _ => Vec::new(),
+        };
+        self.cloud.unlisted.retain(|(id, _, _)| !listed.contains(id));
+        if status == 200 {
+            self.write_roster();
+        }
+    }
+
+    /// Machines that report but are in nobody's roster: rentals that were carried out late.
+    fn adopt_strangers(&mut self) {
+        let now = self.now.ms;
+        let patience = 2 * self.set.report_ms();
+        let known: Vec<MachineId> = self
+            .cloud
+            .strangers
+            .keys()
+            .filter(|id| self.machines.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in known {
+            self.cloud.strangers.remove(&id);
+        }
+        if self.cloud.renting > 0 || !self.cloud.unlisted.is_empty() {
+            return;
+        }
+        let due: Vec<(MachineId, Kind)> = self
+            .cloud
+            .strangers
+            .iter()
+            .filter(|(_, (_, t))| now.saturating_sub(*t) > patience)
+            .map(|(id, (kind, _))| (id.clone(), kind.clone()))
+            .collect();
+        for (id, kind) in due {
+            let to = self
+                .cloud
+                .digests
+                .iter()
+                .max_by(|a, b| a.1.0.demand.total_cmp(&b.1.0.demand))
+                .map_or(Partition(0), |(p, _)| *p);
+            self.log(Level::Info, format!("{id} reports but is in no roster: taking it in"));
+            self.cloud.strangers.remove(&id);
+            self.cloud.unlisted.push((id, to, kind));
+        }
+    }
+
+    /// Marks machines to be returned: idle ones, and faulty ones once they are empty.
+    fn retire(&mut self) {
+        let now = self.now.ms;
+        let acting: Vec<Partition> = self
+            .tenures
+            .iter()
+            .filter(|(_, t)| t.stage == Stage::Active)
+            .map(|(p, _)| *p)
+            .collect();
+        let idle_per_boot = self.set.operator.idle_per_boot;
+        let mut log = Vec::new();
+        for (id, m) in &mut self.machines {
+            if !acting.contains(&m.partition) || m.retiring || m.gone || m.moving.is_some() || !m.up() {
+                continue;
+            }
+            if !m.confirmed || !m.held.is_empty() {
+                continue;
+            }
+            let boot = self.types.iter().find(|t| t.name == m.model).map_or(60.0, |t| t.boot_s);
+            let limit = (boot * idle_per_boot * 1000.0) as u64;
+            let idle = m.idle_since.is_some_and(|t| now.saturating_sub(t) > limit);
+            if idle || m.suspect {
+                m.retiring = true;
+                log.push(format!(
+                    "{id}: {}: returning it",
+                    if m.suspect { "faulty" } else { "idle" }
+                ));
+            }
+        }
+        for text in log {
+            self.log(Level::Info, text);
+        }
+    }
+
+    fn send_deletes(&mut self) {
+        if self.cloud.deleting {
+            return;
+        }
+        let names: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.retiring && !m.deleting && !m.gone && self.acting(m.partition).is_some())
+            .map(|(id, _)| id.clone())
+            .take(100)
+            .collect();
+        if names.is_empty() || !self.cloud_budget(0.0) {
+            return;
+        }
+        for id in &names {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.deleting = true;
+            }
+        }
+        self.delete(names);
+    }
+
+    fn delete(&mut self, machines: Vec<MachineId>) {
+        self.cloud.deleting = true;
+        let body = serde_json::to_string(&MachineNames {
+            machines: machines.clone(),
+        })
+        .unwrap_or_default();
+        self.cloud_call(Method::Post, "/hosts/delete", body, Purpose::Delete { machines });
+    }
+
+    pub(crate) fn on_delete(&mut self, machines: Vec<MachineId>, result: Option<(u16, Vec<u8>)>) {
+        self.cloud.deleting = false;
+        let done = matches!(result, Some((200, _)));
+        for id in machines {
+            let Some(m) = self.machines.get_mut(&id) else { continue };
+            m.deleting = false;
+            if done {
+                // The answer says that the machine and all that was on it are gone.
+                m.gone = true;
+                self.cloud.deleted.insert(id.clone(), self.now.ms);
+                self.cloud.drops.push(id.clone());
+                self.release_all(&id, "the cloud has deleted it");
+            }
+        }
+    }
+
+    /// Takes machines that are gone out of the roster.
+    fn send_drops(&mut self) {
+        let now = self.now.ms;
+        let keep = 4 * self.set.worker_lease_ms();
+        self.cloud.deleted.retain(|_, t| now.saturating_sub(*t) < keep);
+        if self.cloud.drops.is_empty() || !self.state_writes.take(now, 0.0, 0.3) {
+            return;
+        }
+        let room = self.set.platform.facts.state.txn_ops as usize;
+        let n = self.cloud.drops.len().min(room);
+        let machines: Vec<MachineId> = self.cloud.drops.drain(..n).collect();
+        let changes = machines
+            .iter()
+            .map(|id| json!({ "delete": format!("{ROSTER_PREFIX}{id}") }))
+            .collect();
+        let condition = self.epoch_condition();
+        self.txn(vec![condition], changes, Purpose::RosterDrop { machines });
+    }
+
+    pub(crate) fn on_roster_drop(&mut self, machines: Vec<MachineId>, result: Option<(u16, Vec<u8>)>) {
+        if !matches!(result, Some((200, _))) {
+            let still: Vec<MachineId> = machines.into_iter().filter(|m| self.machines.contains_key(m)).collect();
+            self.cloud.drops.extend(still);
+        }
+    }
+
+    /// Looks for machines that are paid for but in no roster.
+    fn list_hosts(&mut self) {
+        let now = self.now.ms;
+        let every = (self.set.platform.facts.cloud.list_lag_s * 2000.0) as u64 + self.set.report_ms();
+        if now < self.cloud.hosts_at + every || !self.cloud_budget(0.3) {
+            return;
+        }
+        self.cloud.hosts_at = now;
+        self.cloud_call(Method::Get, "/hosts?since=&most=500", String::new(), Purpose::Hosts);
+    }
+
+    pub(crate) fn on_hosts(&mut self, result: Option<(u16, Vec<u8>)>) {
+        let Some((200, body)) = result else { return };
+        let Ok(list) = serde_json::from_slice::<MachineList>(&body) else {
+            return;
+        };
+        if !self.is_leader() || self.cloud.renting > 0 || !self.cloud.unlisted.is_empty() || self.cloud.deleting {
+            return;
+        }
+        let old = 4.0 * self.set.platform.facts.cloud.list_lag_s;
+        let strays: Vec<MachineId> = list
+            .machines
+            .into_iter()
+            .filter(|m| m.age_s > old && !self.machines.contains_key(&m.id) && !self.cloud.deleted.contains_key(&m.id))
+            .map(|m| m.id)
+            .take(100)
+            .collect();
+        if strays.is_empty() || !self.cloud_budget(0.0) {
+            return;
+        }
+        self.log(
+            Level::Info,
+            format!("{} machines are in no roster: returning them", strays.len()),
+        );
+        for id in &strays {
+            self.cloud.deleted.insert(id.clone(), self.now.ms);
+        }
+        self.delete(strays);
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/controller.rs
@@ -0,0 +1,630 @@
+//! The state machine: inputs, outputs, and the table of calls that are under way.
+
+use crate::capacity::Cloud;
+use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
+use crate::jobs::{Job, Over, Purpose as JobPurpose};
+use crate::membership::{Membership, Tenure};
+use crate::picture::Machine;
+use crate::protocol::{JobSpec, MachineType, Rental};
+use crate::settings::Settings;
+use std::collections::{BTreeMap, HashMap};
+
+/// The time of an input.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Now {
+    /// Steady milliseconds since some moment before the process began to act.
+    pub ms: u64,
+    /// Milliseconds of the time of day.
+    pub wall_ms: u64,
+}
+
+/// HTTP method of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Method {
+    /// Read.
+    Get,
+    /// Change.
+    Post,
+    /// Remove.
+    Delete,
+}
+
+/// Where a call goes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Target {
+    /// State service.
+    State,
+    /// Cloud.
+    Cloud,
+    /// A worker, by its address.
+    Worker(String),
+}
+
+/// What a caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// When to come back.
+    pub retry_after_s: Option<u32>,
+    /// JSON body.
+    pub body: String,
+}
+
+impl Answer {
+    /// An answer with a body.
+    pub fn new(status: u16, body: impl Into<String>) -> Self {
+        Self {
+            status,
+            retry_after_s: None,
+            body: body.into(),
+        }
+    }
+    /// Not now; come back later.
+    pub fn later(status: u16, seconds: u32, why: &str) -> Self {
+        Self {
+            status,
+            retry_after_s: Some(seconds),
+            body: serde_json::json!({ "error": why }).to_string(),
+        }
+    }
+}
+
+/// Machines that a partition would like to have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// Machine type.
+    pub model: String,
+    /// Zone; empty: any.
+    pub zone: String,
+    /// Spot machines.
+    pub spot: bool,
+    /// How many.
+    pub count: u32,
+    /// For services, or for work near its deadline.
+    pub urgent: bool,
+}
+
+/// A machine with nothing on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Idle {
+    /// The machine.
+    pub machine: MachineId,
+    /// Machine type.
+    pub model: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+}
+
+/// What a partition's owner tells the leader.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Digest {
+    /// The partition.
+    pub partition: Partition,
+    /// Revision of the store that it was made from.
+    pub ledger: u64,
+    /// Queued and running demand, in accelerators (or processors where none are used).
+    pub demand: f64,
+    /// Machines wanted.
+    pub needs: Vec<Need>,
+    /// Machines with nothing on them.
+    pub idle: Vec<Idle>,
+}
+
+/// The leader hands a machine to another partition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The machine.
+    pub machine: MachineId,
+    /// Its new partition.
+    pub to: Partition,
+}
+
+/// What one controller asks another.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerRequest {
+    /// A worker's report for the machine's owner.
+    Relay {
+        /// The report as it came.
+        report: Vec<u8>,
+    },
+    /// A user's question or withdrawal for a job's owner.
+    Forward {
+        /// The job.
+        job: String,
+        /// Withdraw, or else ask for its state.
+        withdraw: bool,
+    },
+    /// How the sender stands.
+    Hello {
+        /// The sender.
+        name: String,
+        /// It holds its lease.
+        entitled: bool,
+        /// Its partitions.
+        digests: Vec<Digest>,
+    },
+}
+
+/// What one controller answers another.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PeerReply {
+    /// To a relay or a forward.
+    Answer(Answer),
+    /// To a hello.
+    Hello {
+        /// The answerer holds its lease.
+        entitled: bool,
+        /// Machines to hand over (from the leader only).
+        moves: Vec<Move>,
+        /// Kinds of machine that the cloud refused lately (from the leader only).
+        refused: Vec<Need>,
+    },
+}
+
+/// What happens to a controller.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A request of a user, worker or health check.
+    Request {
+        /// Number for the answer.
+        id: u64,
+        /// Method.
+        method: Method,
+        /// Path.
+        path: String,
+        /// Body.
+        body: Vec<u8>,
+    },
+    /// A call ended: status and body, or no answer.
+    Reply {
+        /// The call.
+        call: u64,
+        /// What came back.
+        result: Option<(u16, Vec<u8>)>,
+    },
+    /// A peer asks.
+    PeerRequest {
+        /// Number for the answer.
+        id: u64,
+        /// The question.
+        request: PeerRequest,
+    },
+    /// A peer answered, or did not.
+    PeerReply {
+        /// The call.
+        call: u64,
+        /// The answer.
+        result: Option<PeerReply>,
+    },
+}
+
+/// Weight of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Level {
+    /// Something that an operator should look at.
+    Error,
+    /// A decision that explains what follows.
+    Info,
+    /// Detail.
+    Debug,
+}
+
+/// What a controller wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Answer a request.
+    Answer {
+        /// The request.
+        id: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Make a call; its end comes back as [`Input::Reply`].
+    Call {
+        /// The call.
+        id: u64,
+        /// Where.
+        target: Target,
+        /// Method.
+        method: Method,
+        /// Path and query.
+        path: String,
+        /// JSON body, or nothing.
+        body: String,
+        /// Time after which it has no answer.
+        timeout_ms: u64,
+    },
+    /// Ask a peer; its end comes back as [`Input::PeerReply`].
+    Ask {
+        /// The call.
+        id: u64,
+        /// Whom.
+        to: ControllerId,
+        /// What.
+        request: PeerRequest,
+        /// Time after which it has no answer.
+        timeout_ms: u64,
+    },
+    /// Answer a peer.
+    Tell {
+        /// The request.
+        id: u64,
+        /// The answer.
+        reply: PeerReply,
+    },
+    /// Say something to the operators.
+    Log {
+        /// Weight.
+        level: Level,
+        /// Text.
+        text: String,
+    },
+}
+
+/// Who waits for an answer: a connection, or a peer that passed the question on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Asker {
+    Request(u64),
+    Peer(u64),
+}
+
+/// Why a call was made.
+#[derive(Debug, Clone)]
+pub(crate) enum Purpose {
+    LeaseNew {
+        sent: u64,
+    },
+    LeaseExtend {
+        sent: u64,
+        permit: u64,
+    },
+    MemberWrite {
+        ack: u64,
+    },
+    LeaderTake,
+    EpochWrite,
+    List {
+        cursor: String,
+        first_ledger: u64,
+    },
+    Watch,
+    Bits {
+        partition: Partition,
+        since: u64,
+    },
+    Job(JobPurpose),
+    Types,
+    TypesWrite,
+    Rent {
+        rental: Rental,
+        split: Vec<Partition>,
+    },
+    RosterWrite {
+        machines: Vec<MachineId>,
+        partitions: Vec<Partition>,
+    },
+    FirstBeat {
+        machine: MachineId,
+        asker: Asker,
+        beat: (u64, u64),
+    },
+    RosterMove {
+        machine: MachineId,
+        to: Partition,
+    },
+    RosterDrop {
+        machines: Vec<MachineId>,
+    },
+    Delete {
+        machines: Vec<MachineId>,
+    },
+    Hosts,
+    Confirm {
+        machine: MachineId,
+    },
+    Hello {
+        to: ControllerId,
+    },
+    Relay {
+        asker: Asker,
+        report: Box<crate::protocol::Report>,
+    },
+    ForwardStatus {
+        asker: Asker,
+        job: JobId,
+    },
+    ForwardWithdraw {
+        asker: Asker,
+    },
+}
+
+/// A budget of requests: so many a second, with bursts of one second's worth.
+#[derive(Debug, Clone)]
+pub(crate) struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Bucket {
+    pub(crate) fn new(rate: f64, burst: f64) -> Self {
+        Self {
+            rate,
+            burst,
+            level: burst,
+            at: 0,
+        }
+    }
+    fn fill(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.at = now;
+        self.level = (self.level + passed * self.rate).min(self.burst);
+    }
+    /// Takes `n` if at least `reserve` (a part of the burst) would be left.
+    pub(crate) fn take(&mut self, now: u64, n: f64, reserve: f64) -> bool {
+        self.fill(now);
+        if self.level - n < self.burst * reserve {
+            return false;
+        }
+        self.level -= n;
+        true
+    }
+    /// Takes `n` whatever is left: for what must go out.
+    pub(crate) fn force(&mut self, now: u64, n: f64) {
+        self.fill(now);
+        self.level -= n;
+    }
+    pub(crate) fn set_rate(&mut self, rate: f64, burst: f64) {
+        self.rate = rate;
+        self.burst = burst;
+    }
+}
+
+/// One controller: its view of the cluster, the jobs and the machines.
+pub struct Controller {
+    pub(crate) set: Settings,
+    pub(crate) me: ControllerId,
+    pub(crate) now: Now,
+    pub(crate) out: Vec<Output>,
+    next_call: u64,
+    pending: HashMap<u64, Purpose>,
+    pub(crate) member: Membership,
+    pub(crate) tenures: BTreeMap<Partition, Tenure>,
+    pub(crate) types: Vec<MachineType>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) over: HashMap<JobId, Over>,
+    pub(crate) machines: BTreeMap<MachineId, Machine>,
+    pub(crate) cloud: Cloud,
+    pub(crate) state_reads: Bucket,
+    pub(crate) state_writes: Bucket,
+    pub(crate) batch_due: Option<u64>,
+    pub(crate) flush_due: u64,
+    pub(crate) redirected: HashMap<MachineId, u64>,
+}
+
+impl Controller {
+    /// A controller that has just started. `incarnation` must differ from that of every earlier life.
+    pub fn new(set: Settings, incarnation: Incarnation, now: Now) -> Self {
+        let nodes = f64::from(set.partitions());
+        let state = &set.platform.facts.state;
+        let state_reads = Bucket::new(state.rps / nodes, state.rps / nodes);
+        let state_writes = Bucket::new(state.write_rps / nodes, state.write_rps / nodes);
+        let cloud = Cloud::new(&set);
+        let me = ControllerId::new(set.platform.host_name.clone());
+        Self {
+            me,
+            now,
+            out: Vec::new(),
+            next_call: 1,
+            pending: HashMap::new(),
+            member: Membership::new(incarnation),
+            tenures: BTreeMap::new(),
+            types: Vec::new(),
+            jobs: BTreeMap::new(),
+            over: HashMap::new(),
+            machines: BTreeMap::new(),
+            cloud,
+            state_reads,
+            state_writes,
+            batch_due: None,
+            flush_due: 0,
+            redirected: HashMap::new(),
+            set,
+        }
+    }
+
+    /// Takes one input and returns what is to be done.
+    pub fn step(&mut self, now: Now, input: Input) -> Vec<Output> {
+        self.now = now;
+        match input {
+            Input::Tick => self.tick(),
+            Input::Request { id, method, path, body } => self.on_request(id, method, &path, &body),
+            Input::Reply { call, result } => {
+                if let Some(purpose) = self.pending.remove(&call) {
+                    self.on_reply(purpose, result);
+                }
+            }
+            Input::PeerRequest { id, request } => self.on_peer_request(id, request),
+            Input::PeerReply { call, result } => {
+                if let Some(purpose) = self.pending.remove(&call) {
+                    self.on_peer_reply(purpose, result);
+                }
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self) {
+        self.tick_membership();
+        self.tick_tenures();
+        self.tick_jobs();
+        self.tick_machines();
+        self.tick_batch();
+        self.tick_capacity();
+    }
+
+    pub(crate) fn log(&mut self, level: Level, text: impl Into<String>) {
+        self.out.push(Output::Log {
+            level,
+            text: text.into(),
+        });
+    }
+
+    pub(crate) fn answer(&mut self, to: Asker, answer: Answer) {
+        self.out.push(match to {
+            Asker::Request(id) => Output::Answer { id, answer },
+            Asker::Peer(id) => Output::Tell {
+                id,
+                reply: PeerReply::Answer(answer),
+            },
+        });
+    }
+
+    pub(crate) fn call(
+        &mut self,
+        target: Target,
+        method: Method,
+        path: impl Into<String>,
+        body: String,
+        timeout_ms: u64,
+        purpose: Purpose,
+    ) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.pending.insert(id, purpose);
+        self.out.push(Output::Call {
+            id,
+            target,
+            method,
+            path: path.into(),
+            body,
+            timeout_ms,
+        });
+    }
+
+    pub(crate) fn ask(&mut self, to: ControllerId, request: PeerRequest, timeout_ms: u64, purpose: Purpose) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.pending.insert(id, purpose);
+        self.out.push(Output::Ask {
+            id,
+            to,
+            request,
+            timeout_ms,
+        });
+    }
+
+    fn on_request(&mut self, id: u64, method: Method, path: &str, body: &[u8]) {
+        let asker = Asker::Request(id);
+        let path = path.split('?').next().unwrap_or(path);
+        match (method, path) {
+            (Method::Get, "/up") => {
+                let answer = if self.takes_requests() {
+                    Answer::new(200, "{}")
+                } else {
+                    Answer::later(503, 1, "not ready")
+                };
+                self.answer(asker, answer);
+            }
+            (Method::Post, "/agent/beat") => self.on_beat(asker, body, true),
+            (Method::Post, "/submissions") => self.on_submission(asker, body),
+            _ => {
+                let rest = path.strip_prefix("/submissions/");
+                match (method, rest) {
+                    (Method::Get, Some(id)) if !id.contains('/') => self.on_status(asker, id, true),
+                    (Method::Post, Some(rest)) => match rest.strip_suffix("/withdraw") {
+                        Some(id) if !id.contains('/') => self.on_withdraw(asker, id, true),
+                        _ => self.answer(asker, Answer::new(404, r#"{"error":"no such path"}"#)),
+                    },
+                    _ if ["/up", "/agent/beat", "/submissions"].contains(&path) || rest.is_some() => {
+                        self.answer(asker, Answer::new(405, r#"{"error":"method not allowed"}"#));
+                    }
+                    _ => self.answer(asker, Answer::new(404, r#"{"error":"no such path"}"#)),
+                }
+            }
+        }
+    }
+
+    fn on_peer_request(&mut self, id: u64, request: PeerRequest) {
+        let asker = Asker::Peer(id);
+        match request {
+            PeerRequest::Relay { report } => self.on_beat(asker, &report, false),
+            PeerRequest::Forward { job, withdraw: true } => self.on_withdraw(asker, &job, false),
+            PeerRequest::Forward { job, withdraw: false } => self.on_status(asker, &job, false),
+            PeerRequest::Hello {
+                name,
+                entitled,
+                digests,
+            } => self.on_hello(id, name, entitled, digests),
+        }
+    }
+
+    fn on_reply(&mut self, purpose: Purpose, result: Option<(u16, Vec<u8>)>) {
+        match purpose {
+            Purpose::LeaseNew { sent } => self.on_lease_new(sent, result),
+            Purpose::LeaseExtend { sent, permit } => self.on_lease_extend(sent, permit, result),
+            Purpose::MemberWrite { ack } => self.on_member_write(ack, result),
+            Purpose::LeaderTake => self.on_leader_take(result),
+            Purpose::EpochWrite => self.on_epoch_write(result),
+            Purpose::List { cursor, first_ledger } => self.on_list(cursor, first_ledger, result),
+            Purpose::Watch => self.on_watch(result),
+            Purpose::Bits { partition, since } => self.on_bits(partition, since, result),
+            Purpose::Job(purpose) => self.on_job_reply(purpose, result),
+            Purpose::Types => self.on_types(result),
+            Purpose::TypesWrite => self.cloud.types_writing = false,
+            Purpose::Rent { rental, split } => self.on_rent(rental, split, result),
+            Purpose::RosterWrite { machines, partitions } => self.on_roster_write(machines, partitions, result),
+            Purpose::FirstBeat { machine, asker, beat } => self.on_first_beat_stored(machine, asker, beat, result),
+            Purpose::RosterMove { machine, to } => self.on_roster_move(machine, to, result),
+            Purpose::RosterDrop { machines } => self.on_roster_drop(machines, result),
+            Purpose::Delete { machines } => self.on_delete(machines, result),
+            Purpose::Hosts => self.on_hosts(result),
+            Purpose::Confirm { machine } => self.on_confirm(machine, result),
+            Purpose::Hello { .. }
+            | Purpose::Relay { .. }
+            | Purpose::ForwardStatus { .. }
+            | Purpose::ForwardWithdraw { .. } => {}
+        }
+    }
+
+    fn on_peer_reply(&mut self, purpose: Purpose, result: Option<PeerReply>) {
+        match (purpose, result) {
+            (
+                Purpose::Hello { to },
+                Some(PeerReply::Hello {
+                    entitled,
+                    moves,
+                    refused,
+                }),
+            ) => {
+                self.note_peer(&to, true, entitled);
+                self.on_moves(&to, moves, refused);
+            }
+            (Purpose::Hello { to }, _) => self.note_peer(&to, false, false),
+            (Purpose::Relay { asker, report }, result) => self.on_relayed(asker, &report, result),
+            (Purpose::ForwardStatus { asker, job }, result) => match result {
+                Some(PeerReply::Answer(answer)) if answer.status == 200 => self.answer(asker, answer),
+                _ => self.read_status(asker, job),
+            },
+            (Purpose::ForwardWithdraw { asker }, result) => {
+                let answer = match result {
+                    Some(PeerReply::Answer(answer)) => answer,
+                    _ => Answer::later(503, 1, "the job's controller cannot be reached"),
+                };
+                self.answer(asker, answer);
+            }
+            _ => {}
+        }
+    }
+
+    /// A job's demand on a machine, as a vector.
+    pub(crate) fn size(spec: &JobSpec) -> [f64; 3] {
+        [spec.cpus, spec.gpus, spec.memory_gb]
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -0,0 +1,840 @@
+//! Jobs: accepting them, telling of them, cancelling them, and what is stored of them.
+
+use crate::controller::{Answer, Asker, Controller, Level, Method, PeerRequest, Purpose as Call, Target};
+use crate::ids::{Epoch, JobId, MachineId, Partition, Stamp, TaskId};
+use crate::membership::{JOB_PREFIX, Stage};
+use crate::protocol::{Item, JobSpec, Malformed, Shape, TaskState, TxnAnswer, parse_submission, submission_id};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A job's state as stored. Only `queued` is not final.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stored {
+    /// Accepted and not over.
+    Queued,
+    /// All tasks done.
+    Done,
+    /// Cancelled by its user.
+    Withdrawn,
+}
+
+impl Stored {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Done => "done",
+            Self::Withdrawn => "withdrawn",
+        }
+    }
+}
+
+/// What is stored of a job. Once it is over, the description goes and the rest stays for good.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// The epoch that it was accepted under.
+    pub epoch: Epoch,
+    /// Time of day of its acceptance.
+    pub at: u64,
+    /// Its state.
+    pub st: Stored,
+    /// Number of its tasks.
+    pub n: u32,
+    /// Its team.
+    pub team: String,
+    /// What each of its tasks takes: its tasks count against the team's limit even after its end.
+    pub size: [f64; 3],
+    /// Its description, until it is over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+}
+
+/// A job that is over, as kept in memory.
+#[derive(Debug, Clone)]
+pub(crate) struct Over {
+    pub(crate) done: bool,
+    pub(crate) tasks: u32,
+    pub(crate) team: String,
+    pub(crate) size: [f64; 3],
+}
+
+impl Over {
+    fn of(record: &JobRecord) -> Option<Self> {
+        (record.st != Stored::Queued).then_some(Self {
+            done: record.st == Stored::Done,
+            tasks: record.n,
+            team: record.team.clone(),
+            size: record.size,
+        })
+    }
+    fn body(&self, id: &JobId) -> String {
+        let (status, done) = if self.done {
+            ("done", self.tasks)
+        } else {
+            ("withdrawn", 0)
+        };
+        json!({ "uid": id, "status": status, "done": done, "running": 0 }).to_string()
+    }
+}
+
+/// An end of a job that is being stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ending {
+    Done,
+    Withdrawn,
+}
+
+/// An unfinished job.
+#[derive(Debug, Clone)]
+pub(crate) struct Job {
+    pub(crate) spec: JobSpec,
+    pub(crate) stamp: Stamp,
+    pub(crate) epoch: Epoch,
+    pub(crate) at_wall: u64,
+    pub(crate) partition: Partition,
+    pub(crate) done: Vec<u64>,
+    pub(crate) done_count: u32,
+    stored: Vec<u64>,
+    dirty: BTreeSet<u32>,
+    chunks: BTreeSet<u32>,
+    /// Machines that hold each task that is placed, uncertain ones included.
+    pub(crate) placed: BTreeMap<u32, Vec<MachineId>>,
+    pub(crate) cursor: u32,
+    pub(crate) ending: Option<Ending>,
+    pub(crate) ending_sent: bool,
+    pub(crate) askers: Vec<Asker>,
+    /// Distinct machines on which a task failed since one last ran through.
+    pub(crate) failed_on: BTreeSet<MachineId>,
+    pub(crate) hold_until: u64,
+}
+
+fn bit(words: &[u64], i: u32) -> bool {
+    words.get(i as usize / 64).is_some_and(|w| w >> (i % 64) & 1 == 1)
+}
+
+fn set_bit(words: &mut [u64], i: u32) {
+    if let Some(w) = words.get_mut(i as usize / 64) {
+        *w |= 1 << (i % 64);
+    }
+}
+
+/// The numbers of the bits that are set in a chunk of a bitmap.
+pub fn bits_from_hex(hex: &str) -> Vec<u32> {
+    let mut bits = Vec::new();
+    for (i, c) in hex.chars().enumerate() {
+        let digit = c.to_digit(16).unwrap_or(0);
+        bits.extend((0..4).filter(|b| digit >> b & 1 == 1).map(|b| i as u32 * 4 + b));
+    }
+    bits
+}
+
+impl Job {
+    fn new(spec: JobSpec, record: (Epoch, u64, Stamp), partition: Partition) -> Self {
+        let words = (spec.tasks as usize).div_ceil(64);
+        Self {
+            spec,
+            stamp: record.2,
+            epoch: record.0,
+            at_wall: record.1,
+            partition,
+            done: vec![0; words],
+            done_count: 0,
+            stored: vec![0; words],
+            dirty: BTreeSet::new(),
+            chunks: BTreeSet::new(),
+            placed: BTreeMap::new(),
+            cursor: 0,
+            ending: None,
+            ending_sent: false,
+            askers: Vec::new(),
+            failed_on: BTreeSet::new(),
+            hold_until: 0,
+        }
+    }
+
+    fn reset(&mut self) {
+        let record = (self.epoch, self.at_wall, self.stamp);
+        *self = Self::new(self.spec.clone(), record, self.partition);
+    }
+
+    pub(crate) fn is_done(&self, index: u32) -> bool {
+        bit(&self.done, index)
+    }
+
+    pub(crate) fn is_stored(&self, index: u32) -> bool {
+        bit(&self.stored, index)
+    }
+
+    /// A task that was done according to the stored bitmap.
+    pub(crate) fn restore_done(&mut self, index: u32, chunk: u32) {
+        if index < self.spec.tasks && !self.is_done(index) {
+            set_bit(&mut self.done, index);
+            set_bit(&mut self.stored, index);
+            self.done_count += 1;
+        }
+        self.chunks.insert(chunk);
+    }
+
+    fn mark_done(&mut self, index: u32, chunk_bits: u32) {
+        if index < self.spec.tasks && !self.is_done(index) {
+            set_bit(&mut self.done, index);
+            self.done_count += 1;
+            self.dirty.insert(index / chunk_bits);
+        }
+    }
+
+    fn chunk_hex(&self, chunk: u32, chunk_bits: u32) -> String {
+        let first = chunk * chunk_bits;
+        let last = (first + chunk_bits).min(self.spec.tasks);
+        (first..last)
+            .step_by(4)
+            .map(|i| {
+                let digit = (0..4).filter(|b| self.is_done(i + b)).fold(0, |d, b| d | 1 << b);
+                char::from_digit(digit, 16).unwrap_or('0')
+            })
+            .collect()
+    }
+
+    /// Tasks that neither are done nor may be on a machine, from the lowest number on.
+    pub(crate) fn waiting(&mut self, most: usize) -> Vec<u32> {
+        while self.cursor < self.spec.tasks && (self.is_done(self.cursor) || self.placed.contains_key(&self.cursor)) {
+            self.cursor += 1;
+        }
+        (self.cursor..self.spec.tasks)
+            .filter(|i| !self.is_done(*i) && !self.placed.contains_key(i))
+            .take(most)
+            .collect()
+    }
+
+    /// Number of tasks neither done nor placed.
+    pub(crate) fn waiting_count(&self) -> u32 {
+        self.spec
+            .tasks
+            .saturating_sub(self.done_count)
+            .saturating_sub(self.placed.len() as u32)
+    }
+
+    /// May tasks of this job be started?
+    pub(crate) fn startable(&self, now: u64) -> bool {
+        self.ending.is_none() && now >= self.hold_until
+    }
+}
+
+/// A chunk of a bitmap on its way to the store: its key, and the tasks that it newly calls done.
+#[derive(Debug, Clone)]
+pub(crate) struct Chunk {
+    job: JobId,
+    number: u32,
+    key: String,
+    done: Vec<u32>,
+}
+
+/// Calls made for jobs.
+#[derive(Debug, Clone)]
+pub(crate) enum Purpose {
+    /// The acceptance of a submission.
+    Accept {
+        asker: Asker,
+        id: JobId,
+        spec: Box<JobSpec>,
+        epoch: Epoch,
+        at: u64,
+        tries: u32,
+    },
+    /// Whether a submission is known, when its acceptance has no clear outcome or its body a fault.
+    Known { asker: Asker, id: JobId, absent: Answer },
+    /// A fresh read for a poll.
+    Status { asker: Asker, id: JobId },
+    /// A fresh read for a withdrawal of a job that is not known here.
+    WithdrawRead { asker: Asker, id: JobId },
+    /// A job's end.
+    End { id: JobId, ending: Ending },
+    /// Done bits.
+    Flush { chunks: Vec<Chunk> },
+    /// Bitmaps of jobs that are over.
+    Sweep,
+}
+
+impl Controller {
+    /// Bits in one stored chunk: four to a character, in three quarters of the largest value.
+    pub(crate) fn chunk_bits(&self) -> u32 {
+        (self.set.platform.facts.state.value_kb * 1024.0 * 0.75) as u32 * 4
+    }
+
+    pub(crate) fn apply_job(&mut self, id: JobId, value: Option<Value>, stamp: Stamp) {
+        // Records are never deleted.
+        let Some(record) = value.and_then(|v| serde_json::from_value::<JobRecord>(v).ok()) else {
+            return;
+        };
+        self.learn_job(id, record, stamp);
+    }
+
+    fn learn_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
+        if self.over.contains_key(&id) {
+            return;
+        }
+        if let Some(over) = Over::of(&record) {
+            self.job_over(&id, over);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stamp = job.stamp.max(stamp);
+            return;
+        }
+        let Some(spec) = record.spec else { return };
+        let Some(partition) = self.set.partition_of_team(&spec.team) else {
+            return;
+        };
+        let job = Job::new(spec, (record.epoch, record.at, stamp), partition);
+        self.jobs.insert(id, job);
+        if self.tenures.contains_key(&partition) {
+            self.want_batch();
+        }
+    }
+
+    fn job_over(&mut self, id: &JobId, over: Over) {
+        let body = over.body(id);
+        self.over.insert(id.clone(), over);
+        if let Some(job) = self.jobs.remove(id) {
+            for asker in job.askers {
+                self.answer(asker, Answer::new(200, body.clone()));
+            }
+            // Whatever may still hold its tasks is told to stop them with its next report.
+            for machines in job.placed.values() {
+                for machine in machines {
+                    if let Some(m) = self.machines.get_mut(machine) {
+                        m.drop_unsent(id);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Everything known of what a partition's jobs do is forgotten: it comes anew from reports.
+    pub(crate) fn reset_jobs(&mut self, partition: Partition) {
+        for job in self.jobs.values_mut().filter(|j| j.partition == partition) {
+            job.reset();
+        }
+    }
+
+    fn fits_some_type(&self, spec: &JobSpec) -> bool {
+        self.types.iter().any(|t| {
+            spec.models.as_ref().is_none_or(|m| m.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && t.cpus >= spec.cpus
+                && t.gpus >= spec.gpus
+                && t.memory_gb >= spec.memory_gb
+        })
+    }
+
+    pub(crate) fn on_submission(&mut self, asker: Asker, body: &[u8]) {
+        let id = submission_id(body);
+        // A job that is known gets its state, whatever the body says.
+        if let Some(id) = &id
+            && (self.over.contains_key(id) || self.jobs.contains_key(id))
+        {
+            self.on_status(asker, id.as_str(), true);
+            return;
+        }
+        if !self.entitled() || self.member.epoch.is_none() {
+            self.answer(asker, Answer::later(503, 1, "not entitled to act at present"));
+            return;
+        }
+        let parsed = parse_submission(body);
+        let refusal = match &parsed {
+            Err(fault) => Some(Answer::new(400, json!({ "error": fault.to_string() }).to_string())),
+            Ok((_, spec)) => self.never_runs(spec),
+        };
+        let (id, spec) = match (parsed, refusal, id) {
+            (_, Some(answer), Some(id)) if answer.status != 503 => {
+                // Refused for good only if it has not been accepted before.
+                self.known(asker, id, answer);
+                return;
+            }
+            (_, Some(answer), _) => {
+                self.answer(asker, answer);
+                return;
+            }
+            (Err(Malformed::NotAnObject | Malformed::Field(_)), None, _) => return,
+            (Ok(job), None, _) => job,
+        };
+        let queued = self.jobs.values().filter(|j| j.spec.team == spec.team).count();
+        if queued >= self.set.operator.queue_jobs_per_team as usize {
+            self.answer(asker, Answer::later(429, 10, "the team's queue is full"));
+            return;
+        }
+        self.accept(asker, id, spec, 0);
+    }
+
+    /// 422 for what can never run, 503 while that cannot be told.
+    fn never_runs(&self, spec: &JobSpec) -> Option<Answer> {
+        let unfit = |why: &str| Some(Answer::new(422, json!({ "error": why }).to_string()));
+        let Some((_, team)) = self.set.team(&spec.team) else {
+            return unfit("unknown team");
+        };
+        let tasks = if spec.shape == Shape::Service {
+            f64::from(spec.tasks)
+        } else {
+            1.0
+        };
+        for (one, most) in [(spec.cpus, team.cpus_max), (spec.gpus, team.gpus_max)] {
+            if most > 0.0 && one * tasks > most + 1e-9 {
+                return unfit("more than the team's limit");
+            }
+        }
+        if self.types.is_empty() {
+            return Some(Answer::later(503, 1, "the machine types are not known yet"));
+        }
+        if !self.fits_some_type(spec) {
+            return unfit("a task fits no allowed machine type");
+        }
+        None
+    }
+
+    fn accept(&mut self, asker: Asker, id: JobId, spec: JobSpec, tries: u32) {
+        let Some(epoch) = self.epoch() else { return };
+        if !self.state_writes.take(self.now.ms, 0.0, -0.5) || !self.state_reads.take(self.now.ms, 0.0, -0.5) {
+            self.answer(asker, Answer::later(503, 1, "too many requests at present"));
+            return;
+        }
+        let at = self.now.wall_ms;
+        let key = format!("{JOB_PREFIX}{id}");
+        let record = JobRecord {
+            epoch,
+            at,
+            st: Stored::Queued,
+            n: spec.tasks,
+            team: spec.team.clone(),
+            size: Self::size(&spec),
+            spec: Some(spec.clone()),
+        };
+        let conditions = vec![json!({ "k": key, "stamp": 0 }), self.epoch_condition()];
+        self.txn(
+            conditions,
+            vec![json!({ "write": key, "value": record })],
+            Call::Job(Purpose::Accept {
+                asker,
+                id,
+                spec: Box::new(spec),
+                epoch,
+                at,
+                tries,
+            }),
+        );
+    }
+
+    fn known(&mut self, asker: Asker, id: JobId, absent: Answer) {
+        self.read_job(&id.clone(), Purpose::Known { asker, id, absent });
+    }
+
+    fn read_job(&mut self, id: &JobId, purpose: Purpose) {
+        self.state_reads.force(self.now.ms, 1.0);
+        // Users wait 2 s for a poll.
+        let timeout = (self.set.lease_ms() / 4).min(1500);
+        self.call(
+            Target::State,
+            Method::Get,
+            format!("/store/{JOB_PREFIX}{id}"),
+            String::new(),
+            timeout,
+            Call::Job(purpose),
+        );
+    }
+
+    pub(crate) fn read_status(&mut self, asker: Asker, id: JobId) {
+        if !self.state_reads.take(self.now.ms, 0.0, -1.0) {
+            self.answer(asker, Answer::later(503, 1, "too many requests at present"));
+            return;
+        }
+        self.read_job(&id.clone(), Purpose::Status { asker, id });
+    }
+
+    pub(crate) fn on_status(&mut self, asker: Asker, id: &str, may_forward: bool) {
+        let Some(id) = JobId::parse(id) else {
+            // No job can have such an id.
+            self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#));
+            return;
+        };
+        if let Some(over) = self.over.get(&id) {
+            let body = over.body(&id);
+            self.answer(asker, Answer::new(200, body));
+            return;
+        }
+        if let Some(job) = self.jobs.get(&id) {
+            if self.acting(job.partition).is_some() && job.ending.is_none() {
+                let body = self.live_body(&id, job);
+                self.answer(asker, Answer::new(200, body));
+                return;
+            }
+            let owner = self.holding(job.partition).map(|h| h.owner.clone());
+            if let Some(owner) = owner.filter(|o| *o != self.me && may_forward && self.reachable(o)) {
+                let request = PeerRequest::Forward {
+                    job: id.as_str().to_owned(),
+                    withdraw: false,
+                };
+                self.ask(owner, request, 500, Call::ForwardStatus { asker, job: id });
+                return;
+            }
+        }
+        self.read_status(asker, id);
+    }
+
+    fn live_body(&self, id: &JobId, job: &Job) -> String {
+        let running: usize = job
+            .placed
+            .iter()
+            .filter(|(index, machines)| {
+                machines.iter().any(|m| {
+                    self.machines
+                        .get(m)
+                        .is_some_and(|m| m.state_of(id, **index) == Some(TaskState::Running))
+                })
+            })
+            .count();
+        let status = if running > 0 { "running" } else { "queued" };
+        json!({ "uid": id, "status": status, "done": job.done_count, "running": running }).to_string()
+    }
+
+    pub(crate) fn on_withdraw(&mut self, asker: Asker, id: &str, may_forward: bool) {
+        let Some(id) = JobId::parse(id) else {
+            self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#));
+            return;
+        };
+        if let Some(over) = self.over.get(&id) {
+            let body = over.body(&id);
+            self.answer(asker, Answer::new(200, body));
+            return;
+        }
+        let Some(partition) = self.jobs.get(&id).map(|j| j.partition) else {
+            self.read_job(&id.clone(), Purpose::WithdrawRead { asker, id });
+            return;
+        };
+        if self.acting(partition).is_none() {
+            let owner = self.holding(partition).map(|h| h.owner.clone());
+            match owner.filter(|o| *o != self.me && may_forward && self.reachable(o)) {
+                Some(owner) => {
+                    let request = PeerRequest::Forward {
+                        job: id.as_str().to_owned(),
+                        withdraw: true,
+                    };
+                    let timeout = 4 * self.set.report_ms() / 5;
+                    self.ask(owner, request, timeout, Call::ForwardWithdraw { asker });
+                }
+                None => self.answer(asker, Answer::later(503, 1, "the job's controller cannot be reached")),
+            }
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.askers.push(asker);
+            if job.ending.is_none() {
+                self.end_job(&id, Ending::Withdrawn);
+            }
+        }
+    }
+
+    /// Begins to store a job's end. From here on none of its tasks is started.
+    fn end_job(&mut self, id: &JobId, ending: Ending) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.ending = Some(ending);
+        job.ending_sent = true;
+        let record = JobRecord {
+            epoch: job.epoch,
+            at: job.at_wall,
+            st: match ending {
+                Ending::Done => Stored::Done,
+                Ending::Withdrawn => Stored::Withdrawn,
+            },
+            n: job.spec.tasks,
+            team: job.spec.team.clone(),
+            size: Self::size(&job.spec),
+            spec: None,
+        };
+        let key = format!("{JOB_PREFIX}{id}");
+        let mut conditions = vec![json!({ "k": key, "stamp": job.stamp })];
+        let mut changes = vec![json!({ "write": key, "value": record })];
+        let room = self.set.platform.facts.state.txn_ops.saturating_sub(1) as usize;
+        let partition = job.partition;
+        let mut keys = job.chunks.iter().map(|c| format!("d/{partition}/{id}/{c}"));
+        changes.extend(keys.by_ref().take(room).map(|k| json!({ "delete": k })));
+        let rest: Vec<String> = keys.collect();
+        self.cloud.stale_keys.extend(rest);
+        conditions.push(self.epoch_condition());
+        self.txn(conditions, changes, Call::Job(Purpose::End { id: id.clone(), ending }));
+    }
+
+    /// Notes that a task has run through; the end of the last one is stored at once.
+    pub(crate) fn task_done(&mut self, task: &TaskId) {
+        let chunk_bits = self.chunk_bits();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.mark_done(task.index, chunk_bits);
+        job.failed_on.clear();
+        let complete = job.done_count >= job.spec.tasks && job.ending.is_none();
+        if complete {
+            self.end_job(&task.job.clone(), Ending::Done);
+        }
+    }
+
+    pub(crate) fn complete_finished(&mut self, partition: Partition) {
+        let finished: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.partition == partition && j.done_count >= j.spec.tasks && j.ending.is_none())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in finished {
+            self.end_job(&id, Ending::Done);
+        }
+    }
+
+    pub(crate) fn on_job_reply(&mut self, purpose: Purpose, result: Option<(u16, Vec<u8>)>) {
+        match purpose {
+            Purpose::Accept {
+                asker,
+                id,
+                spec,
+                epoch,
+                at,
+                tries,
+            } => self.on_accepted(asker, id, *spec, (epoch, at), tries, result),
+            Purpose::Known { asker, id, absent } => match result {
+                Some((404, _)) => self.answer(asker, absent),
+                result => self.answer_read(asker, &id, result),
+            },
+            Purpose::Status { asker, id } => match result {
+                Some((404, _)) => self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#)),
+                result => self.answer_read(asker, &id, result),
+            },
+            Purpose::WithdrawRead { asker, id } => match result {
+                Some((404, _)) => self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#)),
+                Some((200, body)) => {
+                    self.learn_read(&id, &body);
+                    if let Some(over) = self.over.get(&id) {
+                        let body = over.body(&id);
+                        self.answer(asker, Answer::new(200, body));
+                    } else {
+                        self.answer(asker, Answer::later(503, 1, "try again"));
+                    }
+                }
+                _ => self.answer(asker, Answer::later(503, 1, "the state service does not answer")),
+            },
+            Purpose::End { id, ending } => self.on_ended(id, ending, result),
+            Purpose::Flush { chunks } => self.on_flushed(chunks, result),
+            Purpose::Sweep => {}
+        }
+    }
+
+    fn learn_read(&mut self, id: &JobId, body: &[u8]) -> Option<Stored> {
+        let item: Item = serde_json::from_slice(body).ok()?;
+        let record: JobRecord = serde_json::from_value(item.value).ok()?;
+        let state = record.st;
+        self.learn_job(id.clone(), record, item.stamp);
+        Some(state)
+    }
+
+    fn answer_read(&mut self, asker: Asker, id: &JobId, result: Option<(u16, Vec<u8>)>) {
+        let state = match result {
+            Some((200, body)) => self.learn_read(id, &body),
+            _ => None,
+        };
+        let answer = match state {
+            None => Answer::later(503, 1, "the state service does not answer"),
+            Some(state) => match self.over.get(id) {
+                Some(over) => Answer::new(200, over.body(id)),
+                None => Answer::new(
+                    200,
+                    json!({ "uid": id, "status": state.word(), "done": 0, "running": 0 }).to_string(),
+                ),
+            },
+        };
+        self.answer(asker, answer);
+    }
+
+    fn on_accepted(
+        &mut self,
+        asker: Asker,
+        id: JobId,
+        spec: JobSpec,
+        under: (Epoch, u64),
+        tries: u32,
+        result: Option<(u16, Vec<u8>)>,
+    ) {
+        match result {
+            Some((200, body)) => {
+                let stamp = serde_json::from_slice::<TxnAnswer>(&body).map_or(0, |t| t.ledger);
+                let record = JobRecord {
+                    epoch: under.0,
+                    at: under.1,
+                    st: Stored::Queued,
+                    n: spec.tasks,
+                    team: spec.team.clone(),
+                    size: Self::size(&spec),
+                    spec: Some(spec),
+                };
+                self.learn_job(id.clone(), record, Stamp(stamp));
+                let body = json!({ "uid": id, "status": "queued" }).to_string();
+                self.answer(asker, Answer::new(201, body));
+            }
+            Some((409, body)) => {
+                let failed = serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default().failed;
+                if failed.iter().any(|k| k.starts_with(JOB_PREFIX)) {
+                    self.known(asker, id, Answer::later(503, 1, "try again"));
+                } else if tries < 3 && self.epoch() > Some(under.0) && self.entitled() {
+                    // The epoch has moved on, and the new one is known by now.
+                    self.accept(asker, id, spec, tries + 1);
+                } else {
+                    self.answer(asker, Answer::later(503, 1, "membership is changing"));
+                }
+            }
+            None => {
+                // It may have been carried out: only a read can tell.
+                self.known(asker, id, Answer::later(503, 1, "the state service does not answer"));
+            }
+            Some(_) => self.answer(asker, Answer::later(503, 1, "the state service does not answer")),
+        }
+    }
+
+    fn on_ended(&mut self, id: JobId, ending: Ending, result: Option<(u16, Vec<u8>)>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.ending_sent = false;
+        match result {
+            Some((200, _)) => {
+                let over = Over {
+                    done: ending == Ending::Done,
+                    tasks: job.spec.tasks,
+                    team: job.spec.team.clone(),
+                    size: Self::size(&job.spec),
+                };
+                let word = if over.done { "done" } else { "cancelled" };
+                self.log(Level::Info, format!("{id} {word}"));
+                self.job_over(&id, over);
+            }
+            Some((409, _)) => {
+                // The epoch moved on, or an earlier copy of this change has landed: the watch tells.
+                for asker in std::mem::take(&mut job.askers) {
+                    self.answer(asker, Answer::later(503, 1, "membership is changing"));
+                }
+            }
+            _ => {
+                // Without a definite answer the change may still land: it is sent until it has one.
+                for asker in std::mem::take(&mut job.askers) {
+                    self.answer(asker, Answer::later(503, 1, "the state service does not answer"));
+                }
+            }
+        }
+    }
+
+    /// Sends ends again that have no definite answer, and done bits that are due.
+    pub(crate) fn tick_jobs(&mut self) {
+        if !self.entitled() || self.now.ms < self.flush_due {
+            return;
+        }
+        self.flush_due = self.now.ms + self.set.report_ms() / 3;
+        let acting: Vec<Partition> = self
+            .tenures
+            .iter()
+            .filter(|(_, t)| t.stage == Stage::Active)
+            .map(|(p, _)| *p)
+            .collect();
+        let again: Vec<(JobId, Ending)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| acting.contains(&j.partition) && !j.ending_sent)
+            .filter_map(|(id, j)| j.ending.map(|e| (id.clone(), e)))
+            .collect();
+        for (id, ending) in again {
+            if self.state_writes.take(self.now.ms, 0.0, 0.1) {
+                self.end_job(&id, ending);
+            }
+        }
+        self.flush_bits(&acting);
+        self.sweep_keys();
+    }
+
+    fn flush_bits(&mut self, acting: &[Partition]) {
+        let chunk_bits = self.chunk_bits();
+        let room = self.set.platform.facts.state.txn_ops as usize;
+        let mut changes = Vec::new();
+        let mut chunks = Vec::new();
+        let mut bytes = 0;
+        for (id, job) in &mut self.jobs {
+            if !acting.contains(&job.partition) || job.ending.is_some() {
+                continue;
+            }
+            while let Some(chunk) = job.dirty.first().copied() {
+                // A transaction holds 64 KiB; half of that leaves room for all else in it.
+                if changes.len() >= room || bytes > 32 * 1024 {
+                    break;
+                }
+                job.dirty.remove(&chunk);
+                job.chunks.insert(chunk);
+                let hex = job.chunk_hex(chunk, chunk_bits);
+                bytes += hex.len();
+                let first = chunk * chunk_bits;
+                let last = (first + chunk_bits).min(job.spec.tasks);
+                let done = (first..last)
+                    .filter(|i| bit(&job.done, *i) && !bit(&job.stored, *i))
+                    .collect();
+                let key = format!("d/{}/{id}/{chunk}", job.partition);
+                changes.push(json!({ "write": key, "value": hex }));
+                chunks.push(Chunk {
+                    job: id.clone(),
+                    number: chunk,
+                    key,
+                    done,
+                });
+            }
+        }
+        if changes.is_empty() {
+            return;
+        }
+        if !self.state_writes.take(self.now.ms, 0.0, 0.3) {
+            self.unflush(chunks);
+            return;
+        }
+        // The writers of an older epoch cannot land after a take-over has read the bitmaps; and a
+        // bitmap is not written for a job whose record has changed meanwhile.
+        let conditions = vec![self.epoch_condition()];
+        self.txn(conditions, changes, Call::Job(Purpose::Flush { chunks }));
+    }
+
+    fn unflush(&mut self, chunks: Vec<Chunk>) {
+        for chunk in chunks {
+            if let Some(job) = self.jobs.get_mut(&chunk.job) {
+                job.dirty.insert(chunk.number);
+            }
+        }
+    }
+
+    fn on_flushed(&mut self, chunks: Vec<Chunk>, result: Option<(u16, Vec<u8>)>) {
+        if !matches!(result, Some((200, _))) {
+            self.unflush(chunks);
+            return;
+        }
+        for chunk in chunks {
+            match self.jobs.get_mut(&chunk.job) {
+                Some(job) => chunk.done.into_iter().for_each(|i| set_bit(&mut job.stored, i)),
+                // The job's end overtook its bits: they are cleared away.
+                None => self.cloud.stale_keys.push(chunk.key),
+            }
+        }
+    }
+
+    fn sweep_keys(&mut self) {
+        if self.cloud.stale_keys.is_empty() || !self.state_writes.take(self.now.ms, 0.0, 0.7) {
+            return;
+        }
+        let room = self.set.platform.facts.state.txn_ops as usize;
+        let n = self.cloud.stale_keys.len().min(room);
+        let changes = self
+            .cloud
+            .stale_keys
+            .drain(..n)
+            .map(|k| json!({ "delete": k }))
+            .collect();
+        let conditions = vec![self.epoch_condition()];
+        self.txn(conditions, changes, Call::Job(Purpose::Sweep));
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/lib.rs
@@ -0,0 +1,20 @@
+//! The decisions of the tidelatch cluster scheduler.
+//!
+//! Nothing here reads a clock, opens a socket, starts a thread or draws a random number. A
+//! [`Controller`] takes an [`Input`] with the time at which it came, and returns what is to be sent,
+//! stored and answered. The daemon puts sockets and timers round it; tests put stand-ins there.
+
+pub mod capacity;
+mod controller;
+pub mod ids;
+pub mod jobs;
+pub mod membership;
+pub mod picture;
+pub mod placement;
+pub mod protocol;
+pub mod queue;
+pub mod settings;
+
+pub use controller::{
+    Answer, Controller, Digest, Idle, Input, Level, Method, Move, Need, Now, Output, PeerReply, PeerRequest, Target,
+};
--- /dev/null
+++ b/crates/tidelatch-core/src/membership.rs
@@ -0,0 +1,817 @@
+//! Who may act: the lease, the epoch, the leader, and which controller owns which partition.
+//!
+//! All that is shared lies under one prefix, `t/`, and is followed by one watch. Its changes come in
+//! the order of their revisions, so that whoever has seen an epoch has seen every acceptance and
+//! every roster entry that was written before it. Each such write carries the epoch's revision as a
+//! condition: none of an older epoch can land after it.
+
+use crate::controller::{Controller, Level, Method, Purpose, Target};
+use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
+use crate::jobs::bits_from_hex;
+use crate::protocol::{Changes, Granted, Items, MachineTypes};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{HashMap, HashSet};
+
+/// Prefix of all that every controller follows.
+pub const SHARED: &str = "t/";
+const EPOCH_KEY: &str = "t/c/epoch";
+const LEADER_KEY: &str = "t/c/leader";
+const MEMBER_PREFIX: &str = "t/c/member/";
+/// Key of the machine types as last seen.
+pub const TYPES_KEY: &str = "t/y";
+/// Prefix of job records.
+pub const JOB_PREFIX: &str = "t/j/";
+/// Prefix of roster entries.
+pub const ROSTER_PREFIX: &str = "t/m/";
+
+/// A controller's own key, which lives as long as its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The life of the controller.
+    pub inc: Incarnation,
+    /// The newest epoch that it has taken note of.
+    pub ack: u64,
+}
+
+/// The leader's key, which lives as long as its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Its name.
+    pub name: ControllerId,
+    /// Its life.
+    pub inc: Incarnation,
+}
+
+/// Who owns a partition.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The owner.
+    pub owner: ControllerId,
+    /// Its life.
+    pub inc: Incarnation,
+    /// The epoch with which it began.
+    pub since: Epoch,
+    /// Earlier owners that were alive when they lost the partition. The owner does nothing for it
+    /// before each of them has acknowledged `since` or its lease has ended.
+    #[serde(default)]
+    pub wait: Vec<LeaderRecord>,
+}
+
+/// The epoch and all holdings under it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochRecord {
+    /// The epoch: the fencing token.
+    pub n: Epoch,
+    /// Holdings, by partition.
+    pub parts: Vec<Holding>,
+}
+
+/// How a peer stands.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Peer {
+    pub(crate) heard: Option<u64>,
+    pub(crate) reachable: bool,
+    pub(crate) entitled: bool,
+    pub(crate) asked: u64,
+    pub(crate) asking: bool,
+}
+
+/// A controller's standing and its view of the others.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    pub(crate) inc: Incarnation,
+    permit: Option<u64>,
+    leasing: bool,
+    extending: bool,
+    extended_at: u64,
+    entitled_until: u64,
+    written: Option<MemberRecord>,
+    writing: bool,
+    listed: bool,
+    listing: bool,
+    watching: bool,
+    retry_at: u64,
+    pub(crate) ledger: u64,
+    pub(crate) members: HashMap<ControllerId, MemberRecord>,
+    pub(crate) leader: Option<(LeaderRecord, Stamp)>,
+    taking: bool,
+    pub(crate) leader_since: u64,
+    pub(crate) epoch: Option<(EpochRecord, Stamp)>,
+    epoch_writing: bool,
+    pub(crate) peers: HashMap<ControllerId, Peer>,
+    was_entitled: bool,
+    listed_machines: HashSet<MachineId>,
+}
+
+impl Membership {
+    pub(crate) fn new(inc: Incarnation) -> Self {
+        Self {
+            inc,
+            permit: None,
+            leasing: false,
+            extending: false,
+            extended_at: 0,
+            entitled_until: 0,
+            written: None,
+            writing: false,
+            listed: false,
+            listing: false,
+            watching: false,
+            retry_at: 0,
+            ledger: 0,
+            members: HashMap::new(),
+            leader: None,
+            taking: false,
+            leader_since: 0,
+            epoch: None,
+            epoch_writing: false,
+            peers: HashMap::new(),
+            was_entitled: false,
+            listed_machines: HashSet::new(),
+        }
+    }
+}
+
+/// How far a take-over has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// An earlier owner may still act.
+    Waiting,
+    /// The stored bitmaps are being read.
+    Loading,
+    /// The owner acts.
+    Active,
+}
+
+/// One partition in this controller's hands.
+#[derive(Debug, Clone)]
+pub(crate) struct Tenure {
+    pub(crate) since: Epoch,
+    pub(crate) stage: Stage,
+    pub(crate) active_at: u64,
+    pub(crate) next_attempt: u64,
+    pub(crate) loading: bool,
+    pub(crate) settled: bool,
+    bits: Vec<(String, Value)>,
+}
+
+/// Chooses owners afresh: each partition goes to its home controller while that lives, else stays
+/// where it is, else goes to the live controller with the fewest. `None`: nothing changes.
+pub fn next_epoch(
+    names: &[String],
+    members: &HashMap<ControllerId, MemberRecord>,
+    old: Option<&EpochRecord>,
+    partitions: u32,
+) -> Option<EpochRecord> {
+    if members.is_empty() {
+        return None;
+    }
+    let n = Epoch(old.map_or(0, |e| e.n.0) + 1);
+    let mut load: HashMap<&str, usize> = HashMap::new();
+    let mut owners: Vec<Option<String>> = Vec::new();
+    for p in 0..partitions as usize {
+        let home = names
+            .get(p)
+            .filter(|name| members.contains_key(&ControllerId::new(name.as_str())));
+        let current = old
+            .and_then(|e| e.parts.get(p))
+            .filter(|h| members.get(&h.owner).is_some_and(|m| m.inc == h.inc))
+            .and_then(|h| names.iter().find(|name| name.as_str() == h.owner.as_str()));
+        let owner = home.or(current);
+        if let Some(name) = owner {
+            *load.entry(name.as_str()).or_default() += 1;
+        }
+        owners.push(owner.cloned());
+    }
+    let mut parts = Vec::new();
+    let mut changed = false;
+    for p in 0..partitions as usize {
+        let owner = match owners.get(p).cloned().flatten() {
+            Some(name) => name,
+            None => {
+                let name = names
+                    .iter()
+                    .filter(|name| members.contains_key(&ControllerId::new(name.as_str())))
+                    .min_by_key(|name| load.get(name.as_str()).copied().unwrap_or(0))?;
+                *load.entry(name.as_str()).or_default() += 1;
+                name.clone()
+            }
+        };
+        let owner = ControllerId::new(owner);
+        let inc = members.get(&owner)?.inc;
+        let before = old.and_then(|e| e.parts.get(p));
+        match before {
+            Some(h) if h.owner == owner && h.inc == inc => parts.push(h.clone()),
+            _ => {
+                changed = true;
+                // A live earlier owner, and those that it was itself still waiting for, must be
+                // heard from (or be gone) before the new one acts.
+                let mut wait = Vec::new();
+                if let Some(h) = before {
+                    wait.extend(h.wait.iter().cloned());
+                    wait.push(LeaderRecord {
+                        name: h.owner.clone(),
+                        inc: h.inc,
+                    });
+                }
+                wait.retain(|w| members.get(&w.name).is_some_and(|m| m.inc == w.inc));
+                wait.retain(|w| w.name != owner || w.inc != inc);
+                parts.push(Holding {
+                    owner,
+                    inc,
+                    since: n,
+                    wait,
+                });
+            }
+        }
+    }
+    changed.then_some(EpochRecord { n, parts })
+}
+
+impl Controller {
+    /// Whether this controller may act now.
+    pub fn entitled(&self) -> bool {
+        self.member.permit.is_some() && self.now.ms < self.member.entitled_until
+    }
+
+    pub(crate) fn epoch(&self) -> Option<Epoch> {
+        self.member.epoch.as_ref().map(|(e, _)| e.n)
+    }
+
+    pub(crate) fn is_leader(&self) -> bool {
+        self.entitled()
+            && self
+                .member
+                .leader
+                .as_ref()
+                .is_some_and(|(l, _)| l.name == self.me && l.inc == self.member.inc)
+    }
+
+    pub(crate) fn holding(&self, partition: Partition) -> Option<&Holding> {
+        self.member.epoch.as_ref()?.0.parts.get(partition.0 as usize)
+    }
+
+    /// The tenure over a partition if this controller acts for it now.
+    pub(crate) fn acting(&self, partition: Partition) -> Option<&Tenure> {
+        if !self.entitled() {
+            return None;
+        }
+        self.tenures.get(&partition).filter(|t| t.stage == Stage::Active)
+    }
+
+    /// Healthy in the balancer's eyes. A node that alone lost the state service should leave; in a
+    /// general outage all stay, since each removal costs a pause that doubles.
+    pub(crate) fn takes_requests(&self) -> bool {
+        if self.entitled() {
+            return self.member.listed;
+        }
+        let recently = 2 * self.set.report_ms();
+        self.member.was_entitled
+            && self.member.permit.is_some()
+            && !self
+                .member
+                .peers
+                .values()
+                .any(|p| p.entitled && p.heard.is_some_and(|t| self.now.ms.saturating_sub(t) < recently))
+    }
+
+    pub(crate) fn epoch_condition(&self) -> Value {
+        let stamp = self.member.epoch.as_ref().map_or(Stamp(0), |(_, s)| *s);
+        json!({ "k": EPOCH_KEY, "stamp": stamp })
+    }
+
+    pub(crate) fn leader_condition(&self) -> Value {
+        let stamp = self.member.leader.as_ref().map_or(Stamp(0), |(_, s)| *s);
+        json!({ "k": LEADER_KEY, "stamp": stamp })
+    }
+
+    /// Sends a transaction; `writes` is what it costs of the budget of changes.
+    pub(crate) fn txn(&mut self, conditions: Vec<Value>, changes: Vec<Value>, purpose: Purpose) {
+        self.state_reads.force(self.now.ms, 1.0);
+        self.state_writes.force(self.now.ms, changes.len() as f64);
+        let timeout = self.set.lease_ms() / 4;
+        let body = json!({ "if": conditions, "then": changes }).to_string();
+        self.call(Target::State, Method::Post, "/txn", body, timeout, purpose);
+    }
+
+    pub(crate) fn tick_membership(&mut self) {
+        let now = self.now.ms;
+        let quarter = self.set.lease_ms() / 4;
+        match self.member.permit {
+            None if !self.member.leasing && now >= self.member.retry_at => {
+                self.member.leasing = true;
+                let body = json!({ "ttlMs": self.set.lease_ms() }).to_string();
+                self.state_reads.force(now, 1.0);
+                self.call(
+                    Target::State,
+                    Method::Post,
+                    "/leases",
+                    body,
+                    quarter,
+                    Purpose::LeaseNew { sent: now },
+                );
+            }
+            Some(permit) if !self.member.extending && now >= self.member.extended_at + quarter => {
+                self.member.extending = true;
+                self.member.extended_at = now;
+                self.state_reads.force(now, 1.0);
+                self.call(
+                    Target::State,
+                    Method::Post,
+                    format!("/leases/{permit}/extend"),
+                    "{}".into(),
+                    quarter,
+                    Purpose::LeaseExtend { sent: now, permit },
+                );
+            }
+            _ => {}
+        }
+        if !self.member.listed && !self.member.listing && now >= self.member.retry_at {
+            self.list(String::new(), 0);
+        }
+        if self.member.listed && !self.member.watching && now >= self.member.retry_at {
+            self.watch();
+        }
+        self.write_member();
+        self.seek_leadership();
+        self.lead_epoch();
+        self.say_hello();
+    }
+
+    fn list(&mut self, cursor: String, first_ledger: u64) {
+        self.member.listing = true;
+        self.state_reads.force(self.now.ms, 1.0);
+        let mut path = format!("/store?prefix={SHARED}&most=500");
+        if !cursor.is_empty() {
+            path.push_str(&format!("&since={cursor}"));
+        }
+        let timeout = self.set.lease_ms() / 4;
+        self.call(
+            Target::State,
+            Method::Get,
+            path,
+            String::new(),
+            timeout,
+            Purpose::List { cursor, first_ledger },
+        );
+    }
+
+    fn watch(&mut self) {
+        self.member.watching = true;
+        self.state_reads.force(self.now.ms, 1.0);
+        let wait = self.set.lease_ms();
+        self.call(
+            Target::State,
+            Method::Get,
+            format!("/changes?prefix={SHARED}&since={}&waitMs={wait}", self.member.ledger),
+            String::new(),
+            wait + wait / 4,
+            Purpose::Watch,
+        );
+    }
+
+    /// How long to leave the state service alone after it failed to answer.
+    fn back_off(&mut self) {
+        self.member.retry_at = self.now.ms + self.set.report_ms() / 8;
+    }
+
+    pub(crate) fn on_lease_new(&mut self, sent: u64, result: Option<(u16, Vec<u8>)>) {
+        self.member.leasing = false;
+        let granted = match result {
+            Some((200, body)) => serde_json::from_slice::<Granted>(&body).ok(),
+            _ => None,
+        };
+        match granted {
+            Some(g) => {
+                self.member.permit = Some(g.permit);
+                self.member.extended_at = sent;
+                self.member.entitled_until = sent + self.set.entitlement_ms();
+                self.member.written = None;
+                self.member.was_entitled = true;
+                let inc = self.member.inc;
+                self.log(Level::Info, format!("lease taken, life {inc}"));
+                self.tick_membership();
+            }
+            None => self.back_off(),
+        }
+    }
+
+    pub(crate) fn on_lease_extend(&mut self, sent: u64, permit: u64, result: Option<(u16, Vec<u8>)>) {
+        self.member.extending = false;
+        if self.member.permit != Some(permit) {
+            return;
+        }
+        match result {
+            Some((200, _)) => {
+                let until = sent + self.set.entitlement_ms();
+                if !self.entitled() {
+                    self.log(Level::Info, "lease extended again after a gap: acting again");
+                }
+                self.member.entitled_until = self.member.entitled_until.max(until);
+            }
+            Some((404, _)) => self.lose_lease(),
+            _ => {
+                // Try again soon: an extension that failed is worth more than a quiet line.
+                let soon = self.set.report_ms() / 4;
+                self.member.extended_at = (self.now.ms + soon).saturating_sub(self.set.lease_ms() / 4);
+                if !self.entitled() {
+                    self.log(Level::Debug, "not entitled: the lease could not be extended");
+                }
+            }
+        }
+    }
+
+    /// The lease has ended: all that was owned belongs to others from now on. The controller comes
+    /// back as a new life, so that nothing of the old one counts for it.
+    fn lose_lease(&mut self) {
+        self.log(
+            Level::Error,
+            "lease lost: stepping down from all partitions and joining anew",
+        );
+        self.member.permit = None;
+        self.member.entitled_until = 0;
+        self.member.inc = Incarnation(self.member.inc.0 + 1);
+        self.member.written = None;
+        self.member.retry_at = self.now.ms;
+        self.tenures.clear();
+    }
+
+    fn write_member(&mut self) {
+        let Some(permit) = self.member.permit else { return };
+        if self.member.writing || !self.entitled() || !self.member.listed {
+            return;
+        }
+        let record = MemberRecord {
+            inc: self.member.inc,
+            ack: self.epoch().map_or(0, |e| e.0),
+        };
+        if self.member.written.as_ref() == Some(&record) {
+            return;
+        }
+        self.member.writing = true;
+        let key = format!("{MEMBER_PREFIX}{}", self.me);
+        let ack = record.ack;
+        self.txn(
+            Vec::new(),
+            vec![json!({ "write": key, "value": record, "permit": permit })],
+            Purpose::MemberWrite { ack },
+        );
+        self.member.written = Some(record);
+    }
+
+    pub(crate) fn on_member_write(&mut self, _ack: u64, result: Option<(u16, Vec<u8>)>) {
+        self.member.writing = false;
+        match result {
+            Some((200, _)) => {}
+            Some((400, _)) => self.lose_lease(),
+            _ => self.member.written = None,
+        }
+    }
+
+    fn seek_leadership(&mut self) {
+        let Some(permit) = self.member.permit else { return };
+        if self.member.taking || !self.entitled() || !self.member.watching {
+            return;
+        }
+        // Whoever leads must itself be a member that the others see.
+        if self.member.members.get(&self.me).map(|m| m.inc) != Some(self.member.inc) {
+            return;
+        }
+        let stamp = match &self.member.leader {
+            None => Stamp(0),
+            // The process that held this key under this name has ended: this one runs in its place.
+            Some((l, stamp)) if l.name == self.me && l.inc != self.member.inc => *stamp,
+            Some(_) => return,
+        };
+        self.member.taking = true;
+        let record = LeaderRecord {
+            name: self.me.clone(),
+            inc: self.member.inc,
+        };
+        self.txn(
+            vec![json!({ "k": LEADER_KEY, "stamp": stamp })],
+            vec![json!({ "write": LEADER_KEY, "value": record, "permit": permit })],
+            Purpose::LeaderTake,
+        );
+    }
+
+    pub(crate) fn on_leader_take(&mut self, result: Option<(u16, Vec<u8>)>) {
+        self.member.taking = false;
+        if let Some((200, _)) = result {
+            self.log(Level::Info, "taken the lead");
+            self.member.leader_since = self.now.ms;
+        }
+    }
+
+    fn lead_epoch(&mut self) {
+        if !self.is_leader() || self.member.epoch_writing || !self.member.watching {
+            return;
+        }
+        let names = self.set.names();
+        // At the very first start the others get a moment to come up.
+        let first = self.member.epoch.is_none();
+        let waited = self.now.ms.saturating_sub(self.member.leader_since) >= self.set.lease_ms() / 4;
+        if first && !waited && self.member.members.len() < names.len() {
+            return;
+        }
+        let old = self.member.epoch.as_ref().map(|(e, _)| e);
+        let Some(next) = next_epoch(&names, &self.member.members, old, self.set.partitions()) else {
+            return;
+        };
+        self.member.epoch_writing = true;
+        let conditions = vec![self.leader_condition(), self.epoch_condition()];
+        let change = json!({ "write": EPOCH_KEY, "value": next });
+        self.log(
+            Level::Info,
+            format!("membership changed: raising the epoch to {}", next.n),
+        );
+        self.txn(conditions, vec![change], Purpose::EpochWrite);
+    }
+
+    pub(crate) fn on_epoch_write(&mut self, result: Option<(u16, Vec<u8>)>) {
+        self.member.epoch_writing = false;
+        if let Some((status, _)) = result
+            && status != 200
+        {
+            self.log(Level::Debug, format!("epoch not raised: {status}"));
+        }
+    }
+
+    pub(crate) fn on_list(&mut self, cursor: String, first_ledger: u64, result: Option<(u16, Vec<u8>)>) {
+        self.member.listing = false;
+        let page = match result {
+            Some((200, body)) => serde_json::from_slice::<Items>(&body).ok(),
+            _ => None,
+        };
+        let Some(page) = page else {
+            self.back_off();
+            return;
+        };
+        if cursor.is_empty() {
+            // What is listed anew replaces what was known: keys that are gone must not stay.
+            self.member.members.clear();
+            self.member.leader = None;
+            self.member.listed_machines.clear();
+        }
+        let ledger = if first_ledger == 0 { page.ledger } else { first_ledger };
+        let last = page.items.last().map(|i| i.k.clone());
+        for item in page.items {
+            if let Some(id) = item.k.strip_prefix(ROSTER_PREFIX) {
+                self.member.listed_machines.insert(MachineId::new(id));
+            }
+            self.apply(&item.k, Some(item.value), item.stamp);
+        }
+        match last {
+            Some(last) if page.more => self.list(last, ledger),
+            _ => {
+                self.member.listed = true;
+                self.member.ledger = ledger;
+                let listed = std::mem::take(&mut self.member.listed_machines);
+                self.machines.retain(|id, m| listed.contains(id) || m.stamp.0 > ledger);
+                self.note_epoch();
+                self.tick_membership();
+            }
+        }
+    }
+
+    pub(crate) fn on_watch(&mut self, result: Option<(u16, Vec<u8>)>) {
+        self.member.watching = false;
+        match result {
+            Some((200, body)) => match serde_json::from_slice::<Changes>(&body) {
+                Ok(changes) => {
+                    for change in changes.news {
+                        if let Some(key) = change.write {
+                            self.apply(&key, Some(change.value), change.stamp);
+                        } else if let Some(key) = change.delete {
+                            self.apply(&key, None, change.stamp);
+                        }
+                    }
+                    self.member.ledger = self.member.ledger.max(changes.ledger);
+                    self.watch();
+                    self.note_epoch();
+                    self.tick_membership();
+                    self.tick_tenures();
+                }
+                Err(_) => self.back_off(),
+            },
+            Some((410, _)) => {
+                self.member.listed = false;
+                self.tick_membership();
+            }
+            _ => self.back_off(),
+        }
+    }
+
+    /// One shared key has a new value, or is gone.
+    fn apply(&mut self, key: &str, value: Option<Value>, stamp: Stamp) {
+        if let Some(id) = key.strip_prefix(JOB_PREFIX) {
+            if let Some(id) = JobId::parse(id) {
+                self.apply_job(id, value, stamp);
+            }
+        } else if let Some(id) = key.strip_prefix(ROSTER_PREFIX) {
+            self.apply_machine(MachineId::new(id), value, stamp);
+        } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+            let name = ControllerId::new(name);
+            let record = value.and_then(|v| serde_json::from_value::<MemberRecord>(v).ok());
+            // A late copy of an earlier life's write may have replaced this life's key.
+            if name == self.me && record.as_ref().map(|r| r.inc) != Some(self.member.inc) && !self.member.writing {
+                self.member.written = None;
+            }
+            match record {
+                Some(record) => {
+                    self.member.members.insert(name, record);
+                }
+                None => {
+                    self.log(Level::Info, format!("controller {name} has left"));
+                    self.member.members.remove(&name);
+                }
+            }
+        } else if key == LEADER_KEY {
+            self.member.leader = value
+                .and_then(|v| serde_json::from_value(v).ok())
+                .map(|record| (record, stamp));
+        } else if key == EPOCH_KEY {
+            if let Some(record) = value.and_then(|v| serde_json::from_value::<EpochRecord>(v).ok())
+                && self.member.epoch.as_ref().is_none_or(|(e, _)| e.n < record.n)
+            {
+                self.member.epoch = Some((record, stamp));
+            }
+        } else if key == TYPES_KEY
+            && let Some(types) = value.and_then(|v| serde_json::from_value::<MachineTypes>(v).ok())
+        {
+            self.types = types.types;
+        }
+    }
+
+    /// Takes note of the epoch: gives up what is no longer owned, begins what is.
+    fn note_epoch(&mut self) {
+        let Some((epoch, _)) = self.member.epoch.clone() else {
+            return;
+        };
+        let inc = self.member.inc;
+        for (i, holding) in epoch.parts.iter().enumerate() {
+            let partition = Partition(i as u32);
+            let mine = holding.owner == self.me && holding.inc == inc;
+            let known = self.tenures.get(&partition).map(|t| t.since);
+            if !mine {
+                if self.tenures.remove(&partition).is_some() {
+                    let to = &holding.owner;
+                    self.log(
+                        Level::Info,
+                        format!("epoch {}: partition {partition} goes to {to}", epoch.n),
+                    );
+                }
+            } else if known != Some(holding.since) {
+                self.log(
+                    Level::Info,
+                    format!("epoch {}: taking over partition {partition}", epoch.n),
+                );
+                self.tenures.insert(
+                    partition,
+                    Tenure {
+                        since: holding.since,
+                        stage: Stage::Waiting,
+                        active_at: 0,
+                        next_attempt: 0,
+                        loading: false,
+                        settled: false,
+                        bits: Vec::new(),
+                    },
+                );
+                self.reset_partition(partition);
+            }
+        }
+    }
+
+    pub(crate) fn tick_tenures(&mut self) {
+        let partitions: Vec<Partition> = self.tenures.keys().copied().collect();
+        for partition in partitions {
+            let Some(holding) = self.holding(partition).cloned() else {
+                continue;
+            };
+            let Some(tenure) = self.tenures.get(&partition) else {
+                continue;
+            };
+            if tenure.stage == Stage::Waiting {
+                let cleared = holding.wait.iter().all(|w| {
+                    self.member
+                        .members
+                        .get(&w.name)
+                        .is_none_or(|m| m.inc != w.inc || m.ack >= holding.since.0)
+                });
+                if cleared && let Some(t) = self.tenures.get_mut(&partition) {
+                    t.stage = Stage::Loading;
+                }
+            }
+            let load = self
+                .tenures
+                .get(&partition)
+                .is_some_and(|t| t.stage == Stage::Loading && !t.loading);
+            if load && self.entitled() && self.now.ms >= self.member.retry_at {
+                self.load_bits(partition, String::new());
+            }
+        }
+    }
+
+    fn load_bits(&mut self, partition: Partition, cursor: String) {
+        let Some(t) = self.tenures.get_mut(&partition) else {
+            return;
+        };
+        t.loading = true;
+        let since = t.since.0;
+        if cursor.is_empty() {
+            t.bits.clear();
+        }
+        let mut path = format!("/store?prefix=d/{partition}/&most=200");
+        if !cursor.is_empty() {
+            path.push_str(&format!("&since={cursor}"));
+        }
+        self.state_reads.force(self.now.ms, 1.0);
+        let timeout = self.set.lease_ms() / 4;
+        self.call(
+            Target::State,
+            Method::Get,
+            path,
+            String::new(),
+            timeout,
+            Purpose::Bits { partition, since },
+        );
+    }
+
+    pub(crate) fn on_bits(&mut self, partition: Partition, since: u64, result: Option<(u16, Vec<u8>)>) {
+        let now = self.now.ms;
+        let Some(t) = self.tenures.get_mut(&partition).filter(|t| t.since.0 == since) else {
+            return;
+        };
+        t.loading = false;
+        let page = match result {
+            Some((200, body)) => serde_json::from_slice::<Items>(&body).ok(),
+            _ => None,
+        };
+        let Some(page) = page else {
+            self.back_off();
+            return;
+        };
+        let last = page.items.last().map(|i| i.k.clone());
+        t.bits.extend(page.items.into_iter().map(|i| (i.k, i.value)));
+        if page.more
+            && let Some(last) = last
+        {
+            self.load_bits(partition, last);
+            return;
+        }
+        t.stage = Stage::Active;
+        t.active_at = now;
+        let bits = std::mem::take(&mut t.bits);
+        let chunk_bits = self.chunk_bits();
+        for (key, value) in bits {
+            let mut parts = key.split('/').skip(2);
+            let (Some(job), Some(chunk)) = (parts.next(), parts.next()) else {
+                continue;
+            };
+            let (Some(job), Ok(chunk)) = (JobId::parse(job), chunk.parse::<u32>()) else {
+                continue;
+            };
+            let Some(hex) = value.as_str() else { continue };
+            match self.jobs.get_mut(&job) {
+                Some(job) => {
+                    for bit in bits_from_hex(hex) {
+                        job.restore_done(chunk * chunk_bits + bit, chunk);
+                    }
+                }
+                None => self.cloud.stale_keys.push(key),
+            }
+        }
+        let (machines, jobs) = (
+            self.machines.values().filter(|m| m.partition == partition).count(),
+            self.jobs.values().filter(|j| j.partition == partition).count(),
+        );
+        self.log(
+            Level::Info,
+            format!("acting for partition {partition}: {jobs} unfinished jobs, {machines} machines in the roster"),
+        );
+        self.confirm_machines(partition);
+        self.complete_finished(partition);
+        self.want_batch();
+    }
+
+    pub(crate) fn note_peer(&mut self, name: &ControllerId, reachable: bool, entitled: bool) {
+        let now = self.now.ms;
+        let peer = self.member.peers.entry(name.clone()).or_default();
+        peer.asking = false;
+        peer.reachable = reachable;
+        if reachable {
+            peer.heard = Some(now);
+            peer.entitled = entitled;
+        }
+    }
+
+    pub(crate) fn reachable(&self, name: &ControllerId) -> bool {
+        let recently = 2 * self.set.report_ms();
+        self.member
+            .peers
+            .get(name)
+            .is_some_and(|p| p.reachable && p.heard.is_some_and(|t| self.now.ms.saturating_sub(t) < recently))
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/picture.rs
@@ -0,0 +1,1040 @@
+//! The picture: machines, what may be on them, and the evidence for it.
+//!
+//! A task counts as held by a machine from the moment it is booked there. It stops to count only when
+//! its exit is reported, when a later beat than the one that carried its start comes without it, when
+//! the machine begins a new session, or when the cloud has answered that the machine is deleted. A
+//! silent worker's lease is never taken as evidence: any entitled controller may have answered it.
+
+use crate::controller::{Answer, Asker, Controller, Level, Method, PeerReply, PeerRequest, Purpose, Target};
+use crate::ids::{Attempt, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
+use crate::membership::{ROSTER_PREFIX, Stage};
+use crate::protocol::{Command, Orders, Report, TaskState};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+/// A machine in the stored roster.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    /// The partition whose owner uses it.
+    pub part: Partition,
+    /// Type.
+    pub model: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+    /// Where it takes commands. Empty until its first report: such a machine has never held a task.
+    #[serde(default)]
+    pub addr: String,
+    /// Its session and sequence number when the entry was written: nothing older counts.
+    #[serde(default)]
+    pub seen: (u64, u64),
+    /// Time of day of its rental.
+    #[serde(default)]
+    pub at: u64,
+}
+
+/// How far a start has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HeldState {
+    /// Booked: goes out with the next beat's answer.
+    Booked,
+    /// Sent with the answer to this beat (session, sequence number).
+    Sent(u64, u64),
+    /// Reported.
+    Seen(TaskState),
+}
+
+/// A stop that was ordered.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Stop {
+    pub(crate) grace_s: f64,
+    pub(crate) at: u64,
+}
+
+/// A task that a machine holds, or may hold.
+#[derive(Debug, Clone)]
+pub(crate) struct Held {
+    pub(crate) task: TaskId,
+    pub(crate) attempt: Attempt,
+    pub(crate) state: HeldState,
+    pub(crate) running_since: Option<u64>,
+    pub(crate) stop: Option<Stop>,
+    pub(crate) size: [f64; 3],
+    pub(crate) team: String,
+}
+
+/// A machine of the roster.
+#[derive(Debug, Clone)]
+pub(crate) struct Machine {
+    pub(crate) partition: Partition,
+    pub(crate) model: String,
+    pub(crate) zone: String,
+    pub(crate) spot: bool,
+    pub(crate) addr: String,
+    pub(crate) stamp: Stamp,
+    pub(crate) rented_wall: u64,
+    last: (u64, u64),
+    pub(crate) heard: Option<u64>,
+    pub(crate) known_since: u64,
+    /// What is on it is known: it has reported under a token of the present tenure.
+    pub(crate) confirmed: bool,
+    confirming: bool,
+    confirm_at: u64,
+    pub(crate) held: Vec<Held>,
+    ended: Vec<(TaskId, Attempt, bool)>,
+    pub(crate) notice: bool,
+    pub(crate) failures: BTreeSet<JobId>,
+    pub(crate) suspect: bool,
+    pub(crate) avoid_until: u64,
+    pub(crate) images: Vec<(String, f64)>,
+    pub(crate) idle_since: Option<u64>,
+    /// Being handed to another partition.
+    pub(crate) moving: Option<Partition>,
+    pub(crate) moving_sent: bool,
+    /// To be deleted; nothing is started on it any more.
+    pub(crate) retiring: bool,
+    pub(crate) deleting: bool,
+    /// The cloud has answered its deletion.
+    pub(crate) gone: bool,
+    /// Its address, while its entry is being written for the first time.
+    storing: Option<String>,
+    /// It was in the roster, and up, when the tenure began: it may hold tasks not known of.
+    may_hold: bool,
+    /// A hand-over was refused at this revision: once the watch has come so far, it is known why.
+    settles_at: Option<u64>,
+}
+
+impl Machine {
+    /// State of a task on it, if it holds the task.
+    pub(crate) fn state_of(&self, job: &JobId, index: u32) -> Option<TaskState> {
+        self.held.iter().find_map(|h| match h.state {
+            HeldState::Seen(s) if h.task.index == index && h.task.job == *job => Some(s),
+            _ => None,
+        })
+    }
+
+    /// Drops starts of a job that have not been sent.
+    pub(crate) fn drop_unsent(&mut self, job: &JobId) {
+        self.held.retain(|h| h.state != HeldState::Booked || h.task.job != *job);
+    }
+
+    /// It has come up, and its entry says so.
+    pub(crate) fn up(&self) -> bool {
+        !self.addr.is_empty()
+    }
+
+    /// May tasks be placed on it?
+    pub(crate) fn usable(&self, now: u64, patience: u64) -> bool {
+        self.confirmed
+            && self.up()
+            && !self.notice
+            && !self.suspect
+            && !self.retiring
+            && !self.gone
+            && self.moving.is_none()
+            && now >= self.avoid_until
+            && self.heard.is_some_and(|t| now.saturating_sub(t) <= patience)
+    }
+
+    /// Room taken by all that it holds or may hold.
+    pub(crate) fn taken(&self) -> [f64; 3] {
+        let mut sum = [0.0; 3];
+        for h in &self.held {
+            for (s, v) in sum.iter_mut().zip(h.size) {
+                *s += v;
+            }
+        }
+        sum
+    }
+
+    fn entry(&self) -> RosterEntry {
+        RosterEntry {
+            part: self.partition,
+            model: self.model.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            addr: self.addr.clone(),
+            seen: self.last,
+            at: self.rented_wall,
+        }
+    }
+
+    fn note_image(&mut self, image: &str, gb: f64, room: f64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.to_owned(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > room {
+            self.images.remove(0);
+        }
+    }
+}
+
+impl Controller {
+    pub(crate) fn apply_machine(&mut self, id: MachineId, value: Option<Value>, stamp: Stamp) {
+        if self.machines.get(&id).is_some_and(|m| m.stamp >= stamp) {
+            return;
+        }
+        let entry = value.and_then(|v| serde_json::from_value::<RosterEntry>(v).ok());
+        let Some(entry) = entry else {
+            if let Some(m) = self.machines.get(&id) {
+                let partition = m.partition;
+                self.release_all(&id, "its roster entry is gone");
+                self.machines.remove(&id);
+                self.log(Level::Debug, format!("{id} left partition {partition}"));
+            }
+            return;
+        };
+        let now = self.now.ms;
+        match self.machines.get_mut(&id) {
+            Some(m) if m.partition == entry.part => {
+                m.stamp = stamp;
+                m.addr = entry.addr;
+            }
+            _ => {
+                if self.machines.contains_key(&id) {
+                    // Handed over empty; whatever this controller thought of it is void.
+                    self.release_all(&id, "it was handed to another partition");
+                }
+                self.machines.insert(
+                    id,
+                    Machine {
+                        partition: entry.part,
+                        model: entry.model,
+                        zone: entry.zone,
+                        spot: entry.spot,
+                        addr: entry.addr,
+                        stamp,
+                        rented_wall: entry.at,
+                        last: entry.seen,
+                        heard: None,
+                        known_since: now,
+                        confirmed: false,
+                        confirming: false,
+                        confirm_at: 0,
+                        held: Vec::new(),
+                        ended: Vec::new(),
+                        notice: false,
+                        failures: BTreeSet::new(),
+                        suspect: false,
+                        avoid_until: 0,
+                        images: Vec::new(),
+                        idle_since: None,
+                        moving: None,
+                        moving_sent: false,
+                        retiring: false,
+                        deleting: false,
+                        gone: false,
+                        storing: None,
+                        may_hold: false,
+                        settles_at: None,
+                    },
+                );
+            }
+        }
+    }
+
+    /// At the start of a tenure nothing of the partition's machines and jobs is known any more.
+    pub(crate) fn reset_partition(&mut self, partition: Partition) {
+        let now = self.now.ms;
+        for m in self.machines.values_mut().filter(|m| m.partition == partition) {
+            m.confirmed = false;
+            m.confirming = false;
+            m.held.clear();
+            m.ended.clear();
+            m.heard = None;
+            m.known_since = now;
+            m.idle_since = None;
+            m.moving = None;
+            m.moving_sent = false;
+            m.retiring = false;
+            m.deleting = false;
+            m.storing = None;
+            m.settles_at = None;
+            m.may_hold = m.up();
+        }
+        self.reset_jobs(partition);
+    }
+
+    fn hold(&mut self, machine: &MachineId, held: Held) {
+        if let Some(job) = self.jobs.get_mut(&held.task.job) {
+            job.placed.entry(held.task.index).or_default().push(machine.clone());
+        }
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.idle_since = None;
+            m.held.push(held);
+        }
+    }
+
+    /// Books a start on a machine: it counts from now on, and goes out with the next beat's answer.
+    pub(crate) fn book(&mut self, machine: &MachineId, task: TaskId) {
+        let Some((size, team, partition)) = self
+            .jobs
+            .get(&task.job)
+            .map(|j| (Self::size(&j.spec), j.spec.team.clone(), j.partition))
+        else {
+            return;
+        };
+        let Some(tenure) = self.tenures.get_mut(&partition) else {
+            return;
+        };
+        // Attempts carry the epoch with which the tenure began: no other tenure can make the same.
+        tenure.next_attempt += 1;
+        let attempt = Attempt((tenure.since.0 << 24) + tenure.next_attempt);
+        self.hold(
+            machine,
+            Held {
+                task,
+                attempt,
+                state: HeldState::Booked,
+                running_since: None,
+                stop: None,
+                size,
+                team,
+            },
+        );
+    }
+
+    /// One attempt is proven gone from a machine.
+    fn release(&mut self, machine: &MachineId, task: &TaskId, attempt: Attempt) {
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.held.retain(|h| h.task != *task || h.attempt != attempt);
+            if m.held.iter().any(|h| h.task == *task) {
+                return;
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && let Some(machines) = job.placed.get_mut(&task.index)
+        {
+            machines.retain(|m| m != machine);
+            if machines.is_empty() {
+                job.placed.remove(&task.index);
+                job.cursor = job.cursor.min(task.index);
+            }
+        }
+        self.want_batch();
+    }
+
+    /// Everything on a machine is proven gone.
+    pub(crate) fn release_all(&mut self, machine: &MachineId, why: &str) {
+        let held: Vec<(TaskId, Attempt)> = match self.machines.get(machine) {
+            Some(m) => m.held.iter().map(|h| (h.task.clone(), h.attempt)).collect(),
+            None => return,
+        };
+        if !held.is_empty() {
+            self.log(Level::Info, format!("{machine}: {} tasks are gone: {why}", held.len()));
+        }
+        for (task, attempt) in held {
+            self.release(machine, &task, attempt);
+        }
+    }
+
+    pub(crate) fn on_beat(&mut self, asker: Asker, body: &[u8], direct: bool) {
+        let report = match serde_json::from_slice::<Report>(body) {
+            Ok(report) => report,
+            Err(fault) => {
+                let error = json!({ "error": fault.to_string() }).to_string();
+                self.answer(asker, Answer::new(400, error));
+                return;
+            }
+        };
+        let Some(epoch) = self.epoch().filter(|_| self.entitled()) else {
+            self.answer(asker, Answer::later(503, 1, "not entitled to act at present"));
+            return;
+        };
+        if report.epoch > epoch {
+            // An answer under an older token would be dropped and hold the worker here.
+            self.answer(asker, Answer::later(503, 1, "a newer epoch is not known here yet"));
+            return;
+        }
+        let Some(partition) = self.machines.get(&report.machine).map(|m| m.partition) else {
+            self.cloud.note_stranger(&report, self.now.ms);
+            let to = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
+            match to {
+                Some(to) if direct && to != self.me && self.reachable(&to) => self.redirect(asker, &to),
+                _ => self.answer_orders(asker, epoch, Vec::new()),
+            }
+            return;
+        };
+        if self.acting(partition).is_some() {
+            self.own_beat(asker, &report, epoch);
+            return;
+        }
+        let owner = self.holding(partition).map(|h| h.owner.clone());
+        match owner {
+            Some(owner) if owner != self.me && direct => self.foreign_beat(asker, report, &owner, body),
+            Some(owner) if owner != self.me => {
+                // A relay that came to the wrong door: the sender knows no newer owner.
+                let _ = owner;
+                self.answer(asker, Answer::later(503, 1, "not the owner"));
+            }
+            _ => {
+                // A take-over under way: the worker keeps its tasks, and gets the new token.
+                let stops = self.stops_for_over(&report);
+                self.answer_orders(asker, epoch, stops);
+            }
+        }
+    }
+
+    fn redirect(&mut self, asker: Asker, to: &crate::ids::ControllerId) {
+        let body = json!({ "dispatcher": to }).to_string();
+        self.answer(asker, Answer::new(421, body));
+    }
+
+    pub(crate) fn answer_orders(&mut self, asker: Asker, epoch: Epoch, commands: Vec<Command>) {
+        let orders = Orders {
+            epoch,
+            session: None,
+            commands,
+        };
+        let body = serde_json::to_string(&orders).unwrap_or_default();
+        self.answer(asker, Answer::new(200, body));
+    }
+
+    /// A report whose machine another controller owns. The worker is sent there; if it has been sent
+    /// lately and is back, or the owner cannot be reached from here, its report is passed on instead.
+    fn foreign_beat(&mut self, asker: Asker, report: Report, owner: &crate::ids::ControllerId, body: &[u8]) {
+        let now = self.now.ms;
+        let reachable = self.reachable(owner);
+        let lately = self
+            .redirected
+            .get(&report.machine)
+            .is_some_and(|t| now.saturating_sub(*t) < self.set.worker_lease_ms());
+        if reachable && !lately {
+            self.redirected.insert(report.machine.clone(), now);
+            self.redirect(asker, owner);
+            return;
+        }
+        if !reachable && !lately {
+            // The owner may be out of reach from here only: a third controller may do better.
+            let other = self
+                .member
+                .members
+                .keys()
+                .find(|m| **m != self.me && *m != owner && self.reachable(m))
+                .cloned();
+            if let Some(other) = other {
+                self.redirected.insert(report.machine.clone(), now);
+                self.redirect(asker, &other);
+                return;
+            }
+        }
+        let request = PeerRequest::Relay { report: body.to_vec() };
+        let timeout = self.set.report_ms() / 3;
+        self.ask(
+            owner.clone(),
+            request,
+            timeout,
+            Purpose::Relay {
+                asker,
+                report: Box::new(report),
+            },
+        );
+    }
+
+    pub(crate) fn on_relayed(&mut self, asker: Asker, report: &Report, result: Option<PeerReply>) {
+        match result {
+            Some(PeerReply::Answer(answer)) if answer.status == 200 && self.entitled() => self.answer(asker, answer),
+            _ => match self.epoch().filter(|e| self.entitled() && *e >= report.epoch) {
+                Some(epoch) => {
+                    let stops = self.stops_for_over(report);
+                    self.answer_orders(asker, epoch, stops);
+                }
+                None => self.answer(asker, Answer::later(503, 1, "not entitled to act at present")),
+            },
+        }
+    }
+
+    /// Stops for tasks of jobs that are over: right from any entitled controller.
+    fn stops_for_over(&self, report: &Report) -> Vec<Command> {
+        report
+            .tasks
+            .iter()
+            .filter(|t| t.state != TaskState::Exited)
+            .filter(|t| TaskId::parse(&t.task).is_some_and(|id| self.over.contains_key(&id.job)))
+            .map(|t| Command::Stop {
+                task: t.task.clone(),
+                attempt: t.attempt,
+                grace_s: 0.0,
+            })
+            .collect()
+    }
+
+    fn own_beat(&mut self, asker: Asker, report: &Report, epoch: Epoch) {
+        let id = report.machine.clone();
+        if !self.take_report(report, true) {
+            // Late, or under an older token. With the answer the worker gets the present one.
+            let stops = self.stops_for_over(report);
+            self.answer_orders(asker, epoch, stops);
+            return;
+        }
+        let first = self
+            .machines
+            .get(&id)
+            .is_some_and(|m| !m.up() && m.storing.is_none() && !m.gone);
+        if first && !report.addr.is_empty() {
+            // It may hold tasks only once its entry says that it is up.
+            self.store_first_beat(asker, &id, report);
+            return;
+        }
+        let commands = self.orders_for(&id, (report.session, report.seq));
+        self.answer_orders(asker, epoch, commands);
+    }
+
+    fn store_first_beat(&mut self, asker: Asker, id: &MachineId, report: &Report) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.storing = Some(report.addr.clone());
+        let mut entry = m.entry();
+        entry.addr = report.addr.clone();
+        let key = format!("{ROSTER_PREFIX}{id}");
+        let conditions = vec![json!({ "k": key, "stamp": m.stamp }), self.epoch_condition()];
+        self.txn(
+            conditions,
+            vec![json!({ "write": key, "value": entry })],
+            Purpose::FirstBeat {
+                machine: id.clone(),
+                asker,
+                beat: (report.session, report.seq),
+            },
+        );
+    }
+
+    pub(crate) fn on_first_beat_stored(
+        &mut self,
+        id: MachineId,
+        asker: Asker,
+        beat: (u64, u64),
+        result: Option<(u16, Vec<u8>)>,
+    ) {
+        let stamp = match result {
+            Some((200, body)) => serde_json::from_slice::<crate::protocol::TxnAnswer>(&body).ok(),
+            _ => None,
+        };
+        let partition = self.machines.get(&id).map(|m| m.partition);
+        let acting = partition.is_some_and(|p| self.acting(p).is_some());
+        if let Some(m) = self.machines.get_mut(&id) {
+            let addr = m.storing.take();
+            // Without an answer the watch may yet bring the entry; until then the machine is not up,
+            // and nothing is placed on it.
+            if let (Some(answer), Some(addr)) = (stamp, addr) {
+                m.stamp = m.stamp.max(Stamp(answer.ledger));
+                m.addr = addr;
+            }
+        }
+        let Some(epoch) = self.epoch().filter(|_| self.entitled()) else {
+            self.answer(asker, Answer::later(503, 1, "not entitled to act at present"));
+            return;
+        };
+        let commands = if acting && partition.is_some() {
+            self.run_batch();
+            if self.machines.get(&id).is_some_and(|m| m.last == beat) {
+                self.orders_for(&id, beat)
+            } else {
+                Vec::new()
+            }
+        } else {
+            Vec::new()
+        };
+        self.answer_orders(asker, epoch, commands);
+    }
+
+    /// Takes a report into the picture. False: it is late, or its worker has not seen the token of the
+    /// present tenure; then it changes nothing.
+    pub(crate) fn take_report(&mut self, report: &Report, is_beat: bool) -> bool {
+        let id = report.machine.clone();
+        let now = self.now.ms;
+        let Some(m) = self.machines.get_mut(&id) else {
+            return false;
+        };
+        let key = (report.session, report.seq);
+        if key <= m.last || m.gone {
+            return false;
+        }
+        m.heard = Some(now);
+        let Some(tenure) = self.tenures.get(&m.partition) else {
+            return false;
+        };
+        if report.epoch < tenure.since {
+            return false;
+        }
+        let newer_session = report.session > m.last.0 && m.last.0 > 0;
+        m.last = key;
+        m.notice = report.notice_s.is_some();
+        let first = !m.confirmed;
+        m.confirmed = true;
+        if newer_session {
+            // The worker has killed and forgotten all that it had.
+            self.release_older_session(&id, report.session);
+        }
+        let mut listed: HashSet<(TaskId, Attempt)> = HashSet::new();
+        let mut ended = Vec::new();
+        for t in &report.tasks {
+            let Some(task) = TaskId::parse(&t.task) else { continue };
+            listed.insert((task.clone(), t.attempt));
+            if t.state == TaskState::Exited {
+                let done = t.why.as_deref() == Some("done");
+                self.release(&id, &task, t.attempt);
+                ended.push((task.clone(), t.attempt, done));
+                self.note_end(&id, &task, t.why.as_deref().unwrap_or(""));
+            } else {
+                self.see(&id, task, t.attempt, t.state);
+            }
+        }
+        let Some(m) = self.machines.get_mut(&id) else {
+            return false;
+        };
+        m.ended = ended;
+        if is_beat {
+            let lost: Vec<(TaskId, Attempt)> = m
+                .held
+                .iter()
+                .filter(|h| match h.state {
+                    HeldState::Booked => false,
+                    HeldState::Sent(session, seq) => (session, seq) < key,
+                    HeldState::Seen(_) => true,
+                })
+                .filter(|h| !listed.contains(&(h.task.clone(), h.attempt)))
+                .map(|h| (h.task.clone(), h.attempt))
+                .collect();
+            for (task, attempt) in lost {
+                self.release(&id, &task, attempt);
+            }
+        }
+        if let Some(m) = self.machines.get_mut(&id) {
+            if m.held.is_empty() && m.ended.is_empty() {
+                m.idle_since.get_or_insert(now);
+            } else {
+                m.idle_since = None;
+            }
+        }
+        if first {
+            self.note_settled();
+            self.want_batch();
+        }
+        true
+    }
+
+    fn release_older_session(&mut self, id: &MachineId, session: u64) {
+        let held: Vec<(TaskId, Attempt)> = match self.machines.get(id) {
+            Some(m) => m
+                .held
+                .iter()
+                // A booking that has not gone out yet is no older session's.
+                .filter(|h| h.state != HeldState::Booked)
+                .map(|h| (h.task.clone(), h.attempt))
+                .collect(),
+            None => return,
+        };
+        if !held.is_empty() {
+            self.log(
+                Level::Info,
+                format!(
+                    "{id}: session {session} began, {} tasks of the last one are gone",
+                    held.len()
+                ),
+            );
+        }
+        for (task, attempt) in held {
+            self.release(id, &task, attempt);
+        }
+    }
+
+    /// A task is on a machine.
+    fn see(&mut self, id: &MachineId, task: TaskId, attempt: Attempt, state: TaskState) {
+        let now = self.now.ms;
+        let room = self
+            .machines
+            .get(id)
+            .and_then(|m| self.types.iter().find(|t| t.name == m.model))
+            .map_or(0.0, |t| t.cache_gb);
+        let image = self
+            .jobs
+            .get(&task.job)
+            .map(|j| (j.spec.image.clone(), j.spec.image_gb));
+        if let Some(m) = self.machines.get_mut(id)
+            && let Some(h) = m.held.iter_mut().find(|h| h.task == task && h.attempt == attempt)
+        {
+            let began = state == TaskState::Running && h.running_since.is_none();
+            if began {
+                h.running_since = Some(now);
+            }
+            h.state = HeldState::Seen(state);
+            if let Some((image, gb)) = image.filter(|_| began) {
+                m.note_image(&image, gb, room);
+            }
+            return;
+        }
+        // Not booked in this tenure: found after a take-over, or a stray.
+        let (size, team) = match (self.jobs.get(&task.job), self.over.get(&task.job)) {
+            (Some(j), _) => (Self::size(&j.spec), j.spec.team.clone()),
+            (None, Some(over)) => (over.size, over.team.clone()),
+            _ => ([0.0; 3], String::new()),
+        };
+        let twice = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|j| j.placed.contains_key(&task.index));
+        if twice {
+            self.log(
+                Level::Error,
+                format!("{id}: {task} attempt {attempt} is on a second machine: stopping it"),
+            );
+        }
+        self.hold(
+            id,
+            Held {
+                task,
+                attempt,
+                state: HeldState::Seen(state),
+                running_since: (state == TaskState::Running).then_some(now),
+                stop: twice.then_some(Stop { grace_s: 0.0, at: now }),
+                size,
+                team,
+            },
+        );
+    }
+
+    /// A task has ended on a machine.
+    fn note_end(&mut self, id: &MachineId, task: &TaskId, why: &str) {
+        let now = self.now.ms;
+        let report = self.set.report_ms();
+        match why {
+            "done" => {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.failures.clear();
+                }
+                self.task_done(task);
+            }
+            "error" => {
+                let Some(job) = self.jobs.get_mut(&task.job) else {
+                    return;
+                };
+                let fresh = job.failed_on.insert(id.clone());
+                if job.failed_on.len() >= 3 {
+                    // It fails wherever it runs: the job is at fault, and waits longer each time.
+                    let factor = 1 << job.failed_on.len().min(6);
+                    job.hold_until = now + report * factor;
+                }
+                let failing_everywhere = job.failed_on.len() >= 3;
+                let Some(m) = self.machines.get_mut(id) else { return };
+                m.avoid_until = now + 2 * report;
+                m.failures.insert(task.job.clone());
+                let suspect = m.failures.len() >= 2 && !m.suspect && !failing_everywhere;
+                if suspect {
+                    m.suspect = true;
+                    self.log(
+                        Level::Error,
+                        format!("{id}: tasks of several jobs fail on it: not used any more"),
+                    );
+                } else if fresh {
+                    self.log(Level::Info, format!("{id}: {task} failed"));
+                }
+            }
+            "no_room" => {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.avoid_until = now + report;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Orders for a machine with the answer to one of its beats.
+    fn orders_for(&mut self, id: &MachineId, beat: (u64, u64)) -> Vec<Command> {
+        let now = self.now.ms;
+        let report = self.set.report_ms();
+        let mut commands = Vec::new();
+        let Some(m) = self.machines.get_mut(id) else {
+            return commands;
+        };
+        for (task, attempt, done) in &m.ended {
+            // A result may be dropped only once it is stored.
+            let keep = *done && self.jobs.get(&task.job).is_some_and(|j| !j.is_stored(task.index));
+            if !keep {
+                commands.push(Command::Forget {
+                    task: task.to_string(),
+                    attempt: *attempt,
+                });
+            }
+        }
+        let mut dropped = Vec::new();
+        for h in &mut m.held {
+            let job = self.jobs.get(&h.task.job).filter(|j| j.partition == m.partition);
+            let live = job.is_some_and(|j| !j.is_done(h.task.index));
+            match h.state {
+                HeldState::Booked => {
+                    if live && job.is_some_and(|j| j.ending.is_none()) && h.stop.is_none() {
+                        h.state = HeldState::Sent(beat.0, beat.1);
+                        commands.push(Command::Start {
+                            task: h.task.to_string(),
+                            attempt: h.attempt,
+                        });
+                    } else {
+                        dropped.push((h.task.clone(), h.attempt));
+                    }
+                }
+                HeldState::Seen(state) => {
+                    if !live && h.stop.is_none() {
+                        h.stop = Some(Stop { grace_s: 0.0, at: now });
+                    }
+                    if let Some(stop) = h.stop {
+                        // A task that saves for longer than it may is ended.
+                        let late = now.saturating_sub(stop.at) > (stop.grace_s * 2000.0) as u64 + 2 * report;
+                        if state != TaskState::Saving || late || !live {
+                            commands.push(Command::Stop {
+                                task: h.task.to_string(),
+                                attempt: h.attempt,
+                                grace_s: if late || !live { 0.0 } else { stop.grace_s },
+                            });
+                        }
+                    }
+                }
+                HeldState::Sent(..) => {}
+            }
+        }
+        for (task, attempt) in dropped {
+            self.release(id, &task, attempt);
+        }
+        commands
+    }
+
+    /// Orders a held task to stop, saving if it can.
+    pub(crate) fn stop_held(&mut self, machine: &MachineId, task: &TaskId, attempt: Attempt) {
+        let now = self.now.ms;
+        let grace_s = match self.jobs.get(&task.job) {
+            Some(j) if j.spec.checkpoint_s > 0.0 => j.spec.save_s.max(0.1),
+            _ => 0.0,
+        };
+        if let Some(m) = self.machines.get_mut(machine)
+            && let Some(h) = m.held.iter_mut().find(|h| h.task == *task && h.attempt == attempt)
+        {
+            h.stop.get_or_insert(Stop { grace_s, at: now });
+        }
+    }
+
+    /// Asks the machines of a partition that was taken over what is on them.
+    pub(crate) fn confirm_machines(&mut self, partition: Partition) {
+        let Some(epoch) = self.epoch().filter(|_| self.acting(partition).is_some()) else {
+            return;
+        };
+        let now = self.now.ms;
+        let every = self.set.report_ms() / 2;
+        let due: Vec<(MachineId, String, u64)> = self
+            .machines
+            .iter_mut()
+            .filter(|(_, m)| m.partition == partition && !m.confirmed && !m.confirming && !m.gone)
+            .filter(|(_, m)| m.addr.contains(':') && now >= m.confirm_at)
+            .map(|(id, m)| {
+                m.confirming = true;
+                m.confirm_at = now + every;
+                (id.clone(), m.addr.clone(), m.last.0.max(1))
+            })
+            .collect();
+        for (id, addr, session) in due {
+            let orders = Orders {
+                epoch,
+                session: Some(session),
+                commands: Vec::new(),
+            };
+            let body = serde_json::to_string(&orders).unwrap_or_default();
+            let timeout = self.set.report_ms();
+            self.call(
+                Target::Worker(addr),
+                Method::Post,
+                "/commands",
+                body,
+                timeout,
+                Purpose::Confirm { machine: id },
+            );
+        }
+    }
+
+    pub(crate) fn on_confirm(&mut self, id: MachineId, result: Option<(u16, Vec<u8>)>) {
+        let now = self.now.ms;
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.confirming = false;
+        }
+        let Some((status, body)) = result else { return };
+        let Ok(report) = serde_json::from_slice::<Report>(&body) else {
+            return;
+        };
+        let partition = self.machines.get(&id).map(|m| m.partition);
+        if report.machine != id || partition.is_none_or(|p| self.acting(p).is_none()) {
+            return;
+        }
+        if !self.take_report(&report, false)
+            && status == 409
+            && let Some(m) = self.machines.get_mut(&id)
+        {
+            // It is in another session: with that one named, it takes the token.
+            m.last.0 = m.last.0.max(report.session);
+            m.confirm_at = now;
+        }
+    }
+
+    /// Whether every machine that may hold older tasks of a partition is accounted for.
+    fn note_settled(&mut self) {
+        let partitions: Vec<Partition> = self
+            .tenures
+            .iter()
+            .filter(|(_, t)| t.stage == Stage::Active && !t.settled)
+            .map(|(p, _)| *p)
+            .collect();
+        for p in partitions {
+            let open = self.unconfirmed(p);
+            if open == 0
+                && let Some(t) = self.tenures.get_mut(&p)
+            {
+                t.settled = true;
+                let ms = self.now.ms.saturating_sub(t.active_at);
+                self.log(
+                    Level::Info,
+                    format!("partition {p}: every machine is accounted for, {ms} ms after the take-over"),
+                );
+            }
+        }
+    }
+
+    /// Machines that may hold tasks which this controller does not know of.
+    pub(crate) fn unconfirmed(&self, partition: Partition) -> usize {
+        self.machines
+            .values()
+            .filter(|m| m.partition == partition && m.may_hold && !m.confirmed && !m.gone)
+            .count()
+    }
+
+    /// Looks for silent machines, and goes on asking those that are not confirmed.
+    pub(crate) fn tick_machines(&mut self) {
+        let now = self.now.ms;
+        self.note_settled();
+        let partitions: Vec<Partition> = self.tenures.keys().copied().collect();
+        for p in partitions {
+            let Some(active_at) = self.acting(p).map(|t| t.active_at) else {
+                continue;
+            };
+            self.confirm_machines(p);
+            self.give_up_silent(p, active_at);
+            self.settle_moves(p);
+        }
+        let lease = self.set.worker_lease_ms();
+        self.redirected.retain(|_, t| now.saturating_sub(*t) < lease);
+    }
+
+    /// Hand-overs without a definite answer are sent again; refused ones end.
+    fn settle_moves(&mut self, partition: Partition) {
+        let ledger = self.member.ledger;
+        let mut again = Vec::new();
+        for (id, m) in self.machines.iter_mut().filter(|(_, m)| m.partition == partition) {
+            let Some(to) = m.moving else { continue };
+            if let Some(at) = m.settles_at {
+                if ledger >= at {
+                    m.settles_at = None;
+                    m.moving = None;
+                }
+            } else if !m.moving_sent {
+                again.push((id.clone(), to));
+            }
+        }
+        for (id, to) in again {
+            if self.state_writes.take(self.now.ms, 0.0, 0.2) {
+                self.hand_over(&id, to);
+            }
+        }
+    }
+
+    fn give_up_silent(&mut self, partition: Partition, active_at: u64) {
+        let now = self.now.ms;
+        let silent_ms = self.set.silent_ms();
+        let quiet = |m: &Machine, limit: u64| {
+            let since = m.heard.unwrap_or(m.known_since).max(active_at);
+            now.saturating_sub(since) > limit
+        };
+        let up: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.partition == partition && m.up() && !m.gone)
+            .collect();
+        let silent = up.iter().filter(|m| quiet(m, silent_ms / 2)).count();
+        // When most fall silent at once, the fault is more likely on this side of the network.
+        let limit = if silent > 1 && silent * 2 > up.len() {
+            self.set.worker_lease_ms() + silent_ms
+        } else {
+            silent_ms
+        };
+        let slow_boot = |m: &Machine| {
+            let boot = self.types.iter().find(|t| t.name == m.model).map_or(60.0, |t| t.boot_s);
+            (boot * 3.0 * 1000.0) as u64
+        };
+        let mut lost: BTreeMap<MachineId, &str> = BTreeMap::new();
+        for (id, m) in &self.machines {
+            if m.partition != partition || m.gone || m.retiring {
+                continue;
+            }
+            if m.up() {
+                // After a notice the machine is as good as gone once it stops to report.
+                let noticed = m.notice && quiet(m, 2 * self.set.report_ms());
+                if noticed || quiet(m, limit) {
+                    lost.insert(id.clone(), "silent");
+                }
+            } else if m.heard.is_none() && quiet(m, slow_boot(m)) {
+                lost.insert(id.clone(), "never came up");
+            }
+        }
+        for (id, why) in lost {
+            self.log(Level::Info, format!("{id}: {why}: giving it up"));
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.retiring = true;
+            }
+        }
+    }
+
+    /// Hands an empty machine to another partition.
+    pub(crate) fn hand_over(&mut self, id: &MachineId, to: Partition) {
+        let Some(m) = self.machines.get(id) else { return };
+        if self.acting(m.partition).is_none() {
+            return;
+        }
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.moving = Some(to);
+        m.moving_sent = true;
+        let mut entry = m.entry();
+        entry.part = to;
+        let key = format!("{ROSTER_PREFIX}{id}");
+        let conditions = vec![json!({ "k": key, "stamp": m.stamp }), self.epoch_condition()];
+        self.txn(
+            conditions,
+            vec![json!({ "write": key, "value": entry })],
+            Purpose::RosterMove {
+                machine: id.clone(),
+                to,
+            },
+        );
+    }
+
+    pub(crate) fn on_roster_move(&mut self, id: MachineId, to: Partition, result: Option<(u16, Vec<u8>)>) {
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        if m.moving != Some(to) {
+            return;
+        }
+        m.moving_sent = false;
+        match result {
+            // The watch brings the new entry; until then the machine stays out of use here.
+            Some((200, _)) => m.moving_sent = true,
+            // Refused. If it was an earlier copy that landed, the watch brings that by then.
+            Some((409, body)) => {
+                m.settles_at =
+                    Some(serde_json::from_slice::<crate::protocol::TxnAnswer>(&body).map_or(0, |t| t.ledger));
+            }
+            // No definite answer: a copy may still land, so the machine stays out of use and the
+            // hand-over is sent again until there is one.
+            _ => {}
+        }
+    }
+}
+
+impl Machine {
+    /// It was in the roster, and up, when the tenure began.
+    pub(crate) fn may_hold(&self) -> bool {
+        self.may_hold && !self.gone
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/placement.rs
@@ -0,0 +1,307 @@
+//! Placing one batch jointly: hard filters, a greedy pass by largest task, then moves and swaps.
+//!
+//! Pure functions over a snapshot. What a task wants and what a machine has are given; what comes
+//! back is which task goes where.
+
+use std::collections::{BTreeMap, HashSet};
+
+/// Processors, accelerators, memory.
+pub type Amounts = [f64; 3];
+
+const SLACK: f64 = 1e-6;
+
+fn fits(size: &Amounts, room: &Amounts) -> bool {
+    size.iter().zip(room).all(|(s, r)| *s <= r + SLACK)
+}
+
+fn take(room: &mut Amounts, size: &Amounts) {
+    room.iter_mut().zip(size).for_each(|(r, s)| *r -= s);
+}
+
+fn give(room: &mut Amounts, size: &Amounts) {
+    room.iter_mut().zip(size).for_each(|(r, s)| *r += s);
+}
+
+/// A machine with its free room.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    /// Type.
+    pub model: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machine.
+    pub spot: bool,
+    /// Room that is free, all bookings taken off.
+    pub free: Amounts,
+    /// Room in all.
+    pub total: Amounts,
+    /// Images that it has or is fetching.
+    pub images: HashSet<String>,
+    /// Seconds to fetch a gigabyte.
+    pub fetch_s_per_gb: f64,
+}
+
+/// What the tasks of one job have in common.
+#[derive(Debug, Clone)]
+pub struct JobTerms {
+    /// What each task takes.
+    pub size: Amounts,
+    /// Allowed types.
+    pub models: Option<Vec<String>>,
+    /// The only allowed zone.
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// Most tasks in one zone.
+    pub most_per_zone: Option<u32>,
+    /// May use spot machines.
+    pub spot: bool,
+    /// Image.
+    pub image: String,
+    /// Its size.
+    pub image_gb: f64,
+    /// Rank by priority, deadline and share: higher first.
+    pub rank: f64,
+    /// A service: its replicas are better apart.
+    pub service: bool,
+    /// Tasks now in each zone, uncertain ones included.
+    pub in_zone: BTreeMap<String, u32>,
+    /// Its team's place.
+    pub team: usize,
+}
+
+/// Result for one task of a batch: the machine's place, or none.
+pub type Choice = Option<usize>;
+
+/// A batch being placed.
+pub struct Batch<'a> {
+    slots: &'a mut [Slot],
+    jobs: &'a mut [JobTerms],
+    /// Room left under each team's limit.
+    teams: &'a mut [Amounts],
+    /// The job of each task.
+    tasks: &'a [usize],
+    choice: Vec<Choice>,
+}
+
+impl<'a> Batch<'a> {
+    /// A batch over a snapshot.
+    pub fn new(slots: &'a mut [Slot], jobs: &'a mut [JobTerms], teams: &'a mut [Amounts], tasks: &'a [usize]) -> Self {
+        let choice = vec![None; tasks.len()];
+        Self {
+            slots,
+            jobs,
+            teams,
+            tasks,
+            choice,
+        }
+    }
+
+    /// Hard filters that do not depend on room.
+    fn allowed(&self, job: &JobTerms, slot: &Slot) -> bool {
+        (job.spot || !slot.spot)
+            && job.models.as_ref().is_none_or(|m| m.contains(&slot.model))
+            && job.zone.as_ref().is_none_or(|z| *z == slot.zone)
+            && (!job.one_zone || job.in_zone.iter().all(|(z, n)| *n == 0 || *z == slot.zone))
+            && job
+                .most_per_zone
+                .is_none_or(|most| job.in_zone.get(&slot.zone).copied().unwrap_or(0) < most)
+    }
+
+    fn can(&self, task: usize, slot: usize) -> bool {
+        let (Some(job), Some(slot)) = (
+            self.tasks.get(task).and_then(|j| self.jobs.get(*j)),
+            self.slots.get(slot),
+        ) else {
+            return false;
+        };
+        fits(&job.size, &slot.free)
+            && self.teams.get(job.team).is_some_and(|room| fits(&job.size, room))
+            && self.allowed(job, slot)
+    }
+
+    /// Soft terms, each between 0 and 1 times its weight.
+    fn score(&self, task: usize, slot: usize) -> f64 {
+        let (Some(job), Some(slot)) = (
+            self.tasks.get(task).and_then(|j| self.jobs.get(*j)),
+            self.slots.get(slot),
+        ) else {
+            return 0.0;
+        };
+        let fetch_s = if slot.images.contains(&job.image) {
+            0.0
+        } else {
+            job.image_gb * slot.fetch_s_per_gb
+        };
+        let image = 1.0 / (1.0 + fetch_s / 5.0);
+        // Full machines first, so that others run empty and can be returned.
+        let mut used = 0.0;
+        let mut parts: f64 = 0.0;
+        for ((free, total), size) in slot.free.iter().zip(slot.total).zip(job.size) {
+            if total > 0.0 && size > 0.0 {
+                used += 1.0 - (free - size).max(0.0) / total;
+                parts += 1.0;
+            }
+        }
+        let packing = used / parts.max(1.0);
+        let apart = if job.service {
+            1.0 / (1.0 + f64::from(job.in_zone.get(&slot.zone).copied().unwrap_or(0)))
+        } else {
+            0.0
+        };
+        let spot = if job.spot && slot.spot { 1.0 } else { 0.0 };
+        // Accelerators are wasted on tasks that need none.
+        let waste = if job.size[1] == 0.0 && slot.total[1] > 0.0 {
+            1.0
+        } else {
+            0.0
+        };
+        2.0 * image + 1.5 * packing + apart + 0.5 * spot - waste
+    }
+
+    fn put(&mut self, task: usize, slot: usize) {
+        let Some(job) = self.tasks.get(task).and_then(|j| self.jobs.get_mut(*j)) else {
+            return;
+        };
+        let Some(s) = self.slots.get_mut(slot) else { return };
+        take(&mut s.free, &job.size);
+        if let Some(room) = self.teams.get_mut(job.team) {
+            take(room, &job.size);
+        }
+        *job.in_zone.entry(s.zone.clone()).or_default() += 1;
+        s.images.insert(job.image.clone());
+        if let Some(c) = self.choice.get_mut(task) {
+            *c = Some(slot);
+        }
+    }
+
+    fn lift(&mut self, task: usize) -> Choice {
+        let slot = self.choice.get_mut(task)?.take()?;
+        let job = self.tasks.get(task).and_then(|j| self.jobs.get_mut(*j))?;
+        let s = self.slots.get_mut(slot)?;
+        give(&mut s.free, &job.size);
+        if let Some(room) = self.teams.get_mut(job.team) {
+            give(room, &job.size);
+        }
+        if let Some(n) = job.in_zone.get_mut(&s.zone) {
+            *n = n.saturating_sub(1);
+        }
+        Some(slot)
+    }
+
+    fn best(&self, task: usize, except: Choice) -> Option<(usize, f64)> {
+        (0..self.slots.len())
+            .filter(|s| Some(*s) != except && self.can(task, *s))
+            .map(|s| (s, self.score(task, s)))
+            .max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    fn rank(&self, task: usize) -> f64 {
+        self.tasks
+            .get(task)
+            .and_then(|j| self.jobs.get(*j))
+            .map_or(0.0, |j| j.rank)
+    }
+
+    fn weight(&self, task: usize) -> f64 {
+        let largest = self.slots.iter().fold([1e-9f64; 3], |mut m, s| {
+            m.iter_mut().zip(s.total).for_each(|(m, t)| *m = m.max(t));
+            m
+        });
+        self.tasks
+            .get(task)
+            .and_then(|j| self.jobs.get(*j))
+            .map_or(0.0, |j| j.size.iter().zip(largest).map(|(s, m)| s / m).sum())
+    }
+
+    /// Greedy by rank, then by largest task; then single moves that raise the sum or make room for
+    /// a task that found none, at most `moves` of them tried.
+    pub fn place(mut self, moves: usize) -> Vec<Choice> {
+        let weights: Vec<f64> = (0..self.tasks.len()).map(|t| self.weight(t)).collect();
+        let mut order: Vec<usize> = (0..self.tasks.len()).collect();
+        order.sort_by(|a, b| {
+            self.rank(*b)
+                .total_cmp(&self.rank(*a))
+                .then(
+                    weights
+                        .get(*b)
+                        .unwrap_or(&0.0)
+                        .total_cmp(weights.get(*a).unwrap_or(&0.0)),
+                )
+                .then(a.cmp(b))
+        });
+        let mut unplaced = Vec::new();
+        for task in order {
+            match self.best(task, None) {
+                Some((slot, _)) => self.put(task, slot),
+                None => unplaced.push(task),
+            }
+        }
+        let mut left = moves;
+        for task in unplaced {
+            self.make_room(task, &mut left);
+        }
+        let mut moved = true;
+        while moved && left > 0 {
+            moved = false;
+            for task in 0..self.tasks.len() {
+                if left == 0 {
+                    break;
+                }
+                left -= 1;
+                moved |= self.improve(task);
+            }
+        }
+        self.choice
+    }
+
+    fn improve(&mut self, task: usize) -> bool {
+        let Some(from) = self.lift(task) else { return false };
+        let here = self.score(task, from);
+        match self.best(task, Some(from)) {
+            Some((to, there)) if there > here + 1e-3 => {
+                self.put(task, to);
+                true
+            }
+            _ => {
+                self.put(task, from);
+                false
+            }
+        }
+    }
+
+    /// Moves one task of the batch elsewhere so that another one fits.
+    fn make_room(&mut self, task: usize, left: &mut usize) {
+        for other in 0..self.tasks.len() {
+            if *left == 0 {
+                return;
+            }
+            let Some(from) = self.choice.get(other).copied().flatten() else {
+                continue;
+            };
+            let worth = self
+                .tasks
+                .get(task)
+                .and_then(|j| self.jobs.get(*j))
+                .zip(self.slots.get(from))
+                .is_some_and(|(job, slot)| self.allowed(job, slot));
+            if !worth {
+                continue;
+            }
+            *left -= 1;
+            self.lift(other);
+            if self.can(task, from)
+                && let Some((to, _)) = self.best(other, Some(from))
+            {
+                self.put(other, to);
+                // Where the other went may have changed what is allowed.
+                if self.can(task, from) {
+                    self.put(task, from);
+                    return;
+                }
+                self.lift(other);
+            }
+            self.put(other, from);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/queue.rs
@@ -0,0 +1,529 @@
+//! The queues: one for each team, served in turn by shares, and the batches that are drawn from them.
+
+use crate::capacity::Wish;
+use crate::controller::Controller;
+use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
+use crate::membership::Stage;
+use crate::placement::{Amounts, Batch, JobTerms, Slot};
+use crate::protocol::{Priority, Shape};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// One team's claim in a round: what it uses, and the share by which it is served.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Claim {
+    /// What it uses, in its guarantee's measure.
+    pub used: f64,
+    /// Its share.
+    pub share: f64,
+}
+
+/// The team whose turn it is: the one that uses least for its share.
+pub fn turn(claims: &[Claim], waiting: &[bool]) -> Option<usize> {
+    (0..claims.len())
+        .filter(|i| waiting.get(*i).copied().unwrap_or(false))
+        .min_by(|a, b| {
+            let of = |i: &usize| claims.get(*i).map_or(f64::MAX, |c| c.used / c.share.max(1e-9));
+            of(a).total_cmp(&of(b))
+        })
+}
+
+/// A task that may be stopped: its attempt, its team and what it takes.
+type Victim = (TaskId, Attempt, usize, Amounts);
+
+/// A job that waits, as the queue sees it.
+struct Waiting {
+    id: JobId,
+    team: usize,
+    priority: Priority,
+    /// Seconds until it has to be started to be in time; services and jobs without deadline: none.
+    slack_s: f64,
+    at: u64,
+    tasks: Vec<u32>,
+}
+
+impl Controller {
+    /// Something may be placed that could not be before: a batch closes after the usual wait.
+    pub(crate) fn want_batch(&mut self) {
+        let due = self.now.ms + self.set.batch_wait_ms();
+        self.batch_due = Some(self.batch_due.map_or(due, |d| d.min(due)));
+    }
+
+    pub(crate) fn tick_batch(&mut self) {
+        let full = self.set.operator.batch_tasks;
+        let due = match self.batch_due {
+            Some(due) => self.now.ms >= due || self.fresh_tasks() >= full,
+            None => false,
+        };
+        if due {
+            self.run_batch();
+        }
+    }
+
+    fn fresh_tasks(&self) -> u32 {
+        self.jobs
+            .values()
+            .filter(|j| j.placed.is_empty() && self.tenures.contains_key(&j.partition))
+            .map(|j| j.waiting_count())
+            .sum()
+    }
+
+    fn measure(&self, team: usize, size: &Amounts) -> f64 {
+        match self.set.platform.facts.teams.get(team) {
+            Some(t) if t.gpus > 0.0 || t.gpus_max > 0.0 => size[1],
+            _ => size[0],
+        }
+    }
+
+    /// What each team's tasks take, those that may still be somewhere included.
+    pub(crate) fn used_by_teams(&self) -> Vec<Amounts> {
+        let teams = &self.set.platform.facts.teams;
+        let mut used = vec![[0.0; 3]; teams.len()];
+        let index: HashMap<&str, usize> = teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i)).collect();
+        for m in self.machines.values() {
+            for h in &m.held {
+                if let Some(u) = index.get(h.team.as_str()).and_then(|i| used.get_mut(*i)) {
+                    u.iter_mut().zip(h.size).for_each(|(u, s)| *u += s);
+                }
+            }
+            // Until it has reported, a machine that was taken over may be full of any one team.
+            if !m.confirmed
+                && m.may_hold()
+                && let Some(t) = self.types.iter().find(|t| t.name == m.model)
+            {
+                for (i, u) in used.iter_mut().enumerate() {
+                    if self.set.partitions() > 0 && i as u32 % self.set.partitions() == m.partition.0 {
+                        u.iter_mut()
+                            .zip([t.cpus, t.gpus, t.memory_gb])
+                            .for_each(|(u, s)| *u += s);
+                    }
+                }
+            }
+        }
+        used
+    }
+
+    /// Draws batches from the queues and places them, until nothing more can be placed.
+    pub(crate) fn run_batch(&mut self) {
+        self.batch_due = None;
+        let acting: Vec<Partition> = self
+            .tenures
+            .iter()
+            .filter(|(_, t)| t.stage == Stage::Active)
+            .map(|(p, _)| *p)
+            .collect();
+        if !self.entitled() {
+            return;
+        }
+        let mut wishes = Vec::new();
+        for partition in acting {
+            wishes.extend(self.place_partition(partition));
+        }
+        self.cloud.wishes = wishes;
+        let waits = self
+            .jobs
+            .values()
+            .any(|j| self.tenures.contains_key(&j.partition) && j.waiting_count() > 0);
+        if waits {
+            self.want_batch();
+        }
+    }
+
+    fn collect(&mut self, partition: Partition, room: &[Amounts]) -> Vec<Waiting> {
+        let now = self.now;
+        let Some(tenure) = self.tenures.get(&partition) else {
+            return Vec::new();
+        };
+        let since = tenure.since;
+        let open = self.unconfirmed(partition) > 0;
+        let names: HashMap<String, usize> = self
+            .set
+            .platform
+            .facts
+            .teams
+            .iter()
+            .enumerate()
+            .map(|(i, t)| (t.name.clone(), i))
+            .collect();
+        let mut waiting = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if job.partition != partition || !job.startable(now.ms) {
+                continue;
+            }
+            // Tasks older than the take-over may be on a machine that has not reported; and a job
+            // of an epoch not seen here yet belongs to another owner.
+            if (open && job.epoch < since) || self.member.epoch.as_ref().is_none_or(|(e, _)| job.epoch > e.n) {
+                continue;
+            }
+            let Some(team) = names.get(&job.spec.team).copied() else {
+                continue;
+            };
+            let Some(left) = room.get(team) else { continue };
+            let size = Self::size(&job.spec);
+            let most = size
+                .iter()
+                .zip(left)
+                .filter(|(s, _)| **s > 0.0)
+                .map(|(s, l)| ((l + 1e-6) / s).max(0.0) as usize)
+                .min()
+                .unwrap_or(usize::MAX)
+                .min(200);
+            let tasks = job.waiting(most);
+            if tasks.is_empty() {
+                continue;
+            }
+            let age_s = now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
+            let slack_s = job
+                .spec
+                .deadline_s
+                .map_or(f64::MAX, |d| d - age_s - job.spec.estimate_s);
+            waiting.push(Waiting {
+                id: id.clone(),
+                team,
+                priority: job.spec.priority,
+                slack_s,
+                at: job.at_wall,
+                tasks,
+            });
+        }
+        waiting.sort_by(|a, b| {
+            b.priority
+                .cmp(&a.priority)
+                .then(a.slack_s.total_cmp(&b.slack_s))
+                .then(a.at.cmp(&b.at))
+        });
+        waiting
+    }
+
+    fn place_partition(&mut self, partition: Partition) -> Vec<Wish> {
+        let teams = self.set.platform.facts.teams.clone();
+        let used = self.used_by_teams();
+        let limits: Vec<Amounts> = teams
+            .iter()
+            .map(|t| {
+                let cap = |v: f64| if v > 0.0 { v } else { f64::MAX };
+                [cap(t.cpus_max), cap(t.gpus_max), f64::MAX]
+            })
+            .collect();
+        let mut room: Vec<Amounts> = limits
+            .iter()
+            .zip(&used)
+            .map(|(l, u)| [l[0] - u[0], l[1] - u[1], l[2]])
+            .collect();
+        let waiting = self.collect(partition, &room);
+        if waiting.is_empty() {
+            return Vec::new();
+        }
+        let (ids, mut slots) = self.slots(partition);
+        let mut claims: Vec<Claim> = teams
+            .iter()
+            .enumerate()
+            .map(|(i, t)| Claim {
+                used: used.get(i).map_or(0.0, |u| self.measure(i, u)),
+                share: if t.gpus > 0.0 || t.gpus_max > 0.0 {
+                    t.gpus.max(0.5)
+                } else {
+                    t.cpus.max(1.0)
+                },
+            })
+            .collect();
+        let mut jobs: Vec<JobTerms> = waiting.iter().filter_map(|w| self.terms(w)).collect();
+        let mut next = vec![0usize; waiting.len()];
+        let mut stuck: HashSet<usize> = HashSet::new();
+        let mut unplaced: Vec<(usize, u32)> = Vec::new();
+        let size = self.set.operator.batch_tasks as usize;
+        loop {
+            let batch = draw(&waiting, &mut next, &stuck, &mut claims, &jobs, size);
+            if batch.is_empty() {
+                break;
+            }
+            let tasks: Vec<usize> = batch.iter().map(|(j, _)| *j).collect();
+            let moves = tasks.len() * self.set.operator.search_moves_per_task as usize;
+            let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks).place(moves);
+            for ((job, index), choice) in batch.into_iter().zip(choices) {
+                match choice.and_then(|c| ids.get(c)) {
+                    Some(machine) => {
+                        if let Some(w) = waiting.get(job) {
+                            let task = TaskId {
+                                job: w.id.clone(),
+                                index,
+                            };
+                            self.book(&machine.clone(), task);
+                        }
+                    }
+                    None => {
+                        stuck.insert(job);
+                        unplaced.push((job, index));
+                    }
+                }
+            }
+        }
+        // Tasks of jobs that stuck wait too, even if no batch drew them; their room is limited.
+        for (j, w) in waiting.iter().enumerate().filter(|(j, _)| stuck.contains(j)) {
+            let from = next.get(j).copied().unwrap_or(0);
+            unplaced.extend(w.tasks.iter().skip(from).map(|i| (j, *i)));
+        }
+        let mut wishes: BTreeMap<usize, Wish> = BTreeMap::new();
+        let mut needy: Vec<usize> = Vec::new();
+        for (j, _) in &unplaced {
+            let Some(terms) = jobs.get(*j) else { continue };
+            // Beyond its team's limit more machines would not help.
+            let Some(left) = room.get_mut(terms.team) else { continue };
+            if !terms.size.iter().zip(left.iter()).all(|(s, l)| *s <= l + 1e-6) {
+                continue;
+            }
+            left.iter_mut().zip(terms.size).for_each(|(l, s)| *l -= s);
+            needy.push(*j);
+            let Some(w) = waiting.get(*j) else { continue };
+            wishes
+                .entry(*j)
+                .or_insert_with(|| Wish::new(partition, terms, w.priority >= Priority::Prod, w.slack_s))
+                .count += 1;
+        }
+        self.preempt(partition, &needy, &waiting, &jobs, &used);
+        wishes.into_values().collect()
+    }
+
+    fn terms(&self, w: &Waiting) -> Option<JobTerms> {
+        let job = self.jobs.get(&w.id)?;
+        let mut in_zone = BTreeMap::new();
+        for machines in job.placed.values() {
+            for m in machines.iter().filter_map(|m| self.machines.get(m)) {
+                *in_zone.entry(m.zone.clone()).or_insert(0) += 1;
+            }
+        }
+        let spec = &job.spec;
+        let urgency = if w.slack_s < 0.0 {
+            0.9
+        } else {
+            1.0 / (1.0 + w.slack_s.min(1e6) / 60.0)
+        };
+        Some(JobTerms {
+            size: Self::size(spec),
+            models: spec.models.clone(),
+            zone: spec.zone.clone(),
+            one_zone: spec.one_zone,
+            most_per_zone: spec.spread.then(|| spec.tasks.div_ceil(2)),
+            spot: spec.spot,
+            image: spec.image.clone(),
+            image_gb: spec.image_gb,
+            rank: f64::from(spec.priority as u8) * 10.0 + urgency,
+            service: spec.shape == Shape::Service,
+            in_zone,
+            team: w.team,
+        })
+    }
+
+    fn slots(&self, partition: Partition) -> (Vec<MachineId>, Vec<Slot>) {
+        let patience = 3 * self.set.report_ms();
+        let mut ids = Vec::new();
+        let mut slots = Vec::new();
+        for (id, m) in &self.machines {
+            if m.partition != partition || !m.usable(self.now.ms, patience) {
+                continue;
+            }
+            let Some(t) = self.types.iter().find(|t| t.name == m.model) else {
+                continue;
+            };
+            let total = [t.cpus, t.gpus, t.memory_gb];
+            let mut free = total;
+            free.iter_mut().zip(m.taken()).for_each(|(f, u)| *f -= u);
+            let mut images: HashSet<String> = m.images.iter().map(|(i, _)| i.clone()).collect();
+            images.extend(
+                m.held
+                    .iter()
+                    .filter_map(|h| self.jobs.get(&h.task.job))
+                    .map(|j| j.spec.image.clone()),
+            );
+            ids.push(id.clone());
+            slots.push(Slot {
+                model: m.model.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                free,
+                total,
+                images,
+                fetch_s_per_gb: 1.0 / t.fetch_gb_per_s.max(1e-3),
+            });
+        }
+        (ids, slots)
+    }
+
+    /// Stops work of lower priority, or work that another team runs beyond its guarantee, where that
+    /// makes room for a task that found none.
+    fn preempt(
+        &mut self,
+        partition: Partition,
+        needy: &[usize],
+        waiting: &[Waiting],
+        jobs: &[JobTerms],
+        used: &[Amounts],
+    ) {
+        let teams = self.set.platform.facts.teams.clone();
+        let patience = 3 * self.set.report_ms();
+        // Room that stops already under way will free.
+        let mut soon: BTreeMap<MachineId, Amounts> = BTreeMap::new();
+        let mut used: Vec<f64> = used.iter().enumerate().map(|(i, u)| self.measure(i, u)).collect();
+        for (id, m) in &self.machines {
+            if m.partition == partition
+                && m.usable(self.now.ms, patience)
+                && let Some(t) = self.types.iter().find(|t| t.name == m.model)
+            {
+                let mut free = [t.cpus, t.gpus, t.memory_gb];
+                for h in m.held.iter().filter(|h| h.stop.is_none()) {
+                    free.iter_mut().zip(h.size).for_each(|(f, s)| *f -= s);
+                }
+                soon.insert(id.clone(), free);
+            }
+        }
+        let mut stops: Vec<(MachineId, TaskId, Attempt)> = Vec::new();
+        for j in needy {
+            let (Some(w), Some(terms)) = (waiting.get(*j), jobs.get(*j)) else {
+                continue;
+            };
+            let guarantee = |team: usize| {
+                teams.get(team).map_or(0.0, |t| {
+                    if t.gpus > 0.0 || t.gpus_max > 0.0 {
+                        t.gpus
+                    } else {
+                        t.cpus
+                    }
+                })
+            };
+            let mine = self.measure(w.team, &terms.size);
+            let within = used.get(w.team).is_some_and(|u| u + mine <= guarantee(w.team) + 1e-6);
+            let waited_s = self.now.wall_ms.saturating_sub(w.at) as f64 / 1000.0;
+            let boot_s = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+            if w.priority < Priority::Prod && !(within && waited_s > boot_s) {
+                continue;
+            }
+            let allowed = |m: &crate::picture::Machine| {
+                (terms.spot || !m.spot)
+                    && terms.models.as_ref().is_none_or(|x| x.contains(&m.model))
+                    && terms.zone.as_ref().is_none_or(|z| *z == m.zone)
+                    && (!terms.one_zone || terms.in_zone.iter().all(|(z, n)| *n == 0 || *z == m.zone))
+                    && terms
+                        .most_per_zone
+                        .is_none_or(|most| terms.in_zone.get(&m.zone).copied().unwrap_or(0) < most)
+            };
+            let fits = |free: &Amounts| terms.size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
+            let coming = soon
+                .iter()
+                .find(|(id, free)| fits(free) && self.machines.get(*id).is_some_and(&allowed))
+                .map(|(id, _)| id.clone());
+            if let Some(id) = coming {
+                if let Some(free) = soon.get_mut(&id) {
+                    free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
+                }
+                continue;
+            }
+            let mut best: Option<(f64, MachineId, Vec<Victim>)> = None;
+            for (id, free) in &soon {
+                let Some(m) = self.machines.get(id).filter(|m| allowed(m)) else {
+                    continue;
+                };
+                let mut victims: Vec<(f64, TaskId, Attempt, usize, Amounts)> = m
+                    .held
+                    .iter()
+                    .filter(|h| h.stop.is_none())
+                    .filter(|h| !stops.iter().any(|(_, t, a)| *t == h.task && *a == h.attempt))
+                    .filter_map(|h| {
+                        let job = self.jobs.get(&h.task.job)?;
+                        let team = self.set.team(&h.team)?.0;
+                        let lower = job.spec.priority < w.priority;
+                        let borrowed = within && team != w.team && used.get(team).is_some_and(|u| *u > guarantee(team));
+                        let ran = h.running_since.map_or(0, |t| self.now.ms.saturating_sub(t)) as f64 / 1000.0;
+                        let lost = if job.spec.checkpoint_s > 0.0 {
+                            ran.min(job.spec.save_s)
+                        } else {
+                            ran
+                        };
+                        (lower || borrowed).then(|| (lost, h.task.clone(), h.attempt, team, h.size))
+                    })
+                    .collect();
+                victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+                let mut free = *free;
+                let mut cost = 0.0;
+                let mut chosen = Vec::new();
+                for (lost, task, attempt, team, size) in victims {
+                    if fits(&free) {
+                        break;
+                    }
+                    free.iter_mut().zip(size).for_each(|(f, s)| *f += s);
+                    cost += 1.0 + lost;
+                    chosen.push((task, attempt, team, size));
+                }
+                if fits(&free) && best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, id.clone(), chosen));
+                }
+            }
+            if let Some((_, id, chosen)) = best {
+                if let Some(free) = soon.get_mut(&id) {
+                    for (_, _, _, size) in &chosen {
+                        free.iter_mut().zip(size).for_each(|(f, s)| *f += s);
+                    }
+                    free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
+                }
+                for (task, attempt, team, size) in chosen {
+                    let amount = self.measure(team, &size);
+                    if let Some(u) = used.get_mut(team) {
+                        *u -= amount;
+                    }
+                    stops.push((id.clone(), task, attempt));
+                }
+            }
+        }
+        for (machine, task, attempt) in stops {
+            self.log(
+                crate::controller::Level::Info,
+                format!("{machine}: stopping {task} to make room"),
+            );
+            self.stop_held(&machine, &task, attempt);
+        }
+    }
+}
+
+/// Draws one batch: by priority, and within one by turns of the teams.
+fn draw(
+    waiting: &[Waiting],
+    next: &mut [usize],
+    stuck: &HashSet<usize>,
+    claims: &mut [Claim],
+    jobs: &[JobTerms],
+    most: usize,
+) -> Vec<(usize, u32)> {
+    let mut batch = Vec::new();
+    for priority in [Priority::Prod, Priority::Urgent, Priority::Normal, Priority::Low] {
+        while batch.len() < most {
+            let ready = |j: usize| {
+                waiting
+                    .get(j)
+                    .is_some_and(|w| w.priority == priority && !stuck.contains(&j))
+                    && next
+                        .get(j)
+                        .is_some_and(|n| waiting.get(j).is_some_and(|w| *n < w.tasks.len()))
+            };
+            let mut teams = vec![false; claims.len()];
+            for (_, w) in waiting.iter().enumerate().filter(|(j, _)| ready(*j)) {
+                if let Some(t) = teams.get_mut(w.team) {
+                    *t = true;
+                }
+            }
+            let Some(team) = turn(claims, &teams) else { break };
+            let Some(j) = (0..waiting.len()).find(|j| ready(*j) && waiting.get(*j).is_some_and(|w| w.team == team))
+            else {
+                break;
+            };
+            let (Some(w), Some(n)) = (waiting.get(j), next.get_mut(j)) else {
+                break;
+            };
+            if let Some(index) = w.tasks.get(*n) {
+                batch.push((j, *index));
+            }
+            *n += 1;
+            if let (Some(c), Some(job)) = (claims.get_mut(team), jobs.get(j)) {
+                c.used += if job.size[1] > 0.0 { job.size[1] } else { job.size[0] };
+            }
+        }
+    }
+    batch
+}
--- /dev/null
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
