--- /dev/null
+++ b/crates/tidelatch/src/http.rs
@@ -0,0 +1,386 @@
+//! HTTP/1.1 on `httparse`: reading messages, and a client that keeps connections.
+
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tidelatch_core::Method;
+
+/// Largest head of a message.
+const HEAD_LIMIT: usize = 16 * 1024;
+/// Largest body of a request.
+pub const BODY_LIMIT: usize = 64 * 1024;
+/// Largest body of a response: watches have no limit of their own.
+const RESPONSE_LIMIT: usize = 8 * 1024 * 1024;
+const MAX_HEADERS: usize = 48;
+
+/// What went wrong with a message.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// The connection failed or ended within a message.
+    #[error("connection: {0}")]
+    Io(#[from] std::io::Error),
+    /// Not HTTP.
+    #[error("malformed message")]
+    Malformed,
+    /// The head is too long.
+    #[error("head too large")]
+    HeadTooLarge,
+    /// The body is too long.
+    #[error("body too large")]
+    BodyTooLarge,
+    /// The other side closed before a message began.
+    #[error("closed")]
+    Closed,
+}
+
+/// A request that was read.
+pub struct Request {
+    /// Method as text.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The connection stays open after the answer.
+    pub keep_alive: bool,
+}
+
+enum Length {
+    Fixed(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// A connection with what has been read ahead.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    /// Wraps a stream.
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    async fn fill(&mut self) -> Result<usize, Fault> {
+        let mut chunk = [0u8; 4096];
+        let n = self.stream.read(&mut chunk).await?;
+        self.buffer.extend_from_slice(chunk.get(..n).unwrap_or_default());
+        Ok(n)
+    }
+
+    /// Waits until the first byte of a message is there.
+    pub async fn wait(&mut self) -> Result<(), Fault> {
+        if self.buffer.is_empty() && self.fill().await? == 0 {
+            return Err(Fault::Closed);
+        }
+        Ok(())
+    }
+
+    /// Reads a request.
+    pub async fn request(&mut self) -> Result<Request, Fault> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut parsed = httparse::Request::new(&mut headers);
+            match parsed.parse(&self.buffer) {
+                Ok(httparse::Status::Complete(head)) => {
+                    let method = parsed.method.unwrap_or_default().to_owned();
+                    let path = parsed.path.unwrap_or_default().to_owned();
+                    let mut keep_alive = parsed.version == Some(1);
+                    let (length, close) = body_length(parsed.headers)?;
+                    if let Some(close) = close {
+                        keep_alive = !close;
+                    }
+                    let expects = parsed.headers.iter().any(|h| h.name.eq_ignore_ascii_case("expect"));
+                    self.buffer.drain(..head);
+                    if expects {
+                        self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                    }
+                    let length = match length {
+                        // Without a length a request has no body.
+                        Length::UntilClose => Length::Fixed(0),
+                        other => other,
+                    };
+                    let body = self.body(length, BODY_LIMIT).await?;
+                    return Ok(Request {
+                        method,
+                        path,
+                        body,
+                        keep_alive,
+                    });
+                }
+                Ok(httparse::Status::Partial) if self.buffer.len() > HEAD_LIMIT => return Err(Fault::HeadTooLarge),
+                Ok(httparse::Status::Partial) => {
+                    if self.fill().await? == 0 {
+                        return Err(Fault::Closed);
+                    }
+                }
+                Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
+                Err(_) => return Err(Fault::Malformed),
+            }
+        }
+    }
+
+    /// Reads a response: status, body, and whether the connection may be used again.
+    async fn response(&mut self) -> Result<(u16, Vec<u8>, bool), Fault> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut parsed = httparse::Response::new(&mut headers);
+            match parsed.parse(&self.buffer) {
+                Ok(httparse::Status::Complete(head)) => {
+                    let status = parsed.code.unwrap_or(0);
+                    let mut keep_alive = parsed.version == Some(1);
+                    let (length, close) = body_length(parsed.headers)?;
+                    if let Some(close) = close {
+                        keep_alive = !close;
+                    }
+                    self.buffer.drain(..head);
+                    if (100..200).contains(&status) {
+                        continue;
+                    }
+                    let length = if status == 204 || status == 304 {
+                        Length::Fixed(0)
+                    } else {
+                        length
+                    };
+                    keep_alive &= !matches!(length, Length::UntilClose);
+                    let body = self.body(length, RESPONSE_LIMIT).await?;
+                    return Ok((status, body, keep_alive));
+                }
+                Ok(httparse::Status::Partial) if self.buffer.len() > HEAD_LIMIT => return Err(Fault::HeadTooLarge),
+                Ok(httparse::Status::Partial) => {
+                    if self.fill().await? == 0 {
+                        return Err(Fault::Closed);
+                    }
+                }
+                Err(_) => return Err(Fault::Malformed),
+            }
+        }
+    }
+
+    async fn body(&mut self, length: Length, limit: usize) -> Result<Vec<u8>, Fault> {
+        match length {
+            Length::Fixed(n) if n > limit => Err(Fault::BodyTooLarge),
+            Length::Fixed(n) => {
+                while self.buffer.len() < n {
+                    if self.fill().await? == 0 {
+                        return Err(Fault::Closed);
+                    }
+                }
+                let rest = self.buffer.split_off(n);
+                Ok(std::mem::replace(&mut self.buffer, rest))
+            }
+            Length::UntilClose => {
+                while self.fill().await? > 0 {
+                    if self.buffer.len() > limit {
+                        return Err(Fault::BodyTooLarge);
+                    }
+                }
+                Ok(std::mem::take(&mut self.buffer))
+            }
+            Length::Chunked => {
+                let mut body = Vec::new();
+                loop {
+                    match httparse::parse_chunk_size(&self.buffer) {
+                        Ok(httparse::Status::Complete((head, size))) => {
+                            let size = usize::try_from(size).map_err(|_| Fault::BodyTooLarge)?;
+                            if size > limit || body.len() + size > limit {
+                                return Err(Fault::BodyTooLarge);
+                            }
+                            self.buffer.drain(..head);
+                            if size == 0 {
+                                // Trailers, up to the empty line.
+                                loop {
+                                    if let Some(end) = self.buffer.windows(2).position(|w| w == b"\r\n") {
+                                        self.buffer.drain(..end + 2);
+                                        if end == 0 {
+                                            return Ok(body);
+                                        }
+                                    } else if self.buffer.len() > HEAD_LIMIT {
+                                        return Err(Fault::HeadTooLarge);
+                                    } else if self.fill().await? == 0 {
+                                        return Err(Fault::Closed);
+                                    }
+                                }
+                            }
+                            while self.buffer.len() < size + 2 {
+                                if self.fill().await? == 0 {
+                                    return Err(Fault::Closed);
+                                }
+                            }
+                            body.extend(self.buffer.drain(..size));
+                            if self.buffer.get(..2) != Some(b"\r\n") {
+                                return Err(Fault::Malformed);
+                            }
+                            self.buffer.drain(..2);
+                        }
+                        Ok(httparse::Status::Partial) if self.buffer.len() > 1024 => return Err(Fault::Malformed),
+                        Ok(httparse::Status::Partial) => {
+                            if self.fill().await? == 0 {
+                                return Err(Fault::Closed);
+                            }
+                        }
+                        Err(_) => return Err(Fault::Malformed),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes a response.
+    pub async fn respond(
+        &mut self,
+        status: u16,
+        retry_after_s: Option<u32>,
+        body: &[u8],
+        keep_alive: bool,
+    ) -> Result<(), Fault> {
+        let mut message = format!(
+            "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+            reason(status),
+            body.len()
+        )
+        .into_bytes();
+        if let Some(s) = retry_after_s {
+            message.extend_from_slice(format!("Retry-After: {s}\r\n").as_bytes());
+        }
+        if !keep_alive {
+            message.extend_from_slice(b"Connection: close\r\n");
+        }
+        message.extend_from_slice(b"\r\n");
+        message.extend_from_slice(body);
+        self.stream.write_all(&message).await?;
+        Ok(())
+    }
+}
+
+fn body_length(headers: &[httparse::Header<'_>]) -> Result<(Length, Option<bool>), Fault> {
+    let mut length = Length::UntilClose;
+    let mut close = None;
+    for h in headers {
+        let value = std::str::from_utf8(h.value).map_err(|_| Fault::Malformed)?.trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            let n = value.parse().map_err(|_| Fault::Malformed)?;
+            match length {
+                Length::Fixed(before) if before != n => return Err(Fault::Malformed),
+                Length::Chunked => {}
+                _ => length = Length::Fixed(n),
+            }
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(Fault::Malformed);
+            }
+            length = Length::Chunked;
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            for word in value.split(',').map(str::trim) {
+                if word.eq_ignore_ascii_case("close") {
+                    close = Some(true);
+                } else if word.eq_ignore_ascii_case("keep-alive") {
+                    close = Some(false);
+                }
+            }
+        }
+    }
+    Ok((length, close))
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+/// An idle connection, and since when it is idle.
+type Kept = (Connection, Instant);
+
+/// A client that keeps a few connections to each address.
+#[derive(Clone, Default)]
+pub struct Client {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Kept>>>>,
+}
+
+impl Client {
+    /// Connections that have lain idle for longer are not used again.
+    const IDLE: Duration = Duration::from_secs(20);
+    /// Most idle connections to one address.
+    const KEPT: usize = 4;
+
+    fn pooled(&self, to: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.get_mut(&to)?;
+        while let Some((connection, since)) = kept.pop() {
+            if since.elapsed() < Self::IDLE {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, to: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let kept = idle.entry(to).or_default();
+        kept.retain(|(_, since)| since.elapsed() < Self::IDLE);
+        if kept.len() < Self::KEPT {
+            kept.push((connection, Instant::now()));
+        }
+    }
+
+    /// Closes idle connections.
+    pub fn reap(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for kept in idle.values_mut() {
+            kept.retain(|(_, since)| since.elapsed() < Self::IDLE);
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+
+    /// Makes a call. A fault says nothing of whether it was carried out.
+    pub async fn call(&self, to: SocketAddr, method: Method, path: &str, body: &str) -> Result<(u16, Vec<u8>), Fault> {
+        let mut connection = match self.pooled(to) {
+            Some(connection) => connection,
+            None => Connection::new(TcpStream::connect(to).await?),
+        };
+        let word = match method {
+            Method::Get => "GET",
+            Method::Post => "POST",
+            Method::Delete => "DELETE",
+        };
+        let mut message = format!("{word} {path} HTTP/1.1\r\nHost: {to}\r\n");
+        if method == Method::Post {
+            message.push_str(&format!(
+                "Content-Type: application/json\r\nContent-Length: {}\r\n",
+                body.len()
+            ));
+        }
+        message.push_str("\r\n");
+        if method == Method::Post {
+            message.push_str(body);
+        }
+        connection.stream.write_all(message.as_bytes()).await?;
+        let (status, body, keep_alive) = connection.response().await?;
+        if keep_alive && connection.buffer.is_empty() {
+            self.keep(to, connection);
+        }
+        Ok((status, body))
+    }
+}
--- /dev/null
+++ b/crates/tidelatch/src/peers.rs
@@ -0,0 +1,361 @@
+//! gRPC between the controllers: tonic's generated code over hyper's HTTP/2 on smol.
+
+use crate::daemon::Event;
+use http::{Request, Response};
+use smol::Executor;
+use smol::channel::Sender;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolExecutor};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use tidelatch_core::ids::{MachineId, Partition};
+use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest};
+use tonic::body::Body;
+use tower_service::Service;
+
+#[allow(missing_docs)]
+mod wire {
+    tonic::include_proto!("tidelatch.peer.v1");
+}
+
+use wire::peer_client::PeerClient;
+use wire::peer_server::{Peer, PeerServer};
+
+fn need_out(n: Need) -> wire::Need {
+    wire::Need {
+        model: n.model,
+        zone: n.zone,
+        spot: n.spot,
+        count: n.count,
+        urgent: n.urgent,
+    }
+}
+
+fn need_in(n: wire::Need) -> Need {
+    Need {
+        model: n.model,
+        zone: n.zone,
+        spot: n.spot,
+        count: n.count,
+        urgent: n.urgent,
+    }
+}
+
+fn digest_out(d: Digest) -> wire::Digest {
+    wire::Digest {
+        partition: d.partition.0,
+        ledger: d.ledger,
+        demand: d.demand,
+        needs: d.needs.into_iter().map(need_out).collect(),
+        idle: d
+            .idle
+            .into_iter()
+            .map(|i| wire::Idle {
+                machine: i.machine.as_str().to_owned(),
+                model: i.model,
+                zone: i.zone,
+                spot: i.spot,
+            })
+            .collect(),
+    }
+}
+
+fn digest_in(d: wire::Digest) -> Digest {
+    Digest {
+        partition: Partition(d.partition),
+        ledger: d.ledger,
+        demand: d.demand,
+        needs: d.needs.into_iter().map(need_in).collect(),
+        idle: d
+            .idle
+            .into_iter()
+            .map(|i| Idle {
+                machine: MachineId::new(i.machine),
+                model: i.model,
+                zone: i.zone,
+                spot: i.spot,
+            })
+            .collect(),
+    }
+}
+
+fn answer_out(a: Answer) -> wire::Answer {
+    wire::Answer {
+        status: u32::from(a.status),
+        body: a.body.into_bytes(),
+        retry_after_s: a.retry_after_s.unwrap_or(0),
+    }
+}
+
+fn answer_in(a: wire::Answer) -> PeerReply {
+    PeerReply::Answer(Answer {
+        status: u16::try_from(a.status).unwrap_or(503),
+        retry_after_s: (a.retry_after_s > 0).then_some(a.retry_after_s),
+        body: String::from_utf8_lossy(&a.body).into_owned(),
+    })
+}
+
+/// The service that a controller offers to the others.
+#[derive(Clone)]
+struct Door {
+    events: Sender<Event>,
+}
+
+impl Door {
+    async fn ask(&self, request: PeerRequest) -> Result<PeerReply, tonic::Status> {
+        let (reply, answer) = smol::channel::bounded(1);
+        let unavailable = |_| tonic::Status::unavailable("stopping");
+        self.events
+            .send(Event::Peer { request, reply })
+            .await
+            .map_err(|_| tonic::Status::unavailable("stopping"))?;
+        answer.recv().await.map_err(unavailable)
+    }
+
+    async fn answer(&self, request: PeerRequest) -> Result<tonic::Response<wire::Answer>, tonic::Status> {
+        match self.ask(request).await? {
+            PeerReply::Answer(answer) => Ok(tonic::Response::new(answer_out(answer))),
+            PeerReply::Hello { .. } => Err(tonic::Status::internal("another kind of answer")),
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for Door {
+    async fn relay(
+        &self,
+        request: tonic::Request<wire::RelayRequest>,
+    ) -> Result<tonic::Response<wire::Answer>, tonic::Status> {
+        let report = request.into_inner().report;
+        self.answer(PeerRequest::Relay { report }).await
+    }
+
+    async fn forward(
+        &self,
+        request: tonic::Request<wire::ForwardRequest>,
+    ) -> Result<tonic::Response<wire::Answer>, tonic::Status> {
+        let r = request.into_inner();
+        self.answer(PeerRequest::Forward {
+            job: r.job,
+            withdraw: r.withdraw,
+        })
+        .await
+    }
+
+    async fn hello(
+        &self,
+        request: tonic::Request<wire::HelloRequest>,
+    ) -> Result<tonic::Response<wire::HelloReply>, tonic::Status> {
+        let r = request.into_inner();
+        let request = PeerRequest::Hello {
+            name: r.name,
+            entitled: r.entitled,
+            digests: r.digests.into_iter().map(digest_in).collect(),
+        };
+        match self.ask(request).await? {
+            PeerReply::Hello {
+                entitled,
+                moves,
+                refused,
+            } => Ok(tonic::Response::new(wire::HelloReply {
+                entitled,
+                moves: moves
+                    .into_iter()
+                    .map(|m| wire::Move {
+                        machine: m.machine.as_str().to_owned(),
+                        to: m.to.0,
+                    })
+                    .collect(),
+                refused: refused.into_iter().map(need_out).collect(),
+            })),
+            PeerReply::Answer(_) => Err(tonic::Status::internal("another kind of answer")),
+        }
+    }
+}
+
+/// Makes tonic's service callable by hyper.
+struct Bridge(PeerServer<Door>);
+
+type Pinned<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+impl hyper::service::Service<Request<hyper::body::Incoming>> for Bridge {
+    type Response = Response<Body>;
+    type Error = std::convert::Infallible;
+    type Future = Pinned<Result<Self::Response, Self::Error>>;
+
+    fn call(&self, request: Request<hyper::body::Incoming>) -> Self::Future {
+        let mut server = self.0.clone();
+        Box::pin(async move { server.call(request.map(Body::new)).await })
+    }
+}
+
+/// Most connections of peers at a time.
+const PEER_CONNECTIONS: usize = 32;
+
+/// Serves the other controllers.
+pub async fn serve(executor: Arc<Executor<'static>>, listener: TcpListener, events: Sender<Event>) {
+    let open = Arc::new(());
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            smol::Timer::after(std::time::Duration::from_millis(100)).await;
+            continue;
+        };
+        if Arc::strong_count(&open) > PEER_CONNECTIONS {
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        let bridge = Bridge(PeerServer::new(Door { events: events.clone() }));
+        let held = open.clone();
+        let rt = SmolExecutor::new(Ex(executor.clone()));
+        executor
+            .spawn(async move {
+                let _held = held;
+                let served = hyper::server::conn::http2::Builder::new(rt)
+                    .max_concurrent_streams(64)
+                    .serve_connection(FuturesIo::new(stream), bridge)
+                    .await;
+                if let Err(fault) = served {
+                    tracing::debug!("a peer's connection ended: {fault}");
+                }
+            })
+            .detach();
+    }
+}
+
+/// The executor, in the form that hyper's adapter takes.
+#[derive(Clone)]
+struct Ex(Arc<Executor<'static>>);
+
+impl AsRef<Executor<'static>> for Ex {
+    fn as_ref(&self) -> &Executor<'static> {
+        &self.0
+    }
+}
+
+type Handle = hyper::client::conn::http2::SendRequest<Body>;
+
+/// One connection to a peer, as tonic's client wants it.
+#[derive(Clone)]
+struct Channel {
+    handle: Handle,
+    authority: String,
+}
+
+impl Service<Request<Body>> for Channel {
+    type Response = Response<hyper::body::Incoming>;
+    type Error = hyper::Error;
+    type Future = Pinned<Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.handle.poll_ready(cx)
+    }
+
+    fn call(&mut self, mut request: Request<Body>) -> Self::Future {
+        let path = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        if let Ok(uri) = format!("http://{}{path}", self.authority).parse() {
+            *request.uri_mut() = uri;
+        }
+        Box::pin(self.handle.send_request(request))
+    }
+}
+
+/// Calls to the other controllers, one connection to each.
+#[derive(Clone)]
+pub struct Peers {
+    executor: Arc<Executor<'static>>,
+    open: Arc<Mutex<HashMap<SocketAddr, Channel>>>,
+}
+
+impl Peers {
+    /// No connection yet.
+    pub fn new(executor: Arc<Executor<'static>>) -> Self {
+        Self {
+            executor,
+            open: Arc::default(),
+        }
+    }
+
+    fn known(&self, to: SocketAddr) -> Option<Channel> {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.get(&to).filter(|c| !c.handle.is_closed()).cloned()
+    }
+
+    /// Drops the connection to a peer that did not answer: a new one may get through.
+    pub fn forget(&self, to: SocketAddr) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&to);
+    }
+
+    async fn channel(&self, to: SocketAddr) -> Option<Channel> {
+        if let Some(channel) = self.known(to) {
+            return Some(channel);
+        }
+        let stream = TcpStream::connect(to).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let rt = SmolExecutor::new(Ex(self.executor.clone()));
+        let (handle, connection) = hyper::client::conn::http2::Builder::new(rt)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .ok()?;
+        self.executor
+            .spawn(async move {
+                if let Err(fault) = connection.await {
+                    tracing::debug!("the connection to a peer ended: {fault}");
+                }
+            })
+            .detach();
+        let channel = Channel {
+            handle,
+            authority: to.to_string(),
+        };
+        self.open
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(to, channel.clone());
+        Some(channel)
+    }
+
+    /// Asks a peer; `None` if it did not answer.
+    pub async fn ask(&self, to: SocketAddr, request: PeerRequest) -> Option<PeerReply> {
+        let mut client = PeerClient::new(self.channel(to).await?);
+        match request {
+            PeerRequest::Relay { report } => client
+                .relay(wire::RelayRequest { report })
+                .await
+                .ok()
+                .map(|a| answer_in(a.into_inner())),
+            PeerRequest::Forward { job, withdraw } => client
+                .forward(wire::ForwardRequest { job, withdraw })
+                .await
+                .ok()
+                .map(|a| answer_in(a.into_inner())),
+            PeerRequest::Hello {
+                name,
+                entitled,
+                digests,
+            } => {
+                let request = wire::HelloRequest {
+                    name,
+                    entitled,
+                    digests: digests.into_iter().map(digest_out).collect(),
+                };
+                let reply = client.hello(request).await.ok()?.into_inner();
+                Some(PeerReply::Hello {
+                    entitled: reply.entitled,
+                    moves: reply
+                        .moves
+                        .into_iter()
+                        .map(|m| Move {
+                            machine: MachineId::new(m.machine),
+                            to: Partition(m.to),
+                        })
+                        .collect(),
+                    refused: reply.refused.into_iter().map(need_in).collect(),
+                })
+            }
+        }
+    }
+}
