--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -124,7 +124,8 @@
             .values()
             .any(|j| self.tenures.contains_key(&j.partition) && j.waiting_count() > 0);
         if waits {
-            self.want_batch();
+            let due = self.now.ms + self.set.batch_retry_ms();
+            self.batch_due = Some(self.batch_due.map_or(due, |d| d.min(due)));
         }
     }
 
--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -254,6 +254,9 @@
     /// A batch closes after this part of the workers' report period.
     #[schemars(range(min = 0.01, max = 10.0))]
     pub batch_wait_per_report: f64,
+    /// Tasks that found no machine are tried again after this part of the workers' report period.
+    #[schemars(range(min = 0.01, max = 10.0))]
+    pub batch_retry_per_report: f64,
     /// Moves that a batch's search may try, per task of the batch.
     #[schemars(range(min = 0, max = 1_000))]
     pub search_moves_per_task: u32,
@@ -275,7 +278,8 @@
     fn default() -> Self {
         Self {
             batch_tasks: 50,
-            batch_wait_per_report: 0.4,
+            batch_wait_per_report: 0.08,
+            batch_retry_per_report: 0.4,
             search_moves_per_task: 8,
             controller_lease_per_worker_lease: 0.4,
             idle_per_boot: 0.6,
@@ -364,6 +368,10 @@
     pub fn batch_wait_ms(&self) -> u64 {
         ms(self.platform.facts.workers.report_s * self.operator.batch_wait_per_report)
     }
+    /// Wait after which unplaced tasks are tried again.
+    pub fn batch_retry_ms(&self) -> u64 {
+        ms(self.platform.facts.workers.report_s * self.operator.batch_retry_per_report)
+    }
     /// Silence after which a machine is given up.
     pub fn silent_ms(&self) -> u64 {
         ms(self.platform.facts.workers.lease_s * self.operator.silent_per_worker_lease)
