--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -14,7 +14,7 @@
 use crate::protocol::{MachineList, MachineNames, MachineType, MachineTypes, Rental, Report, TxnAnswer};
 use crate::settings::Settings;
 use serde_json::json;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// Tasks of one job that found no machine.
 #[derive(Debug, Clone)]
@@ -187,7 +187,7 @@
     types_written: u64,
     budget: Bucket,
     /// Kinds refused by the cloud, until when.
-    refused: HashMap<Kind, u64>,
+    refused: BTreeMap<Kind, u64>,
     digests: BTreeMap<Partition, (Digest, u64)>,
     renting: u32,
     rental_count: u64,
@@ -201,7 +201,7 @@
     lent_at: BTreeMap<Partition, u64>,
     moves: BTreeMap<ControllerId, Vec<Move>>,
     strangers: BTreeMap<MachineId, (Kind, u64)>,
-    deleted: HashMap<MachineId, u64>,
+    deleted: BTreeMap<MachineId, u64>,
     deleting: bool,
     drops: Vec<MachineId>,
     due: u64,
@@ -219,7 +219,7 @@
             types_asked: 0,
             types_written: 0,
             budget: Bucket::new(rate, rate.max(1.0)),
-            refused: HashMap::new(),
+            refused: BTreeMap::new(),
             digests: BTreeMap::new(),
             renting: 0,
             rental_count: 0,
@@ -230,7 +230,7 @@
             lent_at: BTreeMap::new(),
             moves: BTreeMap::new(),
             strangers: BTreeMap::new(),
-            deleted: HashMap::new(),
+            deleted: BTreeMap::new(),
             deleting: false,
             drops: Vec::new(),
             due: 0,
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -4,10 +4,10 @@
 use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
 use crate::jobs::{Job, Over, Purpose as JobPurpose};
 use crate::membership::{Membership, Tenure};
-use crate::picture::Machine;
+use crate::picture::{Guest, Machine};
 use crate::protocol::{JobSpec, MachineType, Rental};
 use crate::settings::Settings;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// The time of an input.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -393,19 +393,19 @@
     pub(crate) now: Now,
     pub(crate) out: Vec<Output>,
     next_call: u64,
-    pending: HashMap<u64, Purpose>,
+    pending: BTreeMap<u64, Purpose>,
     pub(crate) member: Membership,
     pub(crate) tenures: BTreeMap<Partition, Tenure>,
     pub(crate) types: Vec<MachineType>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
-    pub(crate) over: HashMap<JobId, Over>,
+    pub(crate) over: BTreeMap<JobId, Over>,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) cloud: Cloud,
     pub(crate) state_reads: Bucket,
     pub(crate) state_writes: Bucket,
     pub(crate) batch_due: Option<u64>,
     pub(crate) flush_due: u64,
-    pub(crate) redirected: HashMap<MachineId, u64>,
+    pub(crate) guests: BTreeMap<MachineId, Guest>,
 }
 
 impl Controller {
@@ -422,19 +422,19 @@
             now,
             out: Vec::new(),
             next_call: 1,
-            pending: HashMap::new(),
+            pending: BTreeMap::new(),
             member: Membership::new(incarnation),
             tenures: BTreeMap::new(),
             types: Vec::new(),
             jobs: BTreeMap::new(),
-            over: HashMap::new(),
+            over: BTreeMap::new(),
             machines: BTreeMap::new(),
             cloud,
             state_reads,
             state_writes,
             batch_due: None,
             flush_due: 0,
-            redirected: HashMap::new(),
+            guests: BTreeMap::new(),
             set,
         }
     }
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -11,7 +11,7 @@
 use crate::protocol::{Changes, Granted, Items, MachineTypes};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Prefix of all that every controller follows.
 pub const SHARED: &str = "t/";
@@ -93,15 +93,15 @@
     watching: bool,
     retry_at: u64,
     pub(crate) ledger: u64,
-    pub(crate) members: HashMap<ControllerId, MemberRecord>,
+    pub(crate) members: BTreeMap<ControllerId, MemberRecord>,
     pub(crate) leader: Option<(LeaderRecord, Stamp)>,
     taking: bool,
     pub(crate) leader_since: u64,
     pub(crate) epoch: Option<(EpochRecord, Stamp)>,
     epoch_writing: bool,
-    pub(crate) peers: HashMap<ControllerId, Peer>,
+    pub(crate) peers: BTreeMap<ControllerId, Peer>,
     was_entitled: bool,
-    listed_machines: HashSet<MachineId>,
+    listed_machines: BTreeSet<MachineId>,
 }
 
 impl Membership {
@@ -120,15 +120,15 @@
             watching: false,
             retry_at: 0,
             ledger: 0,
-            members: HashMap::new(),
+            members: BTreeMap::new(),
             leader: None,
             taking: false,
             leader_since: 0,
             epoch: None,
             epoch_writing: false,
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
             was_entitled: false,
-            listed_machines: HashSet::new(),
+            listed_machines: BTreeSet::new(),
         }
     }
 }
@@ -160,7 +160,7 @@
 /// where it is, else goes to the live controller with the fewest. `None`: nothing changes.
 pub fn next_epoch(
     names: &[String],
-    members: &HashMap<ControllerId, MemberRecord>,
+    members: &BTreeMap<ControllerId, MemberRecord>,
     old: Option<&EpochRecord>,
     partitions: u32,
 ) -> Option<EpochRecord> {
@@ -168,7 +168,7 @@
         return None;
     }
     let n = Epoch(old.map_or(0, |e| e.n.0) + 1);
-    let mut load: HashMap<&str, usize> = HashMap::new();
+    let mut load: BTreeMap<&str, usize> = BTreeMap::new();
     let mut owners: Vec<Option<String>> = Vec::new();
     for p in 0..partitions as usize {
         let home = names
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -6,12 +6,12 @@
 //! silent worker's lease is never taken as evidence: any entitled controller may have answered it.
 
 use crate::controller::{Answer, Asker, Controller, Level, Method, PeerReply, PeerRequest, Purpose, Target};
-use crate::ids::{Attempt, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
+use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::{ROSTER_PREFIX, Stage};
 use crate::protocol::{Command, Orders, Report, TaskState};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine in the stored roster.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -65,6 +65,14 @@
     pub(crate) team: String,
 }
 
+/// A worker that reports here though another controller owns its machine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Guest {
+    since: u64,
+    seen: u64,
+    redirected: Option<u64>,
+}
+
 /// A machine of the roster.
 #[derive(Debug, Clone)]
 pub(crate) struct Machine {
@@ -376,7 +384,7 @@
         }
     }
 
-    fn redirect(&mut self, asker: Asker, to: &crate::ids::ControllerId) {
+    fn redirect(&mut self, asker: Asker, to: &ControllerId) {
         let body = json!({ "dispatcher": to }).to_string();
         self.answer(asker, Answer::new(421, body));
     }
@@ -391,33 +399,37 @@
         self.answer(asker, Answer::new(200, body));
     }
 
-    /// A report whose machine another controller owns. The worker is sent there; if it has been sent
-    /// lately and is back, or the owner cannot be reached from here, its report is passed on instead.
-    fn foreign_beat(&mut self, asker: Asker, report: Report, owner: &crate::ids::ControllerId, body: &[u8]) {
+    /// A report whose machine another controller owns. It is passed on; a worker that is here for
+    /// longer is sent to the owner, and if it comes back from there it may stay for a lease's time.
+    ///
+    /// Passing on comes first: a worker that is here because it could not reach its owner has been
+    /// silent for a while already, and a redirection into the same cut would double that.
+    fn foreign_beat(&mut self, asker: Asker, report: Report, owner: &ControllerId, body: &[u8]) {
         let now = self.now.ms;
+        let lease = self.set.worker_lease_ms();
+        let settle = 2 * self.set.report_ms();
         let reachable = self.reachable(owner);
-        let lately = self
-            .redirected
-            .get(&report.machine)
-            .is_some_and(|t| now.saturating_sub(*t) < self.set.worker_lease_ms());
-        if reachable && !lately {
-            self.redirected.insert(report.machine.clone(), now);
-            self.redirect(asker, owner);
-            return;
-        }
-        if !reachable && !lately {
-            // The owner may be out of reach from here only: a third controller may do better.
-            let other = self
-                .member
-                .members
-                .keys()
+        let up = self.machines.get(&report.machine).is_some_and(Machine::up);
+        // The owner may be out of reach from here only: a third controller may do better.
+        let other = || {
+            let mut members = self.member.members.keys();
+            members
                 .find(|m| **m != self.me && *m != owner && self.reachable(m))
-                .cloned();
-            if let Some(other) = other {
-                self.redirected.insert(report.machine.clone(), now);
-                self.redirect(asker, &other);
-                return;
-            }
+                .cloned()
+        };
+        let to = if reachable { Some(owner.clone()) } else { other() };
+        let guest = self.guests.entry(report.machine.clone()).or_insert(Guest {
+            since: now,
+            seen: now,
+            redirected: None,
+        });
+        guest.seen = now;
+        let lately = guest.redirected.is_some_and(|t| now.saturating_sub(t) < lease);
+        let may_go = !lately && (!up || !reachable || now.saturating_sub(guest.since) >= settle);
+        if let Some(to) = to.filter(|_| may_go) {
+            guest.redirected = Some(now);
+            self.redirect(asker, &to);
+            return;
         }
         let request = PeerRequest::Relay { report: body.to_vec() };
         let timeout = self.set.report_ms() / 3;
@@ -566,7 +578,7 @@
             // The worker has killed and forgotten all that it had.
             self.release_older_session(&id, report.session);
         }
-        let mut listed: HashSet<(TaskId, Attempt)> = HashSet::new();
+        let mut listed: BTreeSet<(TaskId, Attempt)> = BTreeSet::new();
         let mut ended = Vec::new();
         for t in &report.tasks {
             let Some(task) = TaskId::parse(&t.task) else { continue };
@@ -917,7 +929,7 @@
             self.settle_moves(p);
         }
         let lease = self.set.worker_lease_ms();
-        self.redirected.retain(|_, t| now.saturating_sub(*t) < lease);
+        self.guests.retain(|_, g| now.saturating_sub(g.seen) < lease);
     }
 
     /// Hand-overs without a definite answer are sent again; refused ones end.
--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -3,7 +3,7 @@
 //! Pure functions over a snapshot. What a task wants and what a machine has are given; what comes
 //! back is which task goes where.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Processors, accelerators, memory.
 pub type Amounts = [f64; 3];
@@ -36,7 +36,7 @@
     /// Room in all.
     pub total: Amounts,
     /// Images that it has or is fetching.
-    pub images: HashSet<String>,
+    pub images: BTreeSet<String>,
     /// Seconds to fetch a gigabyte.
     pub fetch_s_per_gb: f64,
 }
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -6,7 +6,7 @@
 use crate::membership::Stage;
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
 use crate::protocol::{Priority, Shape};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One team's claim in a round: what it uses, and the share by which it is served.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -78,7 +78,7 @@
     pub(crate) fn used_by_teams(&self) -> Vec<Amounts> {
         let teams = &self.set.platform.facts.teams;
         let mut used = vec![[0.0; 3]; teams.len()];
-        let index: HashMap<&str, usize> = teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i)).collect();
+        let index: BTreeMap<&str, usize> = teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i)).collect();
         for m in self.machines.values() {
             for h in &m.held {
                 if let Some(u) = index.get(h.team.as_str()).and_then(|i| used.get_mut(*i)) {
@@ -136,7 +136,7 @@
         };
         let since = tenure.since;
         let open = self.unconfirmed(partition) > 0;
-        let names: HashMap<String, usize> = self
+        let names: BTreeMap<String, usize> = self
             .set
             .platform
             .facts
@@ -229,7 +229,7 @@
             .collect();
         let mut jobs: Vec<JobTerms> = waiting.iter().filter_map(|w| self.terms(w)).collect();
         let mut next = vec![0usize; waiting.len()];
-        let mut stuck: HashSet<usize> = HashSet::new();
+        let mut stuck: BTreeSet<usize> = BTreeSet::new();
         let mut unplaced: Vec<(usize, u32)> = Vec::new();
         let size = self.set.operator.batch_tasks as usize;
         loop {
@@ -328,7 +328,7 @@
             let total = [t.cpus, t.gpus, t.memory_gb];
             let mut free = total;
             free.iter_mut().zip(m.taken()).for_each(|(f, u)| *f -= u);
-            let mut images: HashSet<String> = m.images.iter().map(|(i, _)| i.clone()).collect();
+            let mut images: BTreeSet<String> = m.images.iter().map(|(i, _)| i.clone()).collect();
             images.extend(
                 m.held
                     .iter()
@@ -487,7 +487,7 @@
 fn draw(
     waiting: &[Waiting],
     next: &mut [usize],
-    stuck: &HashSet<usize>,
+    stuck: &BTreeSet<usize>,
     claims: &mut [Claim],
     jobs: &[JobTerms],
     most: usize,
--- /dev/null
+++ b/crates/tidelatch-standin/src/cloud.rs
@@ -0,0 +1,102 @@
+//! The cloud: one machine type in two zones.
+
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The cloud and what it rents.
+#[derive(Debug)]
+pub struct Cloud {
+    requests: BTreeMap<String, Vec<String>>,
+    next: u32,
+    /// Machines that exist: zone, spot.
+    pub machines: BTreeMap<String, (String, bool)>,
+    /// Machines that were deleted.
+    pub deleted: BTreeSet<String>,
+    /// Most machines at a time.
+    pub most: usize,
+    /// All requests get 503.
+    pub down: bool,
+}
+
+impl Default for Cloud {
+    fn default() -> Self {
+        Self {
+            requests: BTreeMap::new(),
+            next: 0,
+            machines: BTreeMap::new(),
+            deleted: BTreeSet::new(),
+            most: 20,
+            down: false,
+        }
+    }
+}
+
+impl Cloud {
+    /// Boot time of its machines.
+    pub const BOOT_MS: u64 = 3000;
+
+    /// Carries out one request; the machines rented by it come second.
+    pub fn request(&mut self, method: &str, path: &str, body: &str) -> (u16, Value, Vec<String>) {
+        if self.down {
+            return (503, json!({ "error": "trouble" }), Vec::new());
+        }
+        let body: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        match (method, path.split('?').next().unwrap_or(path)) {
+            ("GET", "/machine_types") => {
+                let types = json!({ "models": [{
+                    "label": "m2", "vcpus": 24, "accelerators": 2, "ramGb": 144, "localGb": 100,
+                    "pullGbPerS": 1.0, "rate": 7.0, "marketPrice": 3.0, "startupS": 3, "yards": ["a", "b"]
+                }]});
+                (200, types, Vec::new())
+            }
+            ("POST", "/hosts") => {
+                let request = body["charter"].as_str().unwrap_or_default().to_owned();
+                if let Some(names) = self.requests.get(&request) {
+                    return (200, json!({ "berths": names }), Vec::new());
+                }
+                let room = self.most.saturating_sub(self.machines.len());
+                let count = (body["number"].as_u64().unwrap_or(0) as usize).min(room);
+                if count == 0 {
+                    return (503, json!({ "error": "no capacity" }), Vec::new());
+                }
+                let zone = body["yard"].as_str().unwrap_or_default().to_owned();
+                let spot = body["standby"].as_bool().unwrap_or(false);
+                let names: Vec<String> = (0..count)
+                    .map(|_| {
+                        self.next += 1;
+                        format!("n-{:06}", self.next)
+                    })
+                    .collect();
+                for name in &names {
+                    self.machines.insert(name.clone(), (zone.clone(), spot));
+                }
+                self.requests.insert(request, names.clone());
+                (200, json!({ "berths": names }), names)
+            }
+            ("POST", "/hosts/delete") => {
+                for name in body["berths"]
+                    .as_array()
+                    .into_iter()
+                    .flatten()
+                    .filter_map(Value::as_str)
+                {
+                    self.machines.remove(name);
+                    self.deleted.insert(name.to_owned());
+                }
+                (200, json!({}), Vec::new())
+            }
+            ("GET", "/hosts") => {
+                let list: Vec<Value> = self
+                    .machines
+                    .iter()
+                    .map(|(id, (zone, spot))| {
+                        json!({ "uid": id, "addr": "", "model": "m2", "yard": zone, "standby": spot,
+                                "status": "running", "ageS": 10.0 })
+                    })
+                    .collect();
+                (200, json!({ "berths": list, "more": false }), Vec::new())
+            }
+            _ => (404, json!({}), Vec::new()),
+        }
+    }
+}
--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stand-ins.
+//! Test-only stand-ins for everything round a controller: state service, cloud, workers, network and
+//! users, all in one deterministic world.
+//!
+//! The world is written from the protocol's text alone. It checks the rules as it goes: a broken one
+//! is listed in [`World::broken`]. What happens is written down in a trace that people can read.
+
+mod cloud;
+mod state;
+mod worker;
+mod world;
+
+pub use cloud::Cloud;
+pub use state::Store;
+pub use worker::Worker;
+pub use world::{Fate, Letter, World, job};
--- /dev/null
+++ b/crates/tidelatch-standin/src/world.rs
@@ -0,0 +1,1034 @@
+//! The world: three controllers, the services round them, and a network that can be meddled with.
+
+use crate::cloud::Cloud;
+use crate::state::{Said, Store};
+use crate::worker::Worker;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::fmt::Write as _;
+use tidelatch_core::ids::Incarnation;
+use tidelatch_core::settings::{Operator, Platform, Settings};
+use tidelatch_core::{Answer, Controller, Input, Method, Now, Output, PeerReply, PeerRequest, Target};
+
+/// What becomes of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It arrives, and so does its answer.
+    Pass,
+    /// It never arrives.
+    Lost,
+    /// It arrives and is carried out; the answer is lost.
+    AnswerLost,
+    /// It arrives this many milliseconds late; nobody waits for the answer by then.
+    Late(u64),
+}
+
+/// A message on its way.
+#[derive(Debug)]
+pub struct Letter<'a> {
+    /// Time of sending.
+    pub at: u64,
+    /// Sender: a controller or a machine.
+    pub from: &'a str,
+    /// Receiver: `state`, `cloud`, a controller or a machine.
+    pub to: &'a str,
+    /// Method and path, or the kind of a peer's question.
+    pub what: &'a str,
+    /// Body.
+    pub body: &'a str,
+}
+
+type Meddler = Box<dyn FnMut(&Letter<'_>) -> Fate>;
+
+enum Event {
+    Tick(usize, u64),
+    Arrive {
+        node: usize,
+        life: u64,
+        call: u64,
+        to: String,
+        method: &'static str,
+        path: String,
+        body: String,
+        answered: bool,
+    },
+    Back {
+        node: usize,
+        life: u64,
+        call: u64,
+        result: Option<(u16, String)>,
+    },
+    Watch {
+        node: usize,
+        life: u64,
+        call: u64,
+        prefix: String,
+        since: u64,
+        until: u64,
+    },
+    PeerArrive {
+        from: usize,
+        life: u64,
+        call: u64,
+        to: usize,
+        request: PeerRequest,
+        answered: bool,
+    },
+    PeerBack {
+        node: usize,
+        life: u64,
+        call: u64,
+        result: Option<PeerReply>,
+    },
+    Boot(String),
+    Work(String),
+    BeatArrive {
+        node: usize,
+        body: String,
+        worker: String,
+        beat: u64,
+        answered: bool,
+    },
+    BeatBack {
+        worker: String,
+        beat: u64,
+        result: Option<(u16, String)>,
+    },
+}
+
+struct Node {
+    core: Option<Controller>,
+    life: u64,
+    settings: Settings,
+    open: HashSet<u64>,
+}
+
+enum Asked {
+    User,
+    Worker {
+        worker: String,
+        beat: u64,
+        answered: bool,
+    },
+    Peer {
+        node: usize,
+        life: u64,
+        call: u64,
+        answered: bool,
+    },
+}
+
+/// Everything, at one moment.
+pub struct World {
+    /// Milliseconds since the beginning.
+    pub now: u64,
+    /// The state service.
+    pub store: Store,
+    /// The cloud.
+    pub cloud: Cloud,
+    /// Workers that are up.
+    pub workers: BTreeMap<String, Worker>,
+    /// Rules that were broken.
+    pub broken: Vec<String>,
+    /// Answers that users got, by request.
+    pub answers: BTreeMap<u64, (u64, Answer)>,
+    /// Milliseconds that a task of an array runs.
+    pub run_ms: u64,
+    nodes: Vec<Node>,
+    queue: BTreeMap<(u64, u64), Event>,
+    order: u64,
+    asked: BTreeMap<u64, Asked>,
+    next_request: u64,
+    meddler: Meddler,
+    jobs: BTreeMap<String, Value>,
+    cancelled: BTreeMap<String, u64>,
+    told: BTreeMap<String, String>,
+    asked_about: BTreeMap<u64, (String, &'static str)>,
+    done: BTreeSet<String>,
+    trace: String,
+}
+
+const TEAM_GPUS: f64 = 4.0;
+const LEASE_MS: u64 = 18_000;
+const REPORT_MS: u64 = 2_500;
+const CANCEL_MS: u64 = 38_000;
+
+fn settings(index: usize) -> Settings {
+    let siblings: Vec<Value> = (0..3)
+        .filter(|i| *i != index)
+        .map(|i| json!({ "host_name": format!("berth-{i}"), "area": "a", "address": format!("10.0.0.{}:8081", i + 1) }))
+        .collect();
+    let teams: Vec<Value> = (0..3)
+        .map(|i| json!({ "name": format!("team-{i}"), "gpus": 2.0, "gpus_max": TEAM_GPUS }))
+        .collect();
+    let platform = json!({
+        "host_name": format!("berth-{index}"), "area": "a",
+        "api_addr": format!("10.0.0.{}:8080", index + 1), "peer_listen": format!("10.0.0.{}:8081", index + 1),
+        "siblings": siblings, "outside": { "cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379" },
+        "facts": {
+            "nodes": 3, "zones": ["a", "b"], "skew_ms": 25.0, "teams": teams,
+            "workers": { "report_s": 2.5, "lease_s": 18.0, "cancel_s": 38.0 },
+            "state": { "rps": 250.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16 },
+            "cloud": { "rps": 4.0, "list_lag_s": 8.0 },
+            "machine_limits": { "cores": 0.1, "ram_mb": 100.0, "sockets": 1000 }
+        }
+    });
+    let platform: Platform = serde_json::from_value(platform).expect("the stand-in's own settings are in form");
+    assert!(platform.faults().is_empty(), "the stand-in's own settings are in order");
+    Settings {
+        platform,
+        operator: Operator::default(),
+    }
+}
+
+/// A submission: an array or a service of tasks with one accelerator each.
+pub fn job(id: u32, team: u32, shape: &str, tasks: u32) -> Value {
+    json!({
+        "uid": format!("job-{id:06}"), "consist": "c", "crew": format!("team-{team}"), "shape": shape,
+        "precedence": if shape == "standing" { "prod" } else { "normal" }, "wagons": tasks,
+        "vcpus": 8.0, "accelerators": 1.0, "ramGb": 40.0, "stock": "img", "sizeGb": 1.0, "models": null,
+        "yard": null, "together": false, "spread": false, "standby": false, "runtimeS": 5.0,
+        "waypointS": 0.0, "stowS": 0.0, "dueS": null
+    })
+}
+
+impl Default for World {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl World {
+    /// Three controllers that have just been started.
+    pub fn new() -> Self {
+        let mut world = Self {
+            now: 0,
+            store: Store::default(),
+            cloud: Cloud::default(),
+            workers: BTreeMap::new(),
+            broken: Vec::new(),
+            answers: BTreeMap::new(),
+            run_ms: 5000,
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            order: 0,
+            asked: BTreeMap::new(),
+            next_request: 1,
+            meddler: Box::new(|_| Fate::Pass),
+            jobs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            told: BTreeMap::new(),
+            asked_about: BTreeMap::new(),
+            done: BTreeSet::new(),
+            trace: String::new(),
+        };
+        for i in 0..3 {
+            world.nodes.push(Node {
+                core: None,
+                life: 0,
+                settings: settings(i),
+                open: HashSet::new(),
+            });
+            world.start(i);
+        }
+        world
+    }
+
+    /// Decides the fate of every message from now on.
+    pub fn meddle(&mut self, meddler: impl FnMut(&Letter<'_>) -> Fate + 'static) {
+        self.meddler = Box::new(meddler);
+    }
+
+    /// Lets every message pass again.
+    pub fn calm(&mut self) {
+        self.meddler = Box::new(|_| Fate::Pass);
+    }
+
+    /// Starts a controller, as a new life.
+    pub fn start(&mut self, node: usize) {
+        let now = Now {
+            ms: self.now,
+            wall_ms: self.now,
+        };
+        let Some(n) = self.nodes.get_mut(node) else { return };
+        n.life += 1;
+        n.open.clear();
+        let inc = Incarnation((node as u64 + 1) * 1_000_000 + n.life * 1000);
+        n.core = Some(Controller::new(n.settings.clone(), inc, now));
+        let life = n.life;
+        self.note(&format!("berth-{node} starts"));
+        self.push(1, Event::Tick(node, life));
+    }
+
+    /// Ends a controller with no warning.
+    pub fn crash(&mut self, node: usize) {
+        if let Some(n) = self.nodes.get_mut(node) {
+            n.core = None;
+            n.life += 1;
+        }
+        self.note(&format!("berth-{node} crashes"));
+    }
+
+    /// Writes a line into the trace.
+    pub fn note(&mut self, text: &str) {
+        let (s, ms) = (self.now / 1000, self.now % 1000);
+        let _ = writeln!(self.trace, "{s:4}.{ms:03}  {text}");
+    }
+
+    /// The trace so far.
+    pub fn trace(&self) -> &str {
+        &self.trace
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.order += 1;
+        self.queue.insert((self.now + after, self.order), event);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, ms: u64) {
+        let until = self.now + ms;
+        while let Some(((at, _), _)) = self.queue.first_key_value() {
+            if *at > until {
+                break;
+            }
+            let Some(((at, _), event)) = self.queue.pop_first() else {
+                break;
+            };
+            self.now = at;
+            self.expire_leases();
+            self.happen(event);
+        }
+        self.now = until;
+        self.expire_leases();
+    }
+
+    /// Lets time pass until something holds, for at most `ms`; whether it came to hold.
+    pub fn run_until(&mut self, ms: u64, mut holds: impl FnMut(&Self) -> bool) -> bool {
+        let until = self.now + ms;
+        while self.now < until {
+            if holds(self) {
+                return true;
+            }
+            self.run(20);
+        }
+        holds(self)
+    }
+
+    fn expire_leases(&mut self) {
+        let now = self.now;
+        self.store.expire(now);
+    }
+
+    /// Submits a job to a controller.
+    pub fn submit(&mut self, node: usize, body: &Value) -> u64 {
+        let id = body["uid"].as_str().unwrap_or_default().to_owned();
+        self.jobs.insert(id.clone(), body.clone());
+        self.note(&format!("a user submits {id} to berth-{node}"));
+        self.user(node, Method::Post, "/submissions", &body.to_string(), (id, "submit"))
+    }
+
+    /// Asks a controller about a job.
+    pub fn poll(&mut self, node: usize, id: &str) -> u64 {
+        self.user(
+            node,
+            Method::Get,
+            &format!("/submissions/{id}"),
+            "",
+            (id.to_owned(), "poll"),
+        )
+    }
+
+    /// Cancels a job.
+    pub fn withdraw(&mut self, node: usize, id: &str) -> u64 {
+        self.note(&format!("a user cancels {id} at berth-{node}"));
+        let path = format!("/submissions/{id}/withdraw");
+        self.user(node, Method::Post, &path, "", (id.to_owned(), "withdraw"))
+    }
+
+    /// Any request of a user.
+    pub fn user(&mut self, node: usize, method: Method, path: &str, body: &str, about: (String, &'static str)) -> u64 {
+        let id = self.next_request;
+        self.next_request += 1;
+        self.asked.insert(id, Asked::User);
+        self.asked_about.insert(id, about);
+        self.feed(
+            node,
+            Input::Request {
+                id,
+                method,
+                path: path.to_owned(),
+                body: body.as_bytes().to_vec(),
+            },
+        );
+        id
+    }
+
+    /// Status of a user's answer; 0: none yet.
+    pub fn status(&self, request: u64) -> u16 {
+        self.answers.get(&request).map_or(0, |(_, a)| a.status)
+    }
+
+    /// The `status` field of a user's answer.
+    pub fn said(&self, request: u64) -> String {
+        self.answers
+            .get(&request)
+            .and_then(|(_, a)| serde_json::from_str::<Value>(&a.body).ok())
+            .and_then(|v| v["status"].as_str().map(str::to_owned))
+            .unwrap_or_default()
+    }
+
+    /// Submits and waits until the job is accepted.
+    pub fn accepted(&mut self, node: usize, body: &Value) {
+        for _ in 0..20 {
+            let request = self.submit(node, body);
+            self.run(500);
+            if matches!(self.status(request), 200 | 201) {
+                return;
+            }
+            self.run(500);
+        }
+        panic!("not accepted:\n{}", self.trace);
+    }
+
+    /// Number of a job's tasks that run.
+    pub fn running(&self, id: &str) -> usize {
+        let prefix = format!("{id}/");
+        self.workers
+            .values()
+            .flat_map(|w| w.tasks.iter())
+            .filter(|((t, _), a)| t.starts_with(&prefix) && a.state == "running")
+            .count()
+    }
+
+    /// The machines that have a job's tasks.
+    pub fn machines_of(&self, id: &str) -> Vec<String> {
+        let prefix = format!("{id}/");
+        self.workers
+            .values()
+            .filter(|w| {
+                w.tasks
+                    .iter()
+                    .any(|((t, _), a)| t.starts_with(&prefix) && a.state != "ended")
+            })
+            .map(|w| w.name.clone())
+            .collect()
+    }
+
+    /// The controller that owns a team, by the stored epoch.
+    pub fn owner_of_team(&self, team: usize) -> usize {
+        let owner = self
+            .store
+            .get("t/c/epoch")
+            .and_then(|e| e["parts"][team]["owner"].as_str().map(str::to_owned))
+            .unwrap_or_default();
+        owner.strip_prefix("berth-").and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+
+    /// The epoch.
+    pub fn epoch(&self) -> u64 {
+        self.store.get("t/c/epoch").and_then(|e| e["n"].as_u64()).unwrap_or(0)
+    }
+
+    fn feed(&mut self, node: usize, input: Input) {
+        let now = Now {
+            ms: self.now,
+            wall_ms: self.now,
+        };
+        let Some(n) = self.nodes.get_mut(node) else { return };
+        let life = n.life;
+        let outputs = match &mut n.core {
+            Some(core) => core.step(now, input),
+            None => return,
+        };
+        for output in outputs {
+            self.carry_out(node, life, output);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, life: u64, output: Output) {
+        let name = format!("berth-{node}");
+        match output {
+            Output::Log { text, .. } => self.note(&format!("{name}: {text}")),
+            Output::Answer { id, answer } => match self.asked.remove(&id) {
+                Some(Asked::User) => self.tell_user(node, id, answer),
+                Some(Asked::Worker { worker, beat, answered }) if answered => {
+                    self.push(
+                        2,
+                        Event::BeatBack {
+                            worker,
+                            beat,
+                            result: Some((answer.status, answer.body)),
+                        },
+                    );
+                }
+                _ => {}
+            },
+            Output::Tell { id, reply } => {
+                if let Some(Asked::Peer {
+                    node,
+                    life,
+                    call,
+                    answered,
+                }) = self.asked.remove(&id)
+                    && answered
+                {
+                    self.push(
+                        2,
+                        Event::PeerBack {
+                            node,
+                            life,
+                            call,
+                            result: Some(reply),
+                        },
+                    );
+                }
+            }
+            Output::Call {
+                id,
+                target,
+                method,
+                path,
+                body,
+                timeout_ms,
+            } => {
+                let to = match &target {
+                    Target::State => "state".to_owned(),
+                    Target::Cloud => "cloud".to_owned(),
+                    Target::Worker(addr) => addr.split(':').next().unwrap_or_default().to_owned(),
+                };
+                let method = match method {
+                    Method::Get => "GET",
+                    Method::Post => "POST",
+                    Method::Delete => "DELETE",
+                };
+                let what = format!("{method} {path}");
+                let fate = self.fate(&name, &to, &what, &body);
+                if let Some(n) = self.nodes.get_mut(node) {
+                    n.open.insert(id);
+                }
+                self.push(
+                    timeout_ms,
+                    Event::Back {
+                        node,
+                        life,
+                        call: id,
+                        result: None,
+                    },
+                );
+                if let Some(after) = delay(fate) {
+                    self.push(
+                        after,
+                        Event::Arrive {
+                            node,
+                            life,
+                            call: id,
+                            to,
+                            method,
+                            path,
+                            body,
+                            answered: fate == Fate::Pass,
+                        },
+                    );
+                }
+            }
+            Output::Ask {
+                id,
+                to,
+                request,
+                timeout_ms,
+            } => {
+                let kind = match &request {
+                    PeerRequest::Relay { .. } => "relay",
+                    PeerRequest::Forward { .. } => "forward",
+                    PeerRequest::Hello { .. } => "hello",
+                };
+                let fate = self.fate(&name, to.as_str(), kind, "");
+                if let Some(n) = self.nodes.get_mut(node) {
+                    n.open.insert(id);
+                }
+                self.push(
+                    timeout_ms,
+                    Event::PeerBack {
+                        node,
+                        life,
+                        call: id,
+                        result: None,
+                    },
+                );
+                let to = to
+                    .as_str()
+                    .strip_prefix("berth-")
+                    .and_then(|n| n.parse().ok())
+                    .unwrap_or(0);
+                if let Some(after) = delay(fate) {
+                    self.push(
+                        after,
+                        Event::PeerArrive {
+                            from: node,
+                            life,
+                            call: id,
+                            to,
+                            request,
+                            answered: fate == Fate::Pass,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    fn fate(&mut self, from: &str, to: &str, what: &str, body: &str) -> Fate {
+        let letter = Letter {
+            at: self.now,
+            from,
+            to,
+            what,
+            body,
+        };
+        let fate = (self.meddler)(&letter);
+        if fate != Fate::Pass && !what.starts_with("hello") {
+            let path: String = what.chars().take(60).collect();
+            self.note(&format!("({from} to {to}, {path}: {fate:?})"));
+        }
+        fate
+    }
+
+    fn tell_user(&mut self, node: usize, id: u64, answer: Answer) {
+        let Some((job, kind)) = self.asked_about.get(&id).cloned() else {
+            return;
+        };
+        let said = serde_json::from_str::<Value>(&answer.body)
+            .ok()
+            .and_then(|v| v["status"].as_str().map(str::to_owned))
+            .unwrap_or_default();
+        self.note(&format!("berth-{node} answers {kind} {job}: {} {said}", answer.status));
+        self.check_answer(&job, answer.status, &said);
+        self.answers.insert(id, (self.now, answer));
+    }
+
+    fn check_answer(&mut self, job: &str, status: u16, said: &str) {
+        let before = self.told.get(job).cloned().unwrap_or_default();
+        let final_before = before == "done" || before == "withdrawn";
+        match status {
+            404 if !before.is_empty() => self.breach(format!("forgotten: {job}")),
+            400 | 422 if !before.is_empty() => self.breach(format!("forgotten: {job} answered {status}")),
+            200 | 201 => {
+                if !self.jobs.contains_key(job) {
+                    self.breach(format!("invented: {job}"));
+                }
+                if final_before && said != before {
+                    self.breach(format!("went_back: {job} from {before} to {said}"));
+                }
+                if said == "done" {
+                    let tasks = self.jobs.get(job).and_then(|j| j["wagons"].as_u64()).unwrap_or(0);
+                    if (0..tasks).any(|i| !self.done.contains(&format!("{job}/{i}"))) {
+                        self.breach(format!("not_done: {job}"));
+                    }
+                }
+                if said == "withdrawn" {
+                    let now = self.now;
+                    self.cancelled.entry(job.to_owned()).or_insert(now);
+                }
+                self.told.insert(job.to_owned(), said.to_owned());
+            }
+            _ => {}
+        }
+    }
+
+    fn breach(&mut self, text: String) {
+        self.note(&format!("RULE BROKEN: {text}"));
+        self.broken.push(text);
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Tick(node, life) => {
+                if self.alive(node, life) {
+                    self.feed(node, Input::Tick);
+                    self.push(100, Event::Tick(node, life));
+                }
+            }
+            Event::Arrive {
+                node,
+                life,
+                call,
+                to,
+                method,
+                path,
+                body,
+                answered,
+            } => self.arrive((node, life, call), &to, method, &path, &body, answered),
+            Event::Back {
+                node,
+                life,
+                call,
+                result,
+            } => {
+                if self.alive(node, life) && self.nodes.get_mut(node).is_some_and(|n| n.open.remove(&call)) {
+                    let result = result.map(|(s, b)| (s, b.into_bytes()));
+                    self.feed(node, Input::Reply { call, result });
+                }
+            }
+            Event::Watch {
+                node,
+                life,
+                call,
+                prefix,
+                since,
+                until,
+            } => {
+                if !self.alive(node, life) {
+                    return;
+                }
+                let news = if self.store.down {
+                    None
+                } else {
+                    self.store.news(&prefix, since)
+                };
+                let over = self.now >= until && !self.store.down;
+                match news {
+                    None if !over => self.push(
+                        5,
+                        Event::Watch {
+                            node,
+                            life,
+                            call,
+                            prefix,
+                            since,
+                            until,
+                        },
+                    ),
+                    news => {
+                        let news = news.unwrap_or_else(|| json!({ "ledger": self.store.revision(), "news": [] }));
+                        self.push(
+                            2,
+                            Event::Back {
+                                node,
+                                life,
+                                call,
+                                result: Some((200, news.to_string())),
+                            },
+                        );
+                    }
+                }
+            }
+            Event::PeerArrive {
+                from,
+                life,
+                call,
+                to,
+                request,
+                answered,
+            } => {
+                let id = self.next_request;
+                self.next_request += 1;
+                self.asked.insert(
+                    id,
+                    Asked::Peer {
+                        node: from,
+                        life,
+                        call,
+                        answered,
+                    },
+                );
+                self.feed(to, Input::PeerRequest { id, request });
+            }
+            Event::PeerBack {
+                node,
+                life,
+                call,
+                result,
+            } => {
+                if self.alive(node, life) && self.nodes.get_mut(node).is_some_and(|n| n.open.remove(&call)) {
+                    self.feed(node, Input::PeerReply { call, result });
+                }
+            }
+            Event::Boot(name) => {
+                let Some((zone, spot)) = self.cloud.machines.get(&name).cloned() else {
+                    return;
+                };
+                let node = self.workers.len() % 3;
+                let worker = Worker::new(&name, &zone, spot, node, self.now);
+                self.workers.insert(name.clone(), worker);
+                self.push(1, Event::Work(name));
+            }
+            Event::Work(name) => self.work(&name),
+            Event::BeatArrive {
+                node,
+                body,
+                worker,
+                beat,
+                answered,
+            } => {
+                let id = self.next_request;
+                self.next_request += 1;
+                self.asked.insert(id, Asked::Worker { worker, beat, answered });
+                self.feed(
+                    node,
+                    Input::Request {
+                        id,
+                        method: Method::Post,
+                        path: "/agent/beat".into(),
+                        body: body.into_bytes(),
+                    },
+                );
+            }
+            Event::BeatBack { worker, beat, result } => self.beat_back(&worker, beat, result),
+        }
+    }
+
+    fn alive(&self, node: usize, life: u64) -> bool {
+        self.nodes.get(node).is_some_and(|n| n.core.is_some() && n.life == life)
+    }
+
+    fn arrive(
+        &mut self,
+        from: (usize, u64, u64),
+        to: &str,
+        method: &'static str,
+        path: &str,
+        body: &str,
+        answered: bool,
+    ) {
+        let (node, life, call) = from;
+        let result = match to {
+            "state" => match self.store.request(self.now, method, path, body) {
+                Said::Now(status, body) => (status, body.to_string()),
+                Said::Later(prefix, since, until) => {
+                    self.push(
+                        1,
+                        Event::Watch {
+                            node,
+                            life,
+                            call,
+                            prefix,
+                            since,
+                            until,
+                        },
+                    );
+                    return;
+                }
+            },
+            "cloud" => {
+                let (status, body, rented) = self.cloud.request(method, path, body);
+                for name in rented {
+                    self.push(Cloud::BOOT_MS, Event::Boot(name));
+                }
+                let gone: Vec<String> = self
+                    .workers
+                    .keys()
+                    .filter(|w| !self.cloud.machines.contains_key(*w))
+                    .cloned()
+                    .collect();
+                for w in gone {
+                    self.workers.remove(&w);
+                }
+                (status, body.to_string())
+            }
+            machine => match self.direct(machine, path, body) {
+                Some(result) => result,
+                None => return,
+            },
+        };
+        if answered {
+            self.push(
+                2,
+                Event::Back {
+                    node,
+                    life,
+                    call,
+                    result: Some(result),
+                },
+            );
+        }
+    }
+
+    /// A direct command at a worker.
+    fn direct(&mut self, machine: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let now = self.now;
+        let w = self.workers.get_mut(machine).filter(|w| !w.hanging)?;
+        if path == "/status" {
+            return Some((200, w.report().to_string()));
+        }
+        let body: Value = serde_json::from_str(body).ok()?;
+        let (Some(token), Some(session)) = (body["baton"].as_u64(), body["shift"].as_u64()) else {
+            return Some((400, "{}".into()));
+        };
+        if token < w.token || session != w.session {
+            return Some((409, w.report().to_string()));
+        }
+        w.token = token;
+        let mut started = Vec::new();
+        for order in body["orders"].as_array().into_iter().flatten() {
+            started.extend(w.order(order, now));
+        }
+        let report = w.report().to_string();
+        for task in started {
+            self.started(machine, &task);
+        }
+        Some((200, report))
+    }
+
+    /// A worker goes on with its tasks, and reports.
+    fn work(&mut self, name: &str) {
+        let now = self.now;
+        let run_ms = self.run_ms;
+        let services: BTreeSet<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j["shape"] == "standing")
+            .map(|(id, _)| id.clone())
+            .collect();
+        let Some(w) = self.workers.get_mut(name) else { return };
+        let mut finished = Vec::new();
+        if !w.hanging {
+            if now > w.answered + LEASE_MS {
+                w.next_session(now);
+                w.waiting = None;
+            }
+            for ((task, _), a) in &mut w.tasks {
+                if a.next.is_some_and(|t| t <= now) {
+                    if a.state == "pulling" {
+                        a.state = "running";
+                        let service = task.split('/').next().is_some_and(|j| services.contains(j));
+                        a.next = (!service).then_some(now + run_ms);
+                    } else {
+                        a.state = "ended";
+                        a.why = "done";
+                        a.next = None;
+                        finished.push(task.clone());
+                    }
+                }
+            }
+        }
+        self.done.extend(finished);
+        let due = self
+            .workers
+            .get(name)
+            .is_some_and(|w| !w.hanging && w.waiting.is_none());
+        if due {
+            self.beat(name);
+        }
+        self.check_cancelled();
+        self.push(REPORT_MS, Event::Work(name.to_owned()));
+    }
+
+    fn beat(&mut self, name: &str) {
+        let Some(w) = self.workers.get_mut(name) else { return };
+        let body = w.report().to_string();
+        let (node, beat) = (w.node, w.seq);
+        w.waiting = Some(beat);
+        let to = format!("berth-{node}");
+        let fate = self.fate(name, &to, "POST /agent/beat", &body);
+        let up = self.nodes.get(node).is_some_and(|n| n.core.is_some());
+        if let Some(after) = delay(fate).filter(|_| up) {
+            self.push(
+                after,
+                Event::BeatArrive {
+                    node,
+                    body,
+                    worker: name.to_owned(),
+                    beat,
+                    answered: fate == Fate::Pass,
+                },
+            );
+        }
+        // A refused connection shows at once; a silent one after 4 s.
+        let patience = if up { 4000 } else { 2 };
+        self.push(
+            patience,
+            Event::BeatBack {
+                worker: name.to_owned(),
+                beat,
+                result: None,
+            },
+        );
+    }
+
+    fn beat_back(&mut self, name: &str, beat: u64, result: Option<(u16, String)>) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else { return };
+        if w.waiting != Some(beat) || w.hanging {
+            return;
+        }
+        w.waiting = None;
+        let mut started = Vec::new();
+        match result {
+            Some((200, body)) => {
+                let body: Value = serde_json::from_str(&body).unwrap_or(Value::Null);
+                let token = body["baton"].as_u64().unwrap_or(0);
+                if token >= w.token && token > 0 {
+                    w.token = token;
+                    w.answered = now;
+                    for order in body["orders"].as_array().into_iter().flatten() {
+                        started.extend(w.order(order, now));
+                    }
+                }
+            }
+            Some((421, body)) => {
+                let to = serde_json::from_str::<Value>(&body)
+                    .ok()
+                    .and_then(|v| v["dispatcher"].as_str()?.strip_prefix("berth-")?.parse().ok());
+                w.node = to.unwrap_or((w.node + 1) % 3);
+            }
+            _ => w.node = (w.node + 1) % 3,
+        }
+        for task in started {
+            self.started(name, &task);
+        }
+    }
+
+    /// A task has started on a machine: the rules are checked.
+    fn started(&mut self, machine: &str, task: &str) {
+        self.note(&format!("{machine} starts {task}"));
+        let elsewhere = self
+            .workers
+            .values()
+            .any(|w| w.name != machine && w.has(task) && self.cloud.machines.contains_key(&w.name));
+        if elsewhere {
+            self.breach(format!("ran_twice: {task}"));
+        }
+        let job = task.split('/').next().unwrap_or_default().to_owned();
+        if self.cancelled.get(&job).is_some_and(|t| self.now > t + CANCEL_MS) {
+            self.breach(format!("ran_cancelled: {task} starts"));
+        }
+        let team = self.jobs.get(&job).map(|j| j["crew"].clone()).unwrap_or_default();
+        let used = self
+            .workers
+            .values()
+            .flat_map(|w| w.tasks.iter())
+            .filter(|(_, a)| a.state != "ended")
+            .filter(|((t, _), _)| {
+                t.split('/')
+                    .next()
+                    .and_then(|j| self.jobs.get(j))
+                    .is_some_and(|j| j["crew"] == team)
+            })
+            .count();
+        if used as f64 > TEAM_GPUS {
+            self.breach(format!("quota: {team} uses {used}"));
+        }
+    }
+
+    fn check_cancelled(&mut self) {
+        let late: Vec<String> = self
+            .cancelled
+            .iter()
+            .filter(|(_, t)| self.now > **t + CANCEL_MS)
+            .map(|(j, _)| j.clone())
+            .filter(|j| !self.machines_of(j).is_empty())
+            .collect();
+        for j in late {
+            self.breach(format!("ran_cancelled: {j} is still on a machine"));
+        }
+    }
+}
+
+fn delay(fate: Fate) -> Option<u64> {
+    match fate {
+        Fate::Pass | Fate::AnswerLost => Some(2),
+        Fate::Late(ms) => Some(ms),
+        Fate::Lost => None,
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -0,0 +1,399 @@
+//! The failures that the service must get through without breaking a rule, each with the guard that
+//! it is there for. Traces of them are kept under `traces/`; `UPDATE_TRACES=1` writes them anew.
+
+use std::cell::Cell;
+use std::path::Path;
+use std::rc::Rc;
+use tidelatch_standin::{Fate, World, job};
+
+/// Compares a world's trace with the kept one, and checks that no rule was broken.
+fn keep(world: &World, name: &str) {
+    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("traces")
+        .join(format!("{name}.txt"));
+    if std::env::var_os("UPDATE_TRACES").is_some() {
+        std::fs::write(&path, world.trace()).expect("the trace is written");
+    }
+    let kept = std::fs::read_to_string(&path).expect("the trace is kept");
+    assert_eq!(
+        kept,
+        world.trace(),
+        "the trace {name} differs; UPDATE_TRACES=1 writes it anew"
+    );
+}
+
+/// A world with a service of two replicas that runs.
+fn with_service(team: u32) -> World {
+    let mut world = World::new();
+    world.run(3000);
+    world.accepted(0, &job(1, team, "standing", 2));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000001") == 2),
+        "{}",
+        world.trace()
+    );
+    world
+}
+
+#[test]
+fn a_quiet_day_runs_a_service_and_an_array() {
+    let mut world = with_service(0);
+    world.accepted(1, &job(2, 1, "sweep", 3));
+    assert!(
+        world.run_until(60_000, |w| w
+            .store
+            .get("t/j/job-000002")
+            .is_some_and(|j| j["st"] == "done")),
+        "{}",
+        world.trace()
+    );
+    let poll = world.poll(2, "job-000002");
+    world.run(300);
+    assert_eq!(world.said(poll), "done");
+    let unknown = world.poll(0, "job-999999");
+    world.run(300);
+    assert_eq!(world.status(unknown), 404);
+    keep(&world, "quiet_day");
+}
+
+#[test]
+fn a_lost_answer_to_an_acceptance_is_settled_by_a_read() {
+    // Guard: an unknown outcome of the acceptance is read from the store, not guessed.
+    let mut world = World::new();
+    world.run(3000);
+    world.meddle(|l| match l.what {
+        "POST /txn" if l.body.contains("t/j/") => Fate::AnswerLost,
+        _ => Fate::Pass,
+    });
+    let first = world.submit(0, &job(1, 0, "sweep", 1));
+    world.run(3000);
+    assert_eq!(world.status(first), 200, "{}", world.trace());
+    world.calm();
+    let again = world.submit(2, &job(1, 0, "sweep", 1));
+    world.run(500);
+    assert_eq!(world.status(again), 200, "{}", world.trace());
+    assert_eq!(world.store.keys("t/j/").len(), 1);
+    keep(&world, "lost_answer_to_an_acceptance");
+}
+
+#[test]
+fn a_known_job_is_never_refused_whatever_its_body_says() {
+    // Guard: before 400 or 422 the store is read.
+    let mut world = World::new();
+    world.run(3000);
+    world.accepted(0, &job(1, 0, "sweep", 1));
+    let mut odd = job(1, 0, "sweep", 1);
+    odd["wagons"] = serde_json::json!(0);
+    let request = world.submit(1, &odd);
+    world.run(500);
+    assert_eq!(world.status(request), 200, "{}", world.trace());
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn a_take_over_with_a_silent_machine_starts_nothing_twice() {
+    // Guard: no older task starts while a machine of the roster is not accounted for.
+    let mut world = with_service(0);
+    let owner = world.owner_of_team(0);
+    let machines = world.machines_of("job-000001");
+    let silent = machines.first().cloned().expect("a machine runs the service");
+    // The machine is cut off, and keeps running its tasks; then its controller crashes for good.
+    let cut = silent.clone();
+    world.meddle(move |l| {
+        if l.from == cut || l.to == cut {
+            Fate::Lost
+        } else {
+            Fate::Pass
+        }
+    });
+    world.crash(owner);
+    world.run(12_000);
+    assert_ne!(world.owner_of_team(0), owner, "{}", world.trace());
+    assert!(world.workers.contains_key(&silent), "not given up yet");
+    world.run(40_000);
+    assert!(world.cloud.deleted.contains(&silent), "{}", world.trace());
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    keep(&world, "take_over_with_a_silent_machine");
+}
+
+#[test]
+fn a_deposed_controller_starts_nothing_late() {
+    // Guard: entitlement ends before the lease; and answers under an older token are dropped.
+    let mut world = with_service(0);
+    let owner = world.owner_of_team(0);
+    let name = format!("berth-{owner}");
+    let cut = name.clone();
+    // The owner alone is refused by the state service. Its workers still reach it.
+    world.meddle(move |l| {
+        if l.from == cut && l.to == "state" {
+            Fate::Lost
+        } else {
+            Fate::Pass
+        }
+    });
+    world.run(4000);
+    let submit = world.submit((owner + 1) % 3, &job(2, 0, "sweep", 2));
+    world.run(30_000);
+    assert!(matches!(world.status(submit), 200 | 201), "{}", world.trace());
+    assert_ne!(world.owner_of_team(0), owner);
+    assert!(
+        world.store.get("t/j/job-000002").is_some_and(|j| j["st"] == "done"),
+        "{}",
+        world.trace()
+    );
+    world.calm();
+    world.run(10_000);
+    assert_eq!(world.owner_of_team(0), owner, "it comes home once it is well");
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    keep(&world, "deposed_controller");
+}
+
+#[test]
+fn a_late_beat_changes_nothing() {
+    // Guard: a report with an older session and number is no evidence.
+    let mut world = World::new();
+    world.run(3000);
+    world.accepted(0, &job(1, 0, "standing", 2));
+    // One beat of each machine, sent before its tasks started, arrives half a minute late.
+    let delayed = Rc::new(Cell::new(0));
+    let count = delayed.clone();
+    world.meddle(move |l| {
+        if l.what == "POST /agent/beat" && l.body.contains("\"wagons\":[]") && count.get() < 2 && l.at > 8000 {
+            count.set(count.get() + 1);
+            return Fate::Late(30_000);
+        }
+        Fate::Pass
+    });
+    world.run(60_000);
+    assert_eq!(delayed.get(), 2, "{}", world.trace());
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    keep(&world, "late_beat");
+}
+
+#[test]
+fn an_answer_that_is_lost_starts_the_task_again_and_not_twice() {
+    // Guard: a start sent with a beat's answer is gone only if a later beat comes without it.
+    let mut world = World::new();
+    world.run(3000);
+    let lost = Rc::new(Cell::new(0));
+    let count = lost.clone();
+    world.meddle(move |l| {
+        if l.what == "POST /agent/beat" && l.at > 5000 && count.get() < 4 {
+            count.set(count.get() + 1);
+            return Fate::AnswerLost;
+        }
+        Fate::Pass
+    });
+    world.accepted(0, &job(1, 0, "standing", 3));
+    assert!(
+        world.run_until(60_000, |w| w.running("job-000001") == 3),
+        "{}",
+        world.trace()
+    );
+    world.run(20_000);
+    assert_eq!(world.running("job-000001"), 3);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn a_withdrawal_that_races_a_start_wins() {
+    // Guard: nothing starts once the withdrawal is being stored, and what started is stopped.
+    let mut world = with_service(0);
+    world.accepted(0, &job(2, 0, "standing", 2));
+    let mut told = 0;
+    for _ in 0..5 {
+        let request = world.withdraw(1, "job-000002");
+        world.run(1500);
+        if world.status(request) == 200 {
+            told = request;
+            break;
+        }
+    }
+    assert_eq!(world.said(told), "withdrawn", "{}", world.trace());
+    world.run(45_000);
+    assert!(world.machines_of("job-000002").is_empty(), "{}", world.trace());
+    let poll = world.poll(2, "job-000002");
+    world.run(500);
+    assert_eq!(world.said(poll), "withdrawn");
+    keep(&world, "withdrawal_races_a_start");
+}
+
+#[test]
+fn a_withdrawal_that_races_the_last_completion_gets_one_answer() {
+    // Guard: the end of a job is one conditional write; what it says is what everyone is told.
+    let mut world = with_service(0);
+    world.accepted(0, &job(2, 0, "sweep", 1));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000002") == 1),
+        "{}",
+        world.trace()
+    );
+    // Ends are carried out, but their answers are lost for a while.
+    let until = world.now + 12_000;
+    world.meddle(move |l| match l.what {
+        "POST /txn" if l.at < until && l.body.contains("\"st\":") => Fate::AnswerLost,
+        _ => Fate::Pass,
+    });
+    world.run(5200);
+    let owner = world.owner_of_team(0);
+    let request = world.withdraw(owner, "job-000002");
+    world.run(20_000);
+    let again = world.withdraw((owner + 1) % 3, "job-000002");
+    let poll = world.poll(owner, "job-000002");
+    world.run(1000);
+    assert!(matches!(world.status(request), 200 | 503));
+    assert_eq!(world.status(again), 200, "{}", world.trace());
+    assert_eq!(world.said(again), world.said(poll));
+    keep(&world, "withdrawal_races_the_last_completion");
+}
+
+#[test]
+fn a_short_state_outage_costs_no_task() {
+    // Guard: leases have their full time again after an outage, so the same life goes on.
+    let mut world = with_service(0);
+    let epoch = world.epoch();
+    world.note("the state service goes down");
+    world.store.down = true;
+    world.run(12_000);
+    let refused = world.submit(0, &job(2, 0, "sweep", 1));
+    world.run(500);
+    assert_eq!(world.status(refused), 503, "answered at once");
+    assert!(
+        world
+            .answers
+            .get(&refused)
+            .is_some_and(|(_, a)| a.retry_after_s.is_some())
+    );
+    world.store.down = false;
+    world.note("the state service is back");
+    world.run(10_000);
+    assert_eq!(world.epoch(), epoch);
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    assert!(
+        world.workers.values().all(|w| w.session == 1),
+        "no worker's lease ended"
+    );
+    keep(&world, "short_state_outage");
+}
+
+#[test]
+fn a_long_state_outage_breaks_no_rule() {
+    // Guard: without a lease nothing is answered; workers end their sessions, and that is believed.
+    let mut world = with_service(0);
+    world.store.down = true;
+    world.run(40_000);
+    world.store.down = false;
+    assert!(
+        world.run_until(40_000, |w| w.running("job-000001") == 2),
+        "{}",
+        world.trace()
+    );
+    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
+}
+
+#[test]
+fn a_restart_within_the_lease_is_a_new_life() {
+    // Guard: each life has a number of its own, so that it takes over from its predecessor.
+    let mut world = with_service(0);
+    let owner = world.owner_of_team(0);
+    let epoch = world.epoch();
+    world.crash(owner);
+    world.run(200);
+    world.start(owner);
+    world.run(5000);
+    assert!(world.epoch() > epoch, "{}", world.trace());
+    assert_eq!(world.owner_of_team(0), owner);
+    world.run(20_000);
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    keep(&world, "restart_within_the_lease");
+}
+
+#[test]
+fn a_full_team_with_a_machine_out_of_reach_starts_nothing_more() {
+    // Guard: tasks count against the limit until they are proven gone.
+    let mut world = World::new();
+    world.run(3000);
+    world.accepted(0, &job(1, 0, "standing", 4));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000001") == 4),
+        "{}",
+        world.trace()
+    );
+    let cut = world.machines_of("job-000001").first().cloned().expect("a machine");
+    world.meddle(move |l| {
+        if l.from == cut || l.to == cut {
+            Fate::Lost
+        } else {
+            Fate::Pass
+        }
+    });
+    world.accepted(1, &job(2, 0, "sweep", 2));
+    world.run(60_000);
+    world.calm();
+    world.run(20_000);
+    assert_eq!(world.running("job-000001"), 4, "{}", world.trace());
+    keep(&world, "full_team_with_a_machine_out_of_reach");
+}
+
+#[test]
+fn all_controllers_crash_and_the_work_goes_on() {
+    let mut world = with_service(2);
+    for i in 0..3 {
+        world.crash(i);
+    }
+    world.run(3000);
+    for i in 0..3 {
+        world.start(i);
+    }
+    world.run(15_000);
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    assert!(
+        world.workers.values().all(|w| w.session == 1),
+        "no worker's lease ended"
+    );
+    let poll = world.poll(1, "job-000001");
+    world.run(500);
+    assert_eq!(world.said(poll), "running", "{}", world.trace());
+    keep(&world, "all_controllers_crash");
+}
+
+#[test]
+fn a_worker_cut_from_its_controller_is_served_through_another() {
+    // Guard: any entitled controller may answer, and passes the report on to the owner.
+    let mut world = with_service(0);
+    let owner = format!("berth-{}", world.owner_of_team(0));
+    let machines = world.machines_of("job-000001");
+    let cut = machines.clone();
+    world.meddle(move |l| {
+        let between =
+            (cut.iter().any(|m| m == l.from) && l.to == owner) || (cut.iter().any(|m| m == l.to) && l.from == owner);
+        if between { Fate::Lost } else { Fate::Pass }
+    });
+    world.run(60_000);
+    assert_eq!(world.machines_of("job-000001"), machines, "{}", world.trace());
+    assert!(
+        world.workers.values().all(|w| w.session == 1),
+        "no worker's lease ended"
+    );
+    let request = world.withdraw(1, "job-000001");
+    world.run(35_000);
+    assert_eq!(world.said(request), "withdrawn", "{}", world.trace());
+    assert!(world.machines_of("job-000001").is_empty(), "{}", world.trace());
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+#[test]
+fn idle_machines_are_returned() {
+    let mut world = World::new();
+    world.run(3000);
+    world.accepted(0, &job(1, 0, "sweep", 4));
+    assert!(
+        world.run_until(90_000, |w| !w.cloud.deleted.is_empty() && w.cloud.machines.is_empty()),
+        "{}",
+        world.trace()
+    );
+    world.run(2000);
+    assert!(world.store.keys("t/m/").is_empty(), "the roster is empty again");
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
