--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -41,6 +41,10 @@
     pub urgent: bool,
     /// Seconds until it has to be started to be in time.
     pub slack_s: f64,
+    /// Estimated run time; 0 for services.
+    pub run_s: f64,
+    /// Size of the image.
+    pub image_gb: f64,
     /// How many.
     pub count: u32,
 }
@@ -60,6 +64,8 @@
             service: terms.service,
             urgent,
             slack_s,
+            run_s: terms.estimate_s,
+            image_gb: terms.image_gb,
             count: 0,
         }
     }
@@ -128,10 +134,14 @@
             let mut best: Option<(f64, u32, Kind, Amounts)> = None;
             for t in types {
                 let total = [t.cpus, t.gpus, t.memory_gb];
-                let fit = room_for(&wish.size, &total).min(wish.count);
+                // Full machines are assumed: what this job leaves free, the next one takes.
+                let fit = room_for(&wish.size, &total);
                 if fit == 0 {
                     continue;
                 }
+                // Time spent fetching is paid for too.
+                let fetch_s = wish.image_gb / t.fetch_gb_per_s.max(1e-3);
+                let overhead = if wish.run_s > 0.0 { 1.0 + fetch_s / wish.run_s } else { 1.0 };
                 for zone in &t.zones {
                     for spot in [true, false] {
                         let kind = (t.name.clone(), zone.clone(), spot);
@@ -139,7 +149,7 @@
                             continue;
                         }
                         let price = if spot { t.spot_price } else { t.price };
-                        let cost = price / f64::from(fit);
+                        let cost = price / f64::from(fit) * overhead;
                         let crowd =
                             in_zones.get(zone).copied().unwrap_or(0) + 8 * wish.in_zone.get(zone).copied().unwrap_or(0);
                         let better = best
--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -60,6 +60,8 @@
     pub image: String,
     /// Its size.
     pub image_gb: f64,
+    /// Estimated run time; 0 for services.
+    pub estimate_s: f64,
     /// Rank by priority, deadline and share: higher first.
     pub rank: f64,
     /// A service: its replicas are better apart.
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -307,6 +307,7 @@
             spot: spec.spot,
             image: spec.image.clone(),
             image_gb: spec.image_gb,
+            estimate_s: spec.estimate_s,
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
             service: spec.shape == Shape::Service,
             in_zone,
