--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -3,7 +3,6 @@
 use crate::capacity::Wish;
 use crate::controller::Controller;
 use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
-use crate::jobs::Job;
 use crate::membership::Stage;
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
 use crate::protocol::{Priority, Shape};
@@ -285,24 +284,6 @@
         wishes.into_values().collect()
     }
 
-    /// Whether a job fits into its team's guarantee along with the team's earlier unfinished jobs.
-    fn within_guarantee(&self, id: &JobId, job: &Job) -> bool {
-        let Some((_, team)) = self.set.team(&job.spec.team) else {
-            return false;
-        };
-        let earlier = self
-            .jobs
-            .iter()
-            .filter(|(other, j)| j.spec.team == job.spec.team && (j.at_wall, *other) <= (job.at_wall, id));
-        let mut sum = [0.0; 2];
-        for (_, j) in earlier {
-            let left = f64::from(j.spec.tasks - j.done_count);
-            sum[0] += left * j.spec.cpus;
-            sum[1] += left * j.spec.gpus;
-        }
-        (team.cpus <= 0.0 || sum[0] <= team.cpus + 1e-6) && (team.gpus <= 0.0 || sum[1] <= team.gpus + 1e-6)
-    }
-
     fn terms(&self, w: &Waiting) -> Option<JobTerms> {
         let job = self.jobs.get(&w.id)?;
         let mut in_zone = BTreeMap::new();
@@ -326,7 +307,6 @@
             spot: spec.spot,
             image: spec.image.clone(),
             image_gb: spec.image_gb,
-            guaranteed: self.within_guarantee(&w.id, job),
             estimate_s: spec.estimate_s,
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
             service: spec.shape == Shape::Service,
