--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -141,7 +141,11 @@
                 }
                 // Time spent fetching is paid for too.
                 let fetch_s = wish.image_gb / t.fetch_gb_per_s.max(1e-3);
-                let overhead = if wish.run_s > 0.0 { 1.0 + fetch_s / wish.run_s } else { 1.0 };
+                let overhead = if wish.run_s > 0.0 {
+                    1.0 + fetch_s / wish.run_s
+                } else {
+                    1.0
+                };
                 for zone in &t.zones {
                     for spot in [true, false] {
                         let kind = (t.name.clone(), zone.clone(), spot);
@@ -785,11 +789,17 @@
             let boot = self.types.iter().find(|t| t.name == m.model).map_or(60.0, |t| t.boot_s);
             let limit = (boot * idle_per_boot * 1000.0) as u64;
             let idle = m.idle_since.is_some_and(|t| now.saturating_sub(t) > limit);
-            if idle || m.suspect {
+            if idle || m.suspect || m.draining {
                 m.retiring = true;
                 log.push(format!(
                     "{id}: {}: returning it",
-                    if m.suspect { "faulty" } else { "idle" }
+                    if m.suspect {
+                        "faulty"
+                    } else if m.draining {
+                        "emptied"
+                    } else {
+                        "idle"
+                    }
                 ));
             }
         }
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -405,6 +405,8 @@
     pub(crate) state_writes: Bucket,
     pub(crate) batch_due: Option<u64>,
     pub(crate) flush_due: u64,
+    pub(crate) consolidate_due: u64,
+    pub(crate) consolidated: BTreeMap<Partition, u64>,
     pub(crate) guests: BTreeMap<MachineId, Guest>,
 }
 
@@ -434,6 +436,8 @@
             state_writes,
             batch_due: None,
             flush_due: 0,
+            consolidate_due: 0,
+            consolidated: BTreeMap::new(),
             guests: BTreeMap::new(),
             set,
         }
@@ -466,6 +470,7 @@
         self.tick_jobs();
         self.tick_machines();
         self.tick_batch();
+        self.consolidate();
         self.tick_capacity();
     }
 
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -103,6 +103,8 @@
     pub(crate) moving_sent: bool,
     /// To be deleted; nothing is started on it any more.
     pub(crate) retiring: bool,
+    /// Being emptied, to be returned then.
+    pub(crate) draining: bool,
     pub(crate) deleting: bool,
     /// The cloud has answered its deletion.
     pub(crate) gone: bool,
@@ -140,6 +142,7 @@
             && !self.notice
             && !self.suspect
             && !self.retiring
+            && !self.draining
             && !self.gone
             && self.moving.is_none()
             && now >= self.avoid_until
@@ -231,6 +234,7 @@
                         moving: None,
                         moving_sent: false,
                         retiring: false,
+                        draining: false,
                         deleting: false,
                         gone: false,
                         storing: None,
@@ -256,6 +260,7 @@
             m.moving = None;
             m.moving_sent = false;
             m.retiring = false;
+            m.draining = false;
             m.deleting = false;
             m.storing = None;
             m.settles_at = None;
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -227,7 +227,10 @@
                 },
             })
             .collect();
-        let mut jobs: Vec<JobTerms> = waiting.iter().filter_map(|w| self.terms(w)).collect();
+        let mut jobs: Vec<JobTerms> = waiting
+            .iter()
+            .filter_map(|w| self.terms(&w.id, w.team, w.slack_s))
+            .collect();
         let mut next = vec![0usize; waiting.len()];
         let mut stuck: BTreeSet<usize> = BTreeSet::new();
         let mut unplaced: Vec<(usize, u32)> = Vec::new();
@@ -284,8 +287,8 @@
         wishes.into_values().collect()
     }
 
-    fn terms(&self, w: &Waiting) -> Option<JobTerms> {
-        let job = self.jobs.get(&w.id)?;
+    fn terms(&self, id: &JobId, team: usize, slack_s: f64) -> Option<JobTerms> {
+        let job = self.jobs.get(id)?;
         let mut in_zone = BTreeMap::new();
         for machines in job.placed.values() {
             for m in machines.iter().filter_map(|m| self.machines.get(m)) {
@@ -293,10 +296,10 @@
             }
         }
         let spec = &job.spec;
-        let urgency = if w.slack_s < 0.0 {
+        let urgency = if slack_s < 0.0 {
             0.9
         } else {
-            1.0 / (1.0 + w.slack_s.min(1e6) / 60.0)
+            1.0 / (1.0 + slack_s.min(1e6) / 60.0)
         };
         Some(JobTerms {
             size: Self::size(spec),
@@ -311,7 +314,7 @@
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
             service: spec.shape == Shape::Service,
             in_zone,
-            team: w.team,
+            team,
         })
     }
 
@@ -350,6 +353,124 @@
         (ids, slots)
     }
 
+    /// Empties a machine that only a few replicas keep, when others have room for all of them.
+    ///
+    /// One machine of a partition at a time, and no more often than a worker's lease lasts, so that
+    /// few replicas are away at any moment.
+    pub(crate) fn consolidate(&mut self) {
+        let now = self.now.ms;
+        if !self.entitled() || now < self.consolidate_due {
+            return;
+        }
+        self.consolidate_due = now + self.set.report_ms();
+        let acting: Vec<Partition> = self
+            .tenures
+            .iter()
+            .filter(|(_, t)| t.stage == Stage::Active && t.settled)
+            .map(|(p, _)| *p)
+            .collect();
+        for p in acting {
+            let calm = !self
+                .jobs
+                .values()
+                .any(|j| j.partition == p && j.waiting_count() > 0 && j.ending.is_none());
+            let lately = self
+                .consolidated
+                .get(&p)
+                .is_some_and(|t| now.saturating_sub(*t) < self.set.worker_lease_ms());
+            if calm && !lately {
+                self.empty_one(p);
+            }
+        }
+    }
+
+    fn empty_one(&mut self, partition: Partition) {
+        let now = self.now.ms;
+        let patience = 2 * self.set.report_ms();
+        let settled = 2 * self.set.worker_lease_ms();
+        // The emptiest first: of the machines that hold nothing but replicas, for some time.
+        let mut candidates: Vec<(f64, MachineId)> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.partition == partition && m.usable(now, patience) && !m.held.is_empty())
+            .filter(|(_, m)| {
+                m.held.iter().all(|h| {
+                    let service = self
+                        .jobs
+                        .get(&h.task.job)
+                        .is_some_and(|j| j.spec.shape == Shape::Service && j.ending.is_none());
+                    let old = h.running_since.is_some_and(|t| now.saturating_sub(t) > settled);
+                    service && old && h.stop.is_none()
+                })
+            })
+            .filter_map(|(id, m)| {
+                let t = self.types.iter().find(|t| t.name == m.model)?;
+                let price = if m.spot { t.spot_price } else { t.price };
+                Some((m.held.len() as f64 / price.max(1e-9), id.clone()))
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, id) in candidates {
+            let Some(m) = self.machines.get(&id) else { continue };
+            let held: Vec<(TaskId, Attempt)> = m.held.iter().map(|h| (h.task.clone(), h.attempt)).collect();
+            if self.fits_elsewhere(partition, &id, &held) {
+                self.log(
+                    crate::controller::Level::Info,
+                    format!("{id}: moving its {} replicas to other machines", held.len()),
+                );
+                if let Some(m) = self.machines.get_mut(&id) {
+                    m.draining = true;
+                }
+                for (task, attempt) in held {
+                    self.stop_held(&id, &task, attempt);
+                }
+                self.consolidated.insert(partition, now);
+                return;
+            }
+        }
+    }
+
+    /// Whether the tasks of a machine would all find room on others that hold something already.
+    fn fits_elsewhere(&self, partition: Partition, id: &MachineId, held: &[(TaskId, Attempt)]) -> bool {
+        let (ids, slots) = self.slots(partition);
+        let busy = |other: &MachineId| other != id && self.machines.get(other).is_some_and(|m| !m.held.is_empty());
+        let mut slots: Vec<Slot> = ids
+            .iter()
+            .zip(slots)
+            .filter(|(other, _)| busy(other))
+            .map(|(_, s)| s)
+            .collect();
+        let Some(zone) = self.machines.get(id).map(|m| m.zone.clone()) else {
+            return false;
+        };
+        let mut jobs: Vec<JobTerms> = Vec::new();
+        let mut names: Vec<&JobId> = Vec::new();
+        let mut tasks = Vec::new();
+        for (task, _) in held {
+            let at = match names.iter().position(|n| **n == task.job) {
+                Some(at) => at,
+                None => {
+                    let team = self.jobs.get(&task.job).and_then(|j| self.set.team(&j.spec.team));
+                    let Some(terms) = team.and_then(|(t, _)| self.terms(&task.job, t, f64::MAX)) else {
+                        return false;
+                    };
+                    jobs.push(terms);
+                    names.push(&task.job);
+                    names.len() - 1
+                }
+            };
+            // The task itself leaves its zone.
+            if let Some(n) = jobs.get_mut(at).and_then(|j| j.in_zone.get_mut(&zone)) {
+                *n = n.saturating_sub(1);
+            }
+            tasks.push(at);
+        }
+        let mut room = vec![[f64::MAX; 3]; self.set.platform.facts.teams.len()];
+        let moves = tasks.len() * self.set.operator.search_moves_per_task as usize;
+        let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks).place(moves);
+        choices.iter().all(Option::is_some)
+    }
+
     /// Stops work of lower priority, or work that another team runs beyond its guarantee, where that
     /// makes room for a task that found none.
     fn preempt(
