--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -508,7 +508,7 @@
             let now = self.now.ms;
             let patience = 2 * self.set.report_ms();
             let free = self.machines.get(&mv.machine).is_some_and(|m| {
-                m.partition != mv.to && m.held.is_empty() && m.idle_since.is_some() && m.usable(now, patience)
+                m.partition != mv.to && m.clean() && m.idle_since.is_some() && m.usable(now, patience)
             });
             if free && self.entitled() {
                 self.log(Level::Info, format!("{} goes to partition {}", mv.machine, mv.to));
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -1,13 +1,16 @@
 //! The state machine: inputs, outputs, and the table of calls that are under way.
 
 use crate::capacity::Cloud;
-use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
+use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition};
 use crate::jobs::{Job, Over, Purpose as JobPurpose};
 use crate::membership::{Membership, Tenure};
 use crate::picture::{Guest, Machine};
 use crate::protocol::{JobSpec, MachineType, Rental};
 use crate::settings::Settings;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Status of a call that was never sent: no connection came about, so nothing can have been executed.
+pub const NOT_SENT: u16 = 0;
 
 /// The time of an input.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -184,7 +187,7 @@
     Reply {
         /// The call.
         call: u64,
-        /// What came back.
+        /// What came back: status (or [`NOT_SENT`]) and body.
         result: Option<(u16, Vec<u8>)>,
     },
     /// A peer asks.
@@ -327,6 +330,12 @@
     Confirm {
         machine: MachineId,
     },
+    Direct {
+        machine: MachineId,
+        number: u64,
+        epoch: Epoch,
+        session: u64,
+    },
     Hello {
         to: ControllerId,
     },
@@ -407,6 +416,9 @@
     pub(crate) flush_due: u64,
     pub(crate) consolidate_due: u64,
     pub(crate) consolidated: BTreeMap<Partition, u64>,
+    /// Machines that have something to do at once.
+    pub(crate) poked: BTreeSet<MachineId>,
+    pub(crate) commands_sent: u64,
     pub(crate) guests: BTreeMap<MachineId, Guest>,
 }
 
@@ -438,6 +450,8 @@
             flush_due: 0,
             consolidate_due: 0,
             consolidated: BTreeMap::new(),
+            poked: BTreeSet::new(),
+            commands_sent: 0,
             guests: BTreeMap::new(),
             set,
         }
@@ -461,6 +475,7 @@
                 }
             }
         }
+        self.send_direct();
         std::mem::take(&mut self.out)
     }
 
@@ -591,6 +606,12 @@
             Purpose::Delete { machines } => self.on_delete(machines, result),
             Purpose::Hosts => self.on_hosts(result),
             Purpose::Confirm { machine } => self.on_confirm(machine, result),
+            Purpose::Direct {
+                machine,
+                number,
+                epoch,
+                session,
+            } => self.on_direct(machine, number, (epoch, session), result),
             Purpose::Hello { .. }
             | Purpose::Relay { .. }
             | Purpose::ForwardStatus { .. }
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -300,11 +300,12 @@
             for asker in job.askers {
                 self.answer(asker, Answer::new(200, body.clone()));
             }
-            // Whatever may still hold its tasks is told to stop them with its next report.
+            // Whatever may still hold its tasks is told to stop them.
             for machines in job.placed.values() {
                 for machine in machines {
                     if let Some(m) = self.machines.get_mut(machine) {
                         m.drop_unsent(id);
+                        self.poked.insert(machine.clone());
                     }
                 }
             }
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod settings;
 
 pub use controller::{
-    Answer, Controller, Digest, Idle, Input, Level, Method, Move, Need, Now, Output, PeerReply, PeerRequest, Target,
+    Answer, Controller, Digest, Idle, Input, Level, Method, Move, NOT_SENT, Need, Now, Output, PeerReply, PeerRequest,
+    Target,
 };
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -5,7 +5,7 @@
 //! the machine begins a new session, or when the cloud has answered that the machine is deleted. A
 //! silent worker's lease is never taken as evidence: any entitled controller may have answered it.
 
-use crate::controller::{Answer, Asker, Controller, Level, Method, PeerReply, PeerRequest, Purpose, Target};
+use crate::controller::{Answer, Asker, Controller, Level, Method, NOT_SENT, PeerReply, PeerRequest, Purpose, Target};
 use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::{ROSTER_PREFIX, Stage};
 use crate::protocol::{Command, Orders, Report, TaskState};
@@ -40,7 +40,10 @@
 pub(crate) enum HeldState {
     /// Booked: goes out with the next beat's answer.
     Booked,
-    /// Sent with the answer to this beat (session, sequence number).
+    /// In a direct command that has no answer yet.
+    Direct,
+    /// Sent with the answer to this beat, or executed by the direct command whose answer was this
+    /// report (session, sequence number).
     Sent(u64, u64),
     /// Reported.
     Seen(TaskState),
@@ -65,6 +68,14 @@
     pub(crate) team: String,
 }
 
+/// What fences a start whose direct command got no answer.
+#[derive(Debug, Clone, Copy)]
+struct Pin {
+    epoch: Epoch,
+    session: u64,
+    since: u64,
+}
+
 /// A worker that reports here though another controller owns its machine.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Guest {
@@ -92,6 +103,14 @@
     confirm_at: u64,
     pub(crate) held: Vec<Held>,
     ended: Vec<(TaskId, Attempt, bool)>,
+    /// Starts in direct commands that got no answer, with the token and session that they carry. Such
+    /// a command may still be executed, until the worker has seen a newer token or session: so the
+    /// task is not started anywhere else, and an attempt that has ended is not forgotten.
+    pins: BTreeMap<(TaskId, Attempt), Pin>,
+    /// A direct command is under way.
+    commanding: Option<u64>,
+    /// No direct commands before this: the last one got no answer.
+    direct_from: u64,
     pub(crate) notice: bool,
     pub(crate) failures: BTreeSet<JobId>,
     pub(crate) suspect: bool,
@@ -160,6 +179,35 @@
         sum
     }
 
+    /// Starts in a direct command without an answer stay with this machine, until they are fenced.
+    fn pin_direct(&mut self, epoch: Epoch, session: u64, now: u64) {
+        let (last_session, last_seq) = self.last;
+        for h in self.held.iter_mut().filter(|h| h.state == HeldState::Direct) {
+            h.state = HeldState::Sent(last_session, last_seq);
+            let pin = Pin {
+                epoch,
+                session,
+                since: now,
+            };
+            self.pins.insert((h.task.clone(), h.attempt), pin);
+        }
+    }
+
+    /// Something is to be started or stopped that has not been sent yet.
+    fn has_errands(&self) -> bool {
+        self.held.iter().any(|h| match h.state {
+            HeldState::Booked => true,
+            HeldState::Seen(TaskState::Saving) => false,
+            HeldState::Seen(_) => h.stop.is_some(),
+            _ => false,
+        })
+    }
+
+    /// It holds nothing, and no late command can change that.
+    pub(crate) fn clean(&self) -> bool {
+        self.held.is_empty() && self.ended.is_empty() && self.pins.is_empty() && self.commanding.is_none()
+    }
+
     fn entry(&self) -> RosterEntry {
         RosterEntry {
             part: self.partition,
@@ -225,6 +273,9 @@
                         confirm_at: 0,
                         held: Vec::new(),
                         ended: Vec::new(),
+                        pins: BTreeMap::new(),
+                        commanding: None,
+                        direct_from: 0,
                         notice: false,
                         failures: BTreeSet::new(),
                         suspect: false,
@@ -254,6 +305,9 @@
             m.confirming = false;
             m.held.clear();
             m.ended.clear();
+            // Older starts are fenced by the token of this tenure, without which nothing counts.
+            m.pins.clear();
+            m.commanding = None;
             m.heard = None;
             m.known_since = now;
             m.idle_since = None;
@@ -292,6 +346,7 @@
             return;
         };
         // Attempts carry the epoch with which the tenure began: no other tenure can make the same.
+        self.poked.insert(machine.clone());
         tenure.next_attempt += 1;
         let attempt = Attempt((tenure.since.0 << 24) + tenure.next_attempt);
         self.hold(
@@ -494,7 +549,7 @@
             self.store_first_beat(asker, &id, report);
             return;
         }
-        let commands = self.orders_for(&id, (report.session, report.seq));
+        let commands = self.orders_for(&id, Some((report.session, report.seq)));
         self.answer_orders(asker, epoch, commands);
     }
 
@@ -545,7 +600,7 @@
         let commands = if acting && partition.is_some() {
             self.run_batch();
             if self.machines.get(&id).is_some_and(|m| m.last == beat) {
-                self.orders_for(&id, beat)
+                self.orders_for(&id, Some(beat))
             } else {
                 Vec::new()
             }
@@ -577,6 +632,8 @@
         let newer_session = report.session > m.last.0 && m.last.0 > 0;
         m.last = key;
         m.notice = report.notice_s.is_some();
+        m.pins
+            .retain(|_, pin| pin.epoch >= report.epoch && pin.session >= report.session);
         let first = !m.confirmed;
         m.confirmed = true;
         if newer_session {
@@ -606,11 +663,12 @@
                 .held
                 .iter()
                 .filter(|h| match h.state {
-                    HeldState::Booked => false,
+                    HeldState::Booked | HeldState::Direct => false,
                     HeldState::Sent(session, seq) => (session, seq) < key,
                     HeldState::Seen(_) => true,
                 })
                 .filter(|h| !listed.contains(&(h.task.clone(), h.attempt)))
+                .filter(|h| !m.pins.contains_key(&(h.task.clone(), h.attempt)))
                 .map(|h| (h.task.clone(), h.attempt))
                 .collect();
             for (task, attempt) in lost {
@@ -618,7 +676,7 @@
             }
         }
         if let Some(m) = self.machines.get_mut(&id) {
-            if m.held.is_empty() && m.ended.is_empty() {
+            if m.held.is_empty() {
                 m.idle_since.get_or_insert(now);
             } else {
                 m.idle_since = None;
@@ -756,8 +814,8 @@
         }
     }
 
-    /// Orders for a machine with the answer to one of its beats.
-    fn orders_for(&mut self, id: &MachineId, beat: (u64, u64)) -> Vec<Command> {
+    /// Orders for a machine: with the answer to one of its beats, or in a direct command.
+    fn orders_for(&mut self, id: &MachineId, beat: Option<(u64, u64)>) -> Vec<Command> {
         let now = self.now.ms;
         let report = self.set.report_ms();
         let mut commands = Vec::new();
@@ -767,7 +825,7 @@
         for (task, attempt, done) in &m.ended {
             // A result may be dropped only once it is stored.
             let keep = *done && self.jobs.get(&task.job).is_some_and(|j| !j.is_stored(task.index));
-            if !keep {
+            if !keep && !m.pins.contains_key(&(task.clone(), *attempt)) {
                 commands.push(Command::Forget {
                     task: task.to_string(),
                     attempt: *attempt,
@@ -781,7 +839,10 @@
             match h.state {
                 HeldState::Booked => {
                     if live && job.is_some_and(|j| j.ending.is_none()) && h.stop.is_none() {
-                        h.state = HeldState::Sent(beat.0, beat.1);
+                        h.state = match beat {
+                            Some((session, seq)) => HeldState::Sent(session, seq),
+                            None => HeldState::Direct,
+                        };
                         commands.push(Command::Start {
                             task: h.task.to_string(),
                             attempt: h.attempt,
@@ -806,7 +867,16 @@
                         }
                     }
                 }
-                HeldState::Sent(..) => {}
+                HeldState::Sent(..) if beat.is_some() && live && m.pins.contains_key(&(h.task.clone(), h.attempt)) => {
+                    // The same attempt once more: whichever copy comes second has no effect.
+                    if job.is_some_and(|j| j.ending.is_none()) {
+                        commands.push(Command::Start {
+                            task: h.task.to_string(),
+                            attempt: h.attempt,
+                        });
+                    }
+                }
+                HeldState::Sent(..) | HeldState::Direct => {}
             }
         }
         for (task, attempt) in dropped {
@@ -826,6 +896,127 @@
             && let Some(h) = m.held.iter_mut().find(|h| h.task == *task && h.attempt == attempt)
         {
             h.stop.get_or_insert(Stop { grace_s, at: now });
+            self.poked.insert(machine.clone());
+        }
+    }
+
+    /// Sends what machines have to do at once, rather than with their next beats.
+    pub(crate) fn send_direct(&mut self) {
+        if self.poked.is_empty() {
+            return;
+        }
+        let Some(epoch) = self.epoch().filter(|_| self.entitled()) else {
+            self.poked.clear();
+            return;
+        };
+        let now = self.now.ms;
+        let patience = 2 * self.set.report_ms();
+        for id in std::mem::take(&mut self.poked) {
+            let Some(m) = self.machines.get(&id) else { continue };
+            let fit = m.confirmed
+                && m.up()
+                && !m.gone
+                && m.commanding.is_none()
+                && !m.deleting
+                && now >= m.direct_from
+                && m.heard.is_some_and(|t| now.saturating_sub(t) <= patience);
+            if !fit || self.acting(m.partition).is_none() {
+                continue;
+            }
+            let (addr, session) = (m.addr.clone(), m.last.0);
+            let commands = self.orders_for(&id, None);
+            let urgent = commands.iter().any(|c| !matches!(c, Command::Forget { .. }));
+            if !urgent {
+                continue;
+            }
+            let orders = Orders {
+                epoch,
+                session: Some(session),
+                commands,
+            };
+            let body = serde_json::to_string(&orders).unwrap_or_default();
+            self.commands_sent += 1;
+            let number = self.commands_sent;
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.commanding = Some(number);
+            }
+            let timeout = self.set.report_ms() / 2;
+            self.call(
+                Target::Worker(addr),
+                Method::Post,
+                "/commands",
+                body,
+                timeout,
+                Purpose::Direct {
+                    machine: id,
+                    number,
+                    epoch,
+                    session,
+                },
+            );
+        }
+    }
+
+    /// A direct command has an answer, or none.
+    pub(crate) fn on_direct(
+        &mut self,
+        id: MachineId,
+        number: u64,
+        under: (Epoch, u64),
+        result: Option<(u16, Vec<u8>)>,
+    ) {
+        // An answer to a command of an earlier tenure says nothing of what was sent since.
+        if self.machines.get(&id).is_none_or(|m| m.commanding != Some(number)) {
+            return;
+        }
+        let (epoch, session) = under;
+        let now = self.now.ms;
+        let lease = self.set.worker_lease_ms();
+        let partition = self.machines.get(&id).map(|m| m.partition);
+        if partition.is_none_or(|p| self.acting(p).is_none()) {
+            // The tenure has ended, or cannot act: whoever acts next finds out what is on the machine.
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.commanding = None;
+                m.pin_direct(epoch, session, now);
+            }
+            return;
+        }
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        m.commanding = None;
+        let report = result
+            .as_ref()
+            .and_then(|(_, body)| serde_json::from_slice::<Report>(body).ok())
+            .filter(|r| r.machine == id);
+        match (result.map(|(status, _)| status), report) {
+            (Some(200), Some(report)) => {
+                for h in m.held.iter_mut().filter(|h| h.state == HeldState::Direct) {
+                    h.state = HeldState::Sent(report.session, report.seq);
+                }
+                self.take_report(&report, false);
+                if self.machines.get(&id).is_some_and(Machine::has_errands) {
+                    self.poked.insert(id);
+                }
+            }
+            // Not executed: another session or a newer token, or the connection never came about.
+            (Some(409 | NOT_SENT), report) => {
+                m.direct_from = now + lease / 4;
+                let unsent: Vec<(TaskId, Attempt)> = m
+                    .held
+                    .iter()
+                    .filter(|h| h.state == HeldState::Direct)
+                    .map(|h| (h.task.clone(), h.attempt))
+                    .collect();
+                for (task, attempt) in unsent {
+                    self.release(&id, &task, attempt);
+                }
+                if let Some(report) = report {
+                    self.take_report(&report, false);
+                }
+            }
+            _ => {
+                m.direct_from = now + lease;
+                m.pin_direct(epoch, session, now);
+            }
         }
     }
 
@@ -997,6 +1188,27 @@
                 lost.insert(id.clone(), "never came up");
             }
         }
+        let cancel_ms = self.set.cancel_ms();
+        for (id, m) in self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.partition == partition && !m.retiring && !m.gone)
+        {
+            // A late start of a job that is over by then must not happen: its machine goes first.
+            // While the worker lists the attempt, in whatever state, a late copy has no effect.
+            let listed = |task: &TaskId, attempt: Attempt| {
+                let seen = |h: &Held| matches!(h.state, HeldState::Seen(_)) && h.task == *task && h.attempt == attempt;
+                m.held.iter().any(seen) || m.ended.iter().any(|(t, a, _)| t == task && *a == attempt)
+            };
+            let risky = m.pins.iter().any(|((task, attempt), pin)| {
+                !self.jobs.contains_key(&task.job)
+                    && !listed(task, *attempt)
+                    && now.saturating_sub(pin.since) > cancel_ms / 3
+            });
+            if risky {
+                lost.insert(id.clone(), "a start of a job that is over may still reach it");
+            }
+        }
         for (id, why) in lost {
             self.log(Level::Info, format!("{id}: {why}: giving it up"));
             if let Some(m) = self.machines.get_mut(&id) {
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -284,7 +284,7 @@
     let poll = world.poll(2, "job-000002");
     world.run(500);
     assert_eq!(world.said(poll), "withdrawn");
-    // Now with a machine that has room: the start is booked, and its beat comes after the withdrawal.
+    // Now with a machine that has room, and withdrawals round the moment of the start.
     world.accepted(0, &job(3, 0, "standing", 1));
     assert!(
         world.run_until(30_000, |w| w.running("job-000003") == 1),
@@ -292,22 +292,18 @@
         world.trace()
     );
     let owner = world.owner_of_team(0);
-    for id in 4..9 {
+    for (id, wait) in [(4, 100), (5, 190), (6, 202), (7, 206), (8, 1000)] {
         let request = world.submit(owner, &job(id, 0, "standing", 1));
-        world.run(300);
+        world.run(wait);
         assert_eq!(world.status(request), 201, "{}", world.trace());
         let name = format!("job-{id:06}");
         let request = world.withdraw(owner, &name);
         world.run(20);
         assert_eq!(world.said(request), "withdrawn", "{}", world.trace());
-        let begun = world.machines_of(&name).len();
-        world.run(2800);
-        assert!(
-            begun > 0 || !world.trace().contains(&format!("starts {name}/")),
-            "{}",
-            world.trace()
-        );
-        world.run(3000);
+        let starts = |w: &World| w.trace().matches(&format!("starts {name}/")).count();
+        let begun = starts(&world);
+        world.run(6000);
+        assert_eq!(starts(&world), begun, "{}", world.trace());
         assert!(world.machines_of(&name).is_empty(), "{}", world.trace());
     }
     keep(&world, "withdrawal_races_a_start");
@@ -477,6 +473,54 @@
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
 
+#[test]
+fn a_direct_start_without_an_answer_stays_where_it_may_arrive() {
+    // Guard: such a start is pinned to its machine; it is neither started elsewhere, nor forgotten
+    // once it has ended, until a newer token or session fences the command that is still out.
+    let mut world = World::new();
+    world.run(3000);
+    world.accepted(0, &job(1, 0, "standing", 1));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000001") == 1),
+        "{}",
+        world.trace()
+    );
+    world.run(6000);
+    // A second machine with room, and the first one's direct commands are held back; its beats too,
+    // for a while, so that the start cannot be sent again.
+    world.accepted(0, &job(2, 0, "standing", 2));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000002") == 2),
+        "{}",
+        world.trace()
+    );
+    let sent = Rc::new(Cell::new(0));
+    let count = sent.clone();
+    world.meddle(move |l| {
+        if l.what == "POST /commands" && l.body.contains("\"start\"") && count.get() < 1 {
+            count.set(1);
+            return Fate::Late(25_000);
+        }
+        Fate::Pass
+    });
+    world.accepted(0, &job(3, 0, "sweep", 1));
+    world.run(60_000);
+    assert_eq!(sent.get(), 1, "{}", world.trace());
+    assert!(
+        world.store.get("t/j/job-000003").is_some_and(|j| j["st"] == "done"),
+        "{}",
+        world.trace()
+    );
+    // It was sent again with a beat, ran, and the late copy found it known: nothing ran after the end.
+    assert_eq!(
+        world.trace().matches("starts job-000003/0").count(),
+        1,
+        "{}",
+        world.trace()
+    );
+    keep(&world, "direct_start_without_an_answer");
+}
+
 #[test]
 fn idle_machines_are_returned() {
     let mut world = World::new();
--- a/crates/tidelatch/src/daemon.rs
+++ b/crates/tidelatch/src/daemon.rs
@@ -9,10 +9,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tidelatch_core::ids::{ControllerId, Incarnation};
 use tidelatch_core::settings::Settings;
-use tidelatch_core::{Answer, Controller, Input, Level, Method, Now, Output, PeerReply, PeerRequest, Target};
+use tidelatch_core::{Answer, Controller, Input, Level, Method, NOT_SENT, Now, Output, PeerReply, PeerRequest, Target};
 
 /// What keeps the daemon from running.
 #[derive(Debug, thiserror::Error)]
@@ -258,9 +259,10 @@
                 let (client, events) = (self.client.clone(), self.events.clone());
                 self.executor
                     .spawn(async move {
+                        let sent = AtomicBool::new(false);
                         let called = async {
                             let to = to?;
-                            match client.call(to, method, &path, &body).await {
+                            match client.call(to, method, &path, &body, &sent).await {
                                 Ok(answer) => Some(answer),
                                 Err(fault) => {
                                     tracing::debug!("{to}{path}: {fault}");
@@ -269,6 +271,8 @@
                             }
                         };
                         let result = called.or(gone_after(timeout_ms)).await;
+                        let unsent = || (!sent.load(Ordering::Relaxed)).then(|| (NOT_SENT, Vec::new()));
+                        let result = result.or_else(unsent);
                         let _ = events.try_send(Event::Reply { call: id, result });
                     })
                     .detach();
--- a/crates/tidelatch/src/http.rs
+++ b/crates/tidelatch/src/http.rs
@@ -4,6 +4,7 @@
 use smol::net::TcpStream;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tidelatch_core::Method;
@@ -354,8 +355,15 @@
         idle.retain(|_, kept| !kept.is_empty());
     }
 
-    /// Makes a call. A fault says nothing of whether it was carried out.
-    pub async fn call(&self, to: SocketAddr, method: Method, path: &str, body: &str) -> Result<(u16, Vec<u8>), Fault> {
+    /// Makes a call. A fault says nothing of whether it was carried out, unless `sent` is still false.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &str,
+        sent: &AtomicBool,
+    ) -> Result<(u16, Vec<u8>), Fault> {
         let mut connection = match self.pooled(to) {
             Some(connection) => connection,
             None => Connection::new(TcpStream::connect(to).await?),
@@ -376,6 +384,7 @@
         if method == Method::Post {
             message.push_str(body);
         }
+        sent.store(true, Ordering::Relaxed);
         connection.stream.write_all(message.as_bytes()).await?;
         let (status, body, keep_alive) = connection.response().await?;
         if keep_alive && connection.buffer.is_empty() {
