--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -466,9 +466,16 @@
             tasks.push(at);
         }
         let mut room = vec![[f64::MAX; 3]; self.set.platform.facts.teams.len()];
+        let cached: Vec<BTreeSet<String>> = slots.iter().map(|s| s.images.clone()).collect();
         let moves = tasks.len() * self.set.operator.search_moves_per_task as usize;
         let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks).place(moves);
-        choices.iter().all(Option::is_some)
+        // A replica that has to fetch its image again is away for too long.
+        let warm = |(choice, job): (&Option<usize>, &usize)| {
+            let slot = choice.and_then(|c| cached.get(c));
+            slot.zip(jobs.get(*job))
+                .is_some_and(|(images, job)| images.contains(&job.image))
+        };
+        choices.iter().zip(&tasks).all(warm)
     }
 
     /// Stops work of lower priority, or work that another team runs beyond its guarantee, where that
