--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -252,6 +252,11 @@
         }
     }
 
+    /// A machine is known to be gone: that it is still listed, or reports late, means nothing.
+    pub(crate) fn note_deleted(&mut self, id: MachineId, now: u64) {
+        self.deleted.insert(id, now);
+    }
+
     /// A report came from a machine that is not in the roster.
     pub(crate) fn note_stranger(&mut self, report: &Report, now: u64) {
         if self.deleted.contains_key(&report.machine) {
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -240,6 +240,8 @@
                 let partition = m.partition;
                 self.release_all(&id, "its roster entry is gone");
                 self.machines.remove(&id);
+                // The cloud's list still shows it for a while, and a late report may come.
+                self.cloud.note_deleted(id.clone(), self.now.ms);
                 self.log(Level::Debug, format!("{id} left partition {partition}"));
             }
             return;
