--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -83,6 +83,7 @@
     teams: &'a mut [Amounts],
     /// The job of each task.
     tasks: &'a [usize],
+    guaranteed: Vec<bool>,
     choice: Vec<Choice>,
 }
 
@@ -95,10 +96,19 @@
             jobs,
             teams,
             tasks,
+            guaranteed: Vec::new(),
             choice,
         }
     }
 
+    /// Of tasks of one priority, those within their team's guarantee come first. Whoever stops others
+    /// to get its guarantee must also get the room that this makes, or they would stop each other in
+    /// turns.
+    pub fn guaranteed_first(mut self, guaranteed: Vec<bool>) -> Self {
+        self.guaranteed = guaranteed;
+        self
+    }
+
     /// Hard filters that do not depend on room.
     fn allowed(&self, job: &JobTerms, slot: &Slot) -> bool {
         (job.spot || !slot.spot)
@@ -199,10 +209,15 @@
     }
 
     fn rank(&self, task: usize) -> f64 {
+        let first = if self.guaranteed.get(task) == Some(&true) {
+            5.0
+        } else {
+            0.0
+        };
         self.tasks
             .get(task)
             .and_then(|j| self.jobs.get(*j))
-            .map_or(0.0, |j| j.rank)
+            .map_or(0.0, |j| j.rank + first)
     }
 
     fn weight(&self, task: usize) -> f64 {
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -240,10 +240,13 @@
             if batch.is_empty() {
                 break;
             }
-            let tasks: Vec<usize> = batch.iter().map(|(j, _)| *j).collect();
+            let tasks: Vec<usize> = batch.iter().map(|d| d.job).collect();
+            let first: Vec<bool> = batch.iter().map(|d| d.guaranteed).collect();
             let moves = tasks.len() * self.set.operator.search_moves_per_task as usize;
-            let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks).place(moves);
-            for ((job, index), choice) in batch.into_iter().zip(choices) {
+            let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks)
+                .guaranteed_first(first)
+                .place(moves);
+            for (Drawn { job, index, .. }, choice) in batch.into_iter().zip(choices) {
                 match choice.and_then(|c| ids.get(c)) {
                     Some(machine) => {
                         if let Some(w) = waiting.get(job) {
@@ -612,6 +615,14 @@
     }
 }
 
+/// A task drawn for a batch.
+struct Drawn {
+    job: usize,
+    index: u32,
+    /// Within its team's guarantee, with all that the team uses and what was drawn before.
+    guaranteed: bool,
+}
+
 /// Draws one batch: by priority, and within one by turns of the teams.
 fn draw(
     waiting: &[Waiting],
@@ -620,7 +631,7 @@
     claims: &mut [Claim],
     jobs: &[JobTerms],
     most: usize,
-) -> Vec<(usize, u32)> {
+) -> Vec<Drawn> {
     let mut batch = Vec::new();
     for priority in [Priority::Prod, Priority::Urgent, Priority::Normal, Priority::Low] {
         while batch.len() < most {
@@ -646,13 +657,17 @@
             let (Some(w), Some(n)) = (waiting.get(j), next.get_mut(j)) else {
                 break;
             };
-            if let Some(index) = w.tasks.get(*n) {
-                batch.push((j, *index));
-            }
+            let Some(index) = w.tasks.get(*n).copied() else { break };
             *n += 1;
-            if let (Some(c), Some(job)) = (claims.get_mut(team), jobs.get(j)) {
-                c.used += if job.size[1] > 0.0 { job.size[1] } else { job.size[0] };
-            }
+            let Some((c, job)) = claims.get_mut(team).zip(jobs.get(j)) else {
+                break;
+            };
+            c.used += if job.size[1] > 0.0 { job.size[1] } else { job.size[0] };
+            batch.push(Drawn {
+                job: j,
+                index,
+                guaranteed: c.used <= c.share + 1e-6,
+            });
         }
     }
     batch
