Replicas that may wait for a boot stop nobody; fetches weigh by their length

Stopping is put off by what the class's wait objective leaves over a boot; a fetch as long as a boot outweighs all other soft terms. Logs tell of acceptances, starts and ends at debug.

--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -674,6 +674,13 @@
                     size: Self::size(&spec),
                     spec: Some(spec),
                 };
+                if let Some(spec) = &record.spec {
+                    let text = format!(
+                        "{id} accepted: {} tasks of {} for {}, {:.0} s each",
+                        spec.tasks, spec.class, spec.team, spec.estimate_s
+                    );
+                    self.log(Level::Debug, text);
+                }
                 self.learn_job(id.clone(), record, Stamp(stamp));
                 let body = json!({ "uid": id, "status": "queued" }).to_string();
                 self.answer(asker, Answer::new(201, body));
@@ -708,7 +715,12 @@
                     team: job.spec.team.clone(),
                     size: Self::size(&job.spec),
                 };
-                let word = if over.done { "done" } else { "cancelled" };
+                let age_s = self.now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
+                let word = match (over.done, job.spec.deadline_s) {
+                    (true, Some(due)) => format!("done after {age_s:.0} s, due after {due:.0} s"),
+                    (true, None) => format!("done after {age_s:.0} s"),
+                    (false, _) => format!("cancelled after {age_s:.0} s"),
+                };
                 self.log(Level::Info, format!("{id} {word}"));
                 self.job_over(&id, over);
             }
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -351,6 +351,7 @@
         self.poked.insert(machine.clone());
         tenure.next_attempt += 1;
         let attempt = Attempt((tenure.since.0 << 24) + tenure.next_attempt);
+        self.log(Level::Debug, format!("{machine}: {task} placed, attempt {attempt}"));
         self.hold(
             machine,
             Held {
@@ -732,6 +733,7 @@
             && let Some(h) = m.held.iter_mut().find(|h| h.task == task && h.attempt == attempt)
         {
             let began = state == TaskState::Running && h.running_since.is_none();
+            let text = began.then(|| format!("{id}: {task} runs"));
             if began {
                 h.running_since = Some(now);
             }
@@ -739,6 +741,9 @@
             if let Some((image, gb)) = image.filter(|_| began) {
                 m.note_image(&image, gb, room);
             }
+            if let Some(text) = text {
+                self.log(Level::Debug, text);
+            }
             return;
         }
         // Not booked in this tenure: found after a take-over, or a stray.
@@ -775,6 +780,7 @@
     fn note_end(&mut self, id: &MachineId, task: &TaskId, why: &str) {
         let now = self.now.ms;
         let report = self.set.report_ms();
+        self.log(Level::Debug, format!("{id}: {task} ended: {why}"));
         match why {
             "done" => {
                 if let Some(m) = self.machines.get_mut(id) {
--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -39,6 +39,8 @@
     pub images: BTreeSet<String>,
     /// Seconds to fetch a gigabyte.
     pub fetch_s_per_gb: f64,
+    /// Seconds that its type takes to boot.
+    pub boot_s: f64,
 }
 
 /// What the tasks of one job have in common.
@@ -145,7 +147,8 @@
         } else {
             job.image_gb * slot.fetch_s_per_gb
         };
-        let image = 1.0 / (1.0 + fetch_s / 5.0);
+        // A long fetch costs as much as it delays: one as long as a boot outweighs all else.
+        let image = -fetch_s / slot.boot_s.max(1.0);
         // Full machines first, so that others run empty and can be returned.
         let mut used = 0.0;
         let mut parts: f64 = 0.0;
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -290,6 +290,18 @@
         wishes.into_values().collect()
     }
 
+    /// Time within which tasks of a job's class should start, by the objectives; 0 if none says so.
+    fn wait_s(&self, id: &JobId) -> f64 {
+        let class = self.jobs.get(id).map(|j| j.spec.class.as_str());
+        let objectives = &self.set.platform.facts.objectives;
+        objectives
+            .iter()
+            .filter(|o| o.kind == "wait" && o.class.as_deref() == class)
+            .filter_map(|o| o.within_s)
+            .reduce(f64::min)
+            .unwrap_or(0.0)
+    }
+
     fn terms(&self, id: &JobId, team: usize, slack_s: f64) -> Option<JobTerms> {
         let job = self.jobs.get(id)?;
         let mut in_zone = BTreeMap::new();
@@ -351,6 +363,7 @@
                 total,
                 images,
                 fetch_s_per_gb: 1.0 / t.fetch_gb_per_s.max(1e-3),
+                boot_s: t.boot_s,
             });
         }
         (ids, slots)
@@ -526,7 +539,10 @@
             let within = used.get(w.team).is_some_and(|u| u + mine <= guarantee(w.team) + 1e-6);
             let waited_s = self.now.wall_ms.saturating_sub(w.at) as f64 / 1000.0;
             let boot_s = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
-            if w.priority < Priority::Prod && !(within && waited_s > boot_s) {
+            // Where the class may wait for a machine to boot, nobody is stopped before that.
+            let patience_s = (self.wait_s(&w.id) - boot_s).max(0.0);
+            let urgent = w.priority >= Priority::Prod && waited_s >= patience_s;
+            if !urgent && !(within && waited_s > boot_s) {
                 continue;
             }
             let allowed = |m: &crate::picture::Machine| {
