--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -8,7 +8,7 @@
 use std::fmt::Write as _;
 use tidelatch_core::ids::Incarnation;
 use tidelatch_core::settings::{Operator, Platform, Settings};
-use tidelatch_core::{Answer, Controller, Input, Method, Now, Output, PeerReply, PeerRequest, Target};
+use tidelatch_core::{Answer, Controller, Input, Level, Method, Now, Output, PeerReply, PeerRequest, Target};
 
 /// What becomes of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -449,6 +449,9 @@
     fn carry_out(&mut self, node: usize, life: u64, output: Output) {
         let name = format!("berth-{node}");
         match output {
+            Output::Log {
+                level: Level::Debug, ..
+            } => {}
             Output::Log { text, .. } => self.note(&format!("{name}: {text}")),
             Output::Answer { id, answer } => match self.asked.remove(&id) {
                 Some(Asked::User) => self.tell_user(node, id, answer),
