Those who wait on a job are answered when its partition goes; logs are the program's own

A withdrawal waiting for its write had no answer if the tenure ended meanwhile; what a former owner remembered of its machines stayed in memory. At debug level the HTTP/2 library drowned all else.

--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -314,9 +314,14 @@
 
     /// Everything known of what a partition's jobs do is forgotten: it comes anew from reports.
     pub(crate) fn reset_jobs(&mut self, partition: Partition) {
+        let mut askers = Vec::new();
         for job in self.jobs.values_mut().filter(|j| j.partition == partition) {
+            askers.append(&mut job.askers);
             job.reset();
         }
+        for asker in askers {
+            self.answer(asker, Answer::later(503, 1, "membership is changing"));
+        }
     }
 
     fn fits_some_type(&self, spec: &JobSpec) -> bool {
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -434,7 +434,9 @@
         self.member.inc = Incarnation(self.member.inc.0 + 1);
         self.member.written = None;
         self.member.retry_at = self.now.ms;
-        self.tenures.clear();
+        for partition in std::mem::take(&mut self.tenures).into_keys() {
+            self.reset_partition(partition);
+        }
     }
 
     fn write_member(&mut self) {
@@ -656,6 +658,7 @@
             let known = self.tenures.get(&partition).map(|t| t.since);
             if !mine {
                 if self.tenures.remove(&partition).is_some() {
+                    self.reset_partition(partition);
                     let to = &holding.owner;
                     self.log(
                         Level::Info,
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -542,7 +542,8 @@
             // Where the class may wait for a machine to boot, nobody is stopped before that.
             let patience_s = (self.wait_s(&w.id) - boot_s).max(0.0);
             let urgent = w.priority >= Priority::Prod && waited_s >= patience_s;
-            if !urgent && !(within && waited_s > boot_s) {
+            let due = within && waited_s > boot_s;
+            if !urgent && !due {
                 continue;
             }
             let allowed = |m: &crate::picture::Machine| {
--- a/crates/tidelatch/src/settings.rs
+++ b/crates/tidelatch/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::path::Path;
 use tidelatch_core::settings::{Operator, Platform, Settings};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::prelude::*;
 
 /// A fault that keeps the program from starting.
 #[derive(Debug, thiserror::Error)]
@@ -118,11 +120,14 @@
             _ => return Err(Fault::Level(text)),
         },
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    // Libraries speak up for errors only: their own detail would drown this program's.
+    let filter = Targets::new()
+        .with_default(tracing::Level::ERROR)
+        .with_target("tidelatch", level);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
-        .with_target(false)
-        .init();
+        .with_target(false);
+    tracing_subscriber::registry().with(lines.with_filter(filter)).init();
     Ok(())
 }
