--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -330,6 +330,10 @@
     Confirm {
         machine: MachineId,
     },
+    Probe {
+        machine: MachineId,
+        sent: u64,
+    },
     Direct {
         machine: MachineId,
         number: u64,
@@ -606,6 +610,7 @@
             Purpose::Delete { machines } => self.on_delete(machines, result),
             Purpose::Hosts => self.on_hosts(result),
             Purpose::Confirm { machine } => self.on_confirm(machine, result),
+            Purpose::Probe { machine, sent } => self.on_probe(machine, sent, result),
             Purpose::Direct {
                 machine,
                 number,
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -96,6 +96,8 @@
     pub(crate) rented_wall: u64,
     last: (u64, u64),
     pub(crate) heard: Option<u64>,
+    /// When it was last heard with no other controller between.
+    heard_directly: Option<u64>,
     pub(crate) known_since: u64,
     /// What is on it is known: it has reported under a token of the present tenure.
     pub(crate) confirmed: bool,
@@ -113,6 +115,11 @@
     direct_from: u64,
     pub(crate) notice: bool,
     pub(crate) failures: BTreeSet<JobId>,
+    failed_at: u64,
+    /// Status calls without an answer since it was last heard.
+    probes_failed: u32,
+    probing: bool,
+    probe_at: u64,
     pub(crate) suspect: bool,
     pub(crate) avoid_until: u64,
     pub(crate) images: Vec<(String, f64)>,
@@ -269,6 +276,7 @@
                         rented_wall: entry.at,
                         last: entry.seen,
                         heard: None,
+                        heard_directly: None,
                         known_since: now,
                         confirmed: false,
                         confirming: false,
@@ -280,6 +288,10 @@
                         direct_from: 0,
                         notice: false,
                         failures: BTreeSet::new(),
+                        failed_at: 0,
+                        probes_failed: 0,
+                        probing: false,
+                        probe_at: 0,
                         suspect: false,
                         avoid_until: 0,
                         images: Vec::new(),
@@ -311,6 +323,9 @@
             m.pins.clear();
             m.commanding = None;
             m.heard = None;
+            m.heard_directly = None;
+            m.probes_failed = 0;
+            m.probing = false;
             m.known_since = now;
             m.idle_since = None;
             m.moving = None;
@@ -537,6 +552,9 @@
 
     fn own_beat(&mut self, asker: Asker, report: &Report, epoch: Epoch) {
         let id = report.machine.clone();
+        if matches!(asker, Asker::Request(_)) {
+            self.heard_directly(&id);
+        }
         if !self.take_report(report, true) {
             // Late, or under an older token. With the answer the worker gets the present one.
             let stops = self.stops_for_over(report);
@@ -613,6 +631,13 @@
         self.answer_orders(asker, epoch, commands);
     }
 
+    fn heard_directly(&mut self, id: &MachineId) {
+        let now = self.now.ms;
+        if let Some(m) = self.machines.get_mut(id) {
+            m.heard_directly = Some(now);
+        }
+    }
+
     /// Takes a report into the picture. False: it is late, or its worker has not seen the token of the
     /// present tenure; then it changes nothing.
     pub(crate) fn take_report(&mut self, report: &Report, is_beat: bool) -> bool {
@@ -626,6 +651,7 @@
             return false;
         }
         m.heard = Some(now);
+        m.probes_failed = 0;
         let Some(tenure) = self.tenures.get(&m.partition) else {
             return false;
         };
@@ -650,9 +676,14 @@
             listed.insert((task.clone(), t.attempt));
             if t.state == TaskState::Exited {
                 let done = t.why.as_deref() == Some("done");
+                let held = self.machines.get(&id).and_then(|m| {
+                    let mut held = m.held.iter();
+                    held.find(|h| h.task == task && h.attempt == t.attempt)
+                });
+                let began = held.and_then(|h| h.running_since);
                 self.release(&id, &task, t.attempt);
                 ended.push((task.clone(), t.attempt, done));
-                self.note_end(&id, &task, t.why.as_deref().unwrap_or(""));
+                self.note_end(&id, &task, t.why.as_deref().unwrap_or(""), began);
             } else {
                 self.see(&id, task, t.attempt, t.state);
             }
@@ -777,16 +808,22 @@
     }
 
     /// A task has ended on a machine.
-    fn note_end(&mut self, id: &MachineId, task: &TaskId, why: &str) {
+    fn note_end(&mut self, id: &MachineId, task: &TaskId, why: &str, began: Option<u64>) {
         let now = self.now.ms;
         let report = self.set.report_ms();
         self.log(Level::Debug, format!("{id}: {task} ended: {why}"));
         match why {
             "done" => {
-                if let Some(m) = self.machines.get_mut(id) {
+                // Only a task that began after the last failure speaks for the machine.
+                if let Some(m) = self.machines.get_mut(id)
+                    && began.is_some_and(|t| t > m.failed_at)
+                {
                     m.failures.clear();
                 }
-                self.task_done(task);
+                let here = self.machines.get(id).map(|m| m.partition);
+                if self.jobs.get(&task.job).map(|j| j.partition) == here {
+                    self.task_done(task);
+                }
             }
             "error" => {
                 let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -801,6 +838,7 @@
                 let failing_everywhere = job.failed_on.len() >= 3;
                 let Some(m) = self.machines.get_mut(id) else { return };
                 m.avoid_until = now + 2 * report;
+                m.failed_at = now;
                 m.failures.insert(task.job.clone());
                 let suspect = m.failures.len() >= 2 && !m.suspect && !failing_everywhere;
                 if suspect {
@@ -997,6 +1035,7 @@
             .filter(|r| r.machine == id);
         match (result.map(|(status, _)| status), report) {
             (Some(200), Some(report)) => {
+                m.heard_directly = Some(now);
                 for h in m.held.iter_mut().filter(|h| h.state == HeldState::Direct) {
                     h.state = HeldState::Sent(report.session, report.seq);
                 }
@@ -1078,6 +1117,7 @@
         if report.machine != id || partition.is_none_or(|p| self.acting(p).is_none()) {
             return;
         }
+        self.heard_directly(&id);
         if !self.take_report(&report, false)
             && status == 409
             && let Some(m) = self.machines.get_mut(&id)
@@ -1129,6 +1169,7 @@
                 continue;
             };
             self.confirm_machines(p);
+            self.probe_silent(p, active_at);
             self.give_up_silent(p, active_at);
             self.settle_moves(p);
         }
@@ -1158,6 +1199,66 @@
         }
     }
 
+    /// Asks machines whose report is overdue.
+    fn probe_silent(&mut self, partition: Partition, active_at: u64) {
+        let now = self.now.ms;
+        let report = self.set.report_ms();
+        let due: Vec<(MachineId, String)> = self
+            .machines
+            .iter_mut()
+            .filter(|(_, m)| m.partition == partition && m.up() && !m.gone && !m.retiring && !m.probing)
+            .filter(|(_, m)| now >= m.probe_at)
+            .filter(|(_, m)| now.saturating_sub(m.heard.unwrap_or(0).max(active_at)) > report * 3 / 2)
+            .map(|(id, m)| {
+                m.probing = true;
+                m.probe_at = now + report / 4;
+                (id.clone(), m.addr.clone())
+            })
+            .collect();
+        for (id, addr) in due {
+            self.call(
+                Target::Worker(addr),
+                Method::Get,
+                "/status",
+                String::new(),
+                report / 3,
+                Purpose::Probe { machine: id, sent: now },
+            );
+        }
+    }
+
+    pub(crate) fn on_probe(&mut self, id: MachineId, sent: u64, result: Option<(u16, Vec<u8>)>) {
+        let report = match result {
+            Some((200, body)) => serde_json::from_slice::<Report>(&body).ok(),
+            _ => None,
+        };
+        let acting = self
+            .machines
+            .get(&id)
+            .is_some_and(|m| self.acting(m.partition).is_some());
+        // A machine that does not answer has died only if others of its zone are heard at that time,
+        // with no other controller between: else the network is the likelier cause, and its worker
+        // will find another door. Two such probes rule out a cut that begins or ends just then.
+        let from = sent.saturating_sub(self.set.report_ms() / 2);
+        let zone_heard = self.machines.get(&id).is_some_and(|m| {
+            let others = self
+                .machines
+                .iter()
+                .filter(|(other, o)| **other != id && o.zone == m.zone);
+            others.filter_map(|(_, o)| o.heard_directly).any(|t| t >= from)
+        });
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        m.probing = false;
+        match report.filter(|r| r.machine == id) {
+            Some(report) if acting => {
+                self.heard_directly(&id);
+                self.take_report(&report, false);
+            }
+            None if zone_heard => m.probes_failed += 1,
+            _ => {}
+        }
+    }
+
     fn give_up_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
         let silent_ms = self.set.silent_ms();
@@ -1181,6 +1282,7 @@
             let boot = self.types.iter().find(|t| t.name == m.model).map_or(60.0, |t| t.boot_s);
             (boot * 3.0 * 1000.0) as u64
         };
+        let report = self.set.report_ms();
         let mut lost: BTreeMap<MachineId, &str> = BTreeMap::new();
         for (id, m) in &self.machines {
             if m.partition != partition || m.gone || m.retiring {
@@ -1189,7 +1291,8 @@
             if m.up() {
                 // After a notice the machine is as good as gone once it stops to report.
                 let noticed = m.notice && quiet(m, 2 * self.set.report_ms());
-                if noticed || quiet(m, limit) {
+                let dead = quiet(m, report * 12 / 5) && m.probes_failed >= 2;
+                if noticed || dead || quiet(m, limit) {
                     lost.insert(id.clone(), "silent");
                 }
             } else if m.heard.is_none() && quiet(m, slow_boot(m)) {
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -601,7 +601,11 @@
                         let job = self.jobs.get(&h.task.job)?;
                         let team = self.set.team(&h.team)?.0;
                         let lower = job.spec.priority < w.priority;
-                        let borrowed = within && team != w.team && used.get(team).is_some_and(|u| *u > guarantee(team));
+                        // Higher priority would only take the room back: both would stop each other in turns.
+                        let borrowed = within
+                            && job.spec.priority <= w.priority
+                            && team != w.team
+                            && used.get(team).is_some_and(|u| *u > guarantee(team));
                         let ran = h.running_since.map_or(0, |t| self.now.ms.saturating_sub(t)) as f64 / 1000.0;
                         let lost = if job.spec.checkpoint_s > 0.0 {
                             ran.min(job.spec.save_s)
