A controller back from a cut opens a new watch instead of waiting for the old one

Excluded: the hand-over itself (the guest had stepped down at once). Now a lost lease or an extension that works again after one that failed opens a new watch. Test: a_controller_that_comes_back_from_a_cut_does_not_wait_for_its_old_watch.

--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -295,7 +295,9 @@
         cursor: String,
         first_ledger: u64,
     },
-    Watch,
+    Watch {
+        number: u64,
+    },
     Bits {
         partition: Partition,
         since: u64,
@@ -597,7 +599,7 @@
             Purpose::LeaderTake => self.on_leader_take(result),
             Purpose::EpochWrite => self.on_epoch_write(result),
             Purpose::List { cursor, first_ledger } => self.on_list(cursor, first_ledger, result),
-            Purpose::Watch => self.on_watch(result),
+            Purpose::Watch { number } => self.on_watch(number, result),
             Purpose::Bits { partition, since } => self.on_bits(partition, since, result),
             Purpose::Job(purpose) => self.on_job_reply(purpose, result),
             Purpose::Types => self.on_types(result),
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -91,6 +91,9 @@
     listed: bool,
     listing: bool,
     watching: bool,
+    /// Number of the watch that counts: an older one may hang for long after a cut has ended.
+    watch_number: u64,
+    extend_failed: bool,
     retry_at: u64,
     pub(crate) ledger: u64,
     pub(crate) members: BTreeMap<ControllerId, MemberRecord>,
@@ -118,6 +121,8 @@
             listed: false,
             listing: false,
             watching: false,
+            watch_number: 0,
+            extend_failed: false,
             retry_at: 0,
             ledger: 0,
             members: BTreeMap::new(),
@@ -359,6 +364,8 @@
 
     fn watch(&mut self) {
         self.member.watching = true;
+        self.member.watch_number += 1;
+        let number = self.member.watch_number;
         self.state_reads.force(self.now.ms, 1.0);
         let wait = self.set.lease_ms();
         self.call(
@@ -367,7 +374,7 @@
             format!("/changes?prefix={SHARED}&since={}&waitMs={wait}", self.member.ledger),
             String::new(),
             wait + wait / 4,
-            Purpose::Watch,
+            Purpose::Watch { number },
         );
     }
 
@@ -409,9 +416,14 @@
                     self.log(Level::Info, "lease extended again after a gap: acting again");
                 }
                 self.member.entitled_until = self.member.entitled_until.max(until);
+                if std::mem::take(&mut self.member.extend_failed) && self.member.listed {
+                    // The way is open again: a watch that went out before may never answer.
+                    self.watch();
+                }
             }
             Some((404, _)) => self.lose_lease(),
             _ => {
+                self.member.extend_failed = true;
                 // Try again soon: an extension that failed is worth more than a quiet line.
                 let soon = self.set.report_ms() / 4;
                 self.member.extended_at = (self.now.ms + soon).saturating_sub(self.set.lease_ms() / 4);
@@ -434,6 +446,9 @@
         self.member.inc = Incarnation(self.member.inc.0 + 1);
         self.member.written = None;
         self.member.retry_at = self.now.ms;
+        // The lease was lost behind some cut: so may be the watch.
+        self.member.watching = false;
+        self.member.extend_failed = false;
         for partition in std::mem::take(&mut self.tenures).into_keys() {
             self.reset_partition(partition);
         }
@@ -577,7 +592,10 @@
         }
     }
 
-    pub(crate) fn on_watch(&mut self, result: Option<(u16, Vec<u8>)>) {
+    pub(crate) fn on_watch(&mut self, number: u64, result: Option<(u16, Vec<u8>)>) {
+        if number != self.member.watch_number {
+            return;
+        }
         self.member.watching = false;
         match result {
             Some((200, body)) => match serde_json::from_slice::<Changes>(&body) {
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -521,6 +521,31 @@
     keep(&world, "direct_start_without_an_answer");
 }
 
+#[test]
+fn a_controller_that_comes_back_from_a_cut_does_not_wait_for_its_old_watch() {
+    // Guard: from an incident. The partition had been given back to it, and had no owner for 7 s,
+    // until the watch that went out before the cut had run out of time.
+    let mut world = with_service(0);
+    let owner = world.owner_of_team(0);
+    let name = format!("berth-{owner}");
+    world.meddle(move |l| {
+        if l.from == name && l.to == "state" {
+            Fate::Lost
+        } else {
+            Fate::Pass
+        }
+    });
+    world.run(18_500);
+    assert_ne!(world.owner_of_team(0), owner);
+    world.calm();
+    let epoch = world.epoch();
+    assert!(world.run_until(8000, |w| w.epoch() > epoch), "{}", world.trace());
+    world.run(1500);
+    let acting = format!("berth-{owner}: epoch {}: taking over partition 0", world.epoch());
+    assert!(world.trace().contains(&acting), "{}", world.trace());
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
 #[test]
 fn idle_machines_are_returned() {
     let mut world = World::new();
