--- a/crates/tidelatch/src/settings.rs
+++ b/crates/tidelatch/src/settings.rs
@@ -44,6 +44,29 @@
     })
 }
 
+fn parse_platform(text: &str) -> Result<Platform, String> {
+    let input = toml::Deserializer::parse(text).map_err(|fault| fault.message().to_owned())?;
+    serde_path_to_error::deserialize(input)
+        .map_err(|fault| format!("{}: {}", shown(fault.path()), fault.inner().message()))
+}
+
+fn parse_operator(text: &str) -> Result<Operator, String> {
+    let mut input = serde_json::Deserializer::from_str(text);
+    let operator = serde_path_to_error::deserialize(&mut input)
+        .map_err(|fault| format!("{}: {}", shown(fault.path()), fault.inner()))?;
+    input.end().map_err(|fault| fault.to_string())?;
+    Ok(operator)
+}
+
+fn shown(path: &serde_path_to_error::Path) -> String {
+    let path = path.to_string();
+    if path == "." {
+        "(the whole file)".to_owned()
+    } else {
+        path
+    }
+}
+
 /// Reads both files and reports everything that is wrong with them.
 pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<Fault>> {
     let mut faults = Vec::new();
@@ -53,7 +76,7 @@
             faults.push(fault);
             None
         }
-        Ok(text) => match toml::from_str::<Platform>(&text) {
+        Ok(text) => match parse_platform(&text) {
             Ok(p) => {
                 faults.extend(p.faults().into_iter().map(|fault| Fault::Value {
                     path: shown.clone(),
@@ -64,7 +87,7 @@
             Err(fault) => {
                 faults.push(Fault::Form {
                     path: shown,
-                    text: fault.to_string().trim_end().replace('\n', " "),
+                    text: fault,
                 });
                 None
             }
@@ -79,7 +102,7 @@
                     faults.push(fault);
                     None
                 }
-                Ok(text) => match serde_json::from_str::<Operator>(&text) {
+                Ok(text) => match parse_operator(&text) {
                     Ok(o) => {
                         faults.extend(o.faults().into_iter().map(|fault| Fault::Value {
                             path: shown.clone(),
@@ -131,3 +154,46 @@
     tracing_subscriber::registry().with(lines.with_filter(filter)).init();
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const EXAMPLE: &str = include_str!("../../../docs/example-node.toml");
+
+    #[test]
+    fn the_example_is_in_order_and_unknown_fields_are_ignored() {
+        let text = format!("new_field = 1\n{EXAMPLE}");
+        let platform = parse_platform(&text).expect("the example is in form");
+        assert_eq!(platform.faults(), []);
+    }
+
+    #[test]
+    fn what_is_missing_or_impossible_is_named_with_its_path() {
+        let missing = parse_platform(&EXAMPLE.replace("report_s = 2.0\n", "")).expect_err("a field is missing");
+        assert!(
+            missing.contains("facts.workers") && missing.contains("report_s"),
+            "{missing}"
+        );
+        let text = EXAMPLE
+            .replace("gpus_max = 24.0", "gpus_max = 4.0")
+            .replace("lease_s = 15.0", "lease_s = 3.0");
+        let faults = parse_platform(&text).expect("in form").faults();
+        let paths: Vec<&str> = faults.iter().map(|f| f.path.as_str()).collect();
+        assert_eq!(paths, ["facts.workers.lease_s", "facts.teams[0].gpus"]);
+    }
+
+    #[test]
+    fn the_operators_own_settings_are_checked() {
+        let unknown = parse_operator(r#"{"batch": 3}"#).expect_err("an unknown field");
+        assert!(unknown.contains("unknown field `batch`"), "{unknown}");
+        let wrong = parse_operator(r#"{"batch_tasks": "many"}"#).expect_err("not a number");
+        assert!(wrong.starts_with("batch_tasks:"), "{wrong}");
+        let out = parse_operator(r#"{"batch_tasks": 0}"#).expect("in form").faults();
+        assert_eq!(out.first().map(|f| f.path.as_str()), Some("batch_tasks"));
+        let schema = serde_json::to_value(schema()).expect("the schema is JSON");
+        let defaults = serde_json::to_value(Operator::default()).expect("defaults are JSON");
+        let fields = |v: &serde_json::Value| v.as_object().map(|m| m.keys().cloned().collect::<Vec<_>>());
+        assert_eq!(fields(&schema["properties"]), fields(&defaults));
+    }
+}
