--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -11,7 +11,9 @@
 use crate::membership::{ROSTER_PREFIX, Stage, TYPES_KEY};
 use crate::picture::{Machine, RosterEntry};
 use crate::placement::{Amounts, JobTerms};
-use crate::protocol::{MachineList, MachineNames, MachineType, MachineTypes, Rental, Report, Shape, TxnAnswer};
+use crate::protocol::{
+    MachineList, MachineNames, MachineType, MachineTypes, Priority, Rental, Report, Shape, TxnAnswer,
+};
 use crate::settings::Settings;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -209,7 +211,7 @@
     refused: &dyn Fn(&Kind) -> bool,
     in_zones: &BTreeMap<String, u32>,
 ) -> Vec<Need> {
-    let mut needs: BTreeMap<Kind, (u32, bool)> = BTreeMap::new();
+    let mut needs: BTreeMap<Kind, (u32, bool, bool)> = BTreeMap::new();
     let mut in_zones = in_zones.clone();
     let mut order: Vec<&Wish> = wishes.iter().collect();
     order.sort_by(|a, b| b.urgent.cmp(&a.urgent).then(a.slack_s.total_cmp(&b.slack_s)));
@@ -260,9 +262,10 @@
                 }
             }
             let Some((_, _, kind, total)) = best else { break };
-            let need = needs.entry(kind.clone()).or_default();
+            let need = needs.entry(kind.clone()).or_insert((0, false, true));
             need.0 += 1;
             need.1 |= wish.urgent;
+            need.2 &= wish.zone.is_none() && !wish.one_zone && wish.in_zone.values().all(|n| *n == 0);
             *in_zones.entry(kind.1.clone()).or_default() += 1;
             coming.push(Coming {
                 model: kind.0,
@@ -274,16 +277,20 @@
     }
     needs
         .into_iter()
-        .map(|((model, zone, spot), (count, urgent))| Need {
+        .map(|((model, zone, spot), (count, urgent, any_zone))| Need {
             model,
             zone,
             spot,
             count,
             urgent,
+            any_zone,
         })
         .collect()
 }
 
+/// Most machines that a digest offers to vacate.
+const YIELDING: usize = 4;
+
 /// The cloud as this controller sees it, and what is under way there.
 #[derive(Debug)]
 pub(crate) struct Cloud {
@@ -385,6 +392,9 @@
     pub(crate) fn tick_capacity(&mut self) {
         let now = self.now.ms;
         self.want_types();
+        if self.entitled() {
+            self.finish_vacating();
+        }
         if now < self.cloud.due || !self.entitled() {
             return;
         }
@@ -467,6 +477,30 @@
             .fold(f64::MAX, f64::min)
     }
 
+    /// What would be lost, in seconds of work, if a machine were vacated for production work; none if
+    /// something on it does not yield.
+    fn yielding(&self, m: &Machine) -> Option<f64> {
+        if m.spot || m.held.is_empty() || !m.usable(self.now.ms, 2 * self.set.report_ms()) {
+            return None;
+        }
+        let mut loss = 0.0;
+        for h in &m.held {
+            let job = self.jobs.get(&h.task.job)?;
+            if job.spec.priority >= Priority::Prod || h.stop.is_some() {
+                return None;
+            }
+            let ran_s = h
+                .running_since
+                .map_or(0.0, |t| self.now.ms.saturating_sub(t) as f64 / 1000.0);
+            loss += if job.spec.checkpoint_s > 0.0 {
+                ran_s.min(job.spec.save_s)
+            } else {
+                ran_s
+            };
+        }
+        Some(loss)
+    }
+
     /// A machine as the planning sees it: none for those that take no more tasks.
     fn lane(&self, m: &Machine) -> Option<Lane> {
         let now = self.now.ms;
@@ -517,6 +551,7 @@
         for (p, _) in acting {
             let mut lanes = Vec::new();
             let mut idle = Vec::new();
+            let mut yielding = Vec::new();
             let mut in_zones: BTreeMap<String, u32> = BTreeMap::new();
             let mut demand = 0.0;
             for (id, m) in self.machines.iter().filter(|(_, m)| m.partition == *p && !m.gone) {
@@ -525,6 +560,15 @@
                 if let Some(lane) = self.lane(m) {
                     lanes.push(lane);
                 }
+                if let Some(loss) = self.yielding(m) {
+                    let machine = Idle {
+                        machine: id.clone(),
+                        model: m.model.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    };
+                    yielding.push((loss, machine));
+                }
                 let spare = m
                     .idle_since
                     .is_some_and(|t| now.saturating_sub(t) > self.set.report_ms());
@@ -551,12 +595,14 @@
             absorb(&mut wishes, &mut lanes, &self.types, self.guarantee_s());
             let refused = |kind: &Kind| self.cloud.refused.get(kind).is_some_and(|t| now < *t);
             let needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
+            yielding.sort_by(|a, b| a.0.total_cmp(&b.0));
             digests.push(Digest {
                 partition: *p,
                 ledger: self.member.ledger,
                 demand,
                 needs,
                 idle,
+                yielding: yielding.into_iter().map(|(_, i)| i).take(YIELDING).collect(),
             });
         }
         digests
@@ -619,6 +665,7 @@
                     spot: *spot,
                     count: 0,
                     urgent: false,
+                    any_zone: false,
                 })
                 .collect();
         }
@@ -646,21 +693,64 @@
         self.carry_out(moves);
     }
 
-    /// Hands over machines as the leader asks, if they are still empty.
+    /// Hands over machines as the leader asks, if they are still empty, or still yield.
     fn carry_out(&mut self, moves: Vec<Move>) {
         for mv in moves {
             let now = self.now.ms;
             let patience = 2 * self.set.report_ms();
-            let free = self.machines.get(&mv.machine).is_some_and(|m| {
-                m.partition != mv.to && m.clean() && m.idle_since.is_some() && m.usable(now, patience)
-            });
-            if free && self.entitled() {
+            let Some(m) = self.machines.get(&mv.machine) else {
+                continue;
+            };
+            if m.partition == mv.to || !m.usable(now, patience) || self.acting(m.partition).is_none() {
+                continue;
+            }
+            if m.clean() {
                 self.log(Level::Info, format!("{} goes to partition {}", mv.machine, mv.to));
                 self.hand_over(&mv.machine, mv.to);
+            } else if mv.vacate && self.yielding(m).is_some() {
+                self.vacate(&mv.machine, mv.to);
             }
         }
     }
 
+    /// Stops what is on a machine, to hand it over once that is gone.
+    fn vacate(&mut self, id: &MachineId, to: Partition) {
+        let now = self.now.ms;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.vacating = Some((to, now));
+        let held: Vec<_> = m.held.iter().map(|h| (h.task.clone(), h.attempt)).collect();
+        self.log(
+            Level::Info,
+            format!(
+                "{id}: stopping {} tasks: it goes to partition {to} for production work",
+                held.len()
+            ),
+        );
+        for (task, attempt) in held {
+            self.stop_held(id, &task, attempt);
+        }
+    }
+
+    /// Hands over what has been vacated; gives up what does not become empty.
+    fn finish_vacating(&mut self) {
+        let now = self.now.ms;
+        let patience = 2 * self.set.report_ms();
+        let mut ready = Vec::new();
+        for (id, m) in &mut self.machines {
+            let Some((to, since)) = m.vacating else { continue };
+            if m.clean() {
+                m.vacating = None;
+                ready.push((id.clone(), to));
+            } else if now.saturating_sub(since) > patience {
+                m.vacating = None;
+            }
+        }
+        for (id, to) in ready {
+            self.log(Level::Info, format!("{id} goes to partition {to}"));
+            self.hand_over(&id, to);
+        }
+    }
+
     /// The leader's round: lends what is idle, then rents.
     fn share_out(&mut self) {
         let now = self.now.ms;
@@ -686,6 +776,10 @@
             .filter(|d| d.needs.is_empty())
             .flat_map(|d| d.idle.iter().map(|i| (d.partition, i.clone())))
             .collect();
+        let mut yielding: Vec<(Partition, Idle)> = fresh
+            .iter()
+            .flat_map(|d| d.yielding.iter().map(|i| (d.partition, i.clone())))
+            .collect();
         let mut wanted: BTreeMap<Kind, Vec<(Partition, bool)>> = BTreeMap::new();
         // Shares by demand: whoever has most demand to its name is served first where kinds run out.
         let mut order: Vec<&Digest> = fresh.iter().collect();
@@ -710,10 +804,29 @@
                             self.cloud.moves.entry(owner).or_default().push(Move {
                                 machine: i.machine,
                                 to: d.partition,
+                                vacate: false,
                             });
                         }
                         continue;
                     }
+                    // Production work gets machines that others can do without, and they what is rented.
+                    let found = yielding.iter().position(|(p, i)| {
+                        *p != d.partition
+                            && i.model == need.model
+                            && (need.any_zone || i.zone == need.zone)
+                            && (need.spot || !i.spot)
+                    });
+                    if let Some(at) = found.filter(|_| need.urgent) {
+                        let (from, i) = yielding.remove(at);
+                        if let Some(owner) = self.holding(from).map(|h| h.owner.clone()) {
+                            self.cloud.lent_at.insert(d.partition, now);
+                            self.cloud.moves.entry(owner).or_default().push(Move {
+                                machine: i.machine,
+                                to: d.partition,
+                                vacate: true,
+                            });
+                        }
+                    }
                     wanted.entry(kind).or_default().push((d.partition, need.urgent));
                 }
             }
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -84,8 +84,10 @@
     pub spot: bool,
     /// How many.
     pub count: u32,
-    /// For services, or for work near its deadline.
+    /// Production work.
     pub urgent: bool,
+    /// Another zone would do as well.
+    pub any_zone: bool,
 }
 
 /// A machine with nothing on it.
@@ -114,6 +116,8 @@
     pub needs: Vec<Need>,
     /// Machines with nothing on them.
     pub idle: Vec<Idle>,
+    /// Machines with nothing but work that yields to production, the least loss first.
+    pub yielding: Vec<Idle>,
 }
 
 /// The leader hands a machine to another partition.
@@ -123,6 +127,8 @@
     pub machine: MachineId,
     /// Its new partition.
     pub to: Partition,
+    /// What is on it is stopped first.
+    pub vacate: bool,
 }
 
 /// What one controller asks another.
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -129,6 +129,8 @@
     pub(crate) moving_sent: bool,
     /// To be deleted; nothing is started on it any more.
     pub(crate) retiring: bool,
+    /// Being emptied for another partition, and since when.
+    pub(crate) vacating: Option<(Partition, u64)>,
     /// Being emptied, to be returned then.
     pub(crate) draining: bool,
     pub(crate) deleting: bool,
@@ -169,6 +171,7 @@
             && !self.suspect
             && !self.retiring
             && !self.draining
+            && self.vacating.is_none()
             && !self.gone
             && self.moving.is_none()
             && now >= self.avoid_until
@@ -212,7 +215,7 @@
 
     /// It holds nothing, and no late command can change that.
     pub(crate) fn clean(&self) -> bool {
-        self.held.is_empty() && self.ended.is_empty() && self.pins.is_empty() && self.commanding.is_none()
+        self.held.is_empty() && self.pins.is_empty() && self.commanding.is_none()
     }
 
     fn entry(&self) -> RosterEntry {
@@ -300,6 +303,7 @@
                         moving_sent: false,
                         retiring: false,
                         draining: false,
+                        vacating: None,
                         deleting: false,
                         gone: false,
                         storing: None,
@@ -332,6 +336,7 @@
             m.moving_sent = false;
             m.retiring = false;
             m.draining = false;
+            m.vacating = None;
             m.deleting = false;
             m.storing = None;
             m.settles_at = None;
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -28,6 +28,10 @@
         })
 }
 
+/// What stopping a task of the same priority counts for, in seconds of lost work: more than any task
+/// of lower priority loses.
+const EQUAL_COST: f64 = 1e6;
+
 /// A task that may be stopped: its attempt, its team and what it takes.
 type Victim = (TaskId, Attempt, usize, Amounts);
 
@@ -612,6 +616,8 @@
                         } else {
                             ran
                         };
+                        // Of one priority, stopping one for the other gains nothing for users: last choice.
+                        let lost = if lower { lost } else { lost + EQUAL_COST };
                         (lower || borrowed).then(|| (lost, h.task.clone(), h.attempt, team, h.size))
                     })
                     .collect();
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -546,6 +546,35 @@
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
 
+#[test]
+fn production_work_gets_a_machine_that_another_partition_can_vacate() {
+    // The cloud has no more; all it had is lent to another team's array.
+    let mut world = World::new();
+    world.cloud.most = 2;
+    world.run_ms = 90_000;
+    world.run(3000);
+    world.accepted(0, &job(1, 1, "sweep", 4));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000001") == 4),
+        "{}",
+        world.trace()
+    );
+    world.accepted(0, &job(2, 0, "standing", 1));
+    assert!(
+        world.run_until(12_000, |w| w.running("job-000002") == 1),
+        "{}",
+        world.trace()
+    );
+    world.run(30_000);
+    assert_eq!(
+        world.running("job-000001"),
+        2,
+        "the rest of the array goes on: {}",
+        world.trace()
+    );
+    keep(&world, "vacated_machine");
+}
+
 #[test]
 fn idle_machines_are_returned() {
     let mut world = World::new();
--- a/crates/tidelatch/src/peers.rs
+++ b/crates/tidelatch/src/peers.rs
@@ -32,6 +32,7 @@
         spot: n.spot,
         count: n.count,
         urgent: n.urgent,
+        any_zone: n.any_zone,
     }
 }
 
@@ -42,6 +43,25 @@
         spot: n.spot,
         count: n.count,
         urgent: n.urgent,
+        any_zone: n.any_zone,
+    }
+}
+
+fn idle_out(i: Idle) -> wire::Idle {
+    wire::Idle {
+        machine: i.machine.as_str().to_owned(),
+        model: i.model,
+        zone: i.zone,
+        spot: i.spot,
+    }
+}
+
+fn idle_in(i: wire::Idle) -> Idle {
+    Idle {
+        machine: MachineId::new(i.machine),
+        model: i.model,
+        zone: i.zone,
+        spot: i.spot,
     }
 }
 
@@ -51,16 +71,8 @@
         ledger: d.ledger,
         demand: d.demand,
         needs: d.needs.into_iter().map(need_out).collect(),
-        idle: d
-            .idle
-            .into_iter()
-            .map(|i| wire::Idle {
-                machine: i.machine.as_str().to_owned(),
-                model: i.model,
-                zone: i.zone,
-                spot: i.spot,
-            })
-            .collect(),
+        idle: d.idle.into_iter().map(idle_out).collect(),
+        yielding: d.yielding.into_iter().map(idle_out).collect(),
     }
 }
 
@@ -70,16 +82,8 @@
         ledger: d.ledger,
         demand: d.demand,
         needs: d.needs.into_iter().map(need_in).collect(),
-        idle: d
-            .idle
-            .into_iter()
-            .map(|i| Idle {
-                machine: MachineId::new(i.machine),
-                model: i.model,
-                zone: i.zone,
-                spot: i.spot,
-            })
-            .collect(),
+        idle: d.idle.into_iter().map(idle_in).collect(),
+        yielding: d.yielding.into_iter().map(idle_in).collect(),
     }
 }
 
@@ -168,6 +172,7 @@
                     .map(|m| wire::Move {
                         machine: m.machine.as_str().to_owned(),
                         to: m.to.0,
+                        vacate: m.vacate,
                     })
                     .collect(),
                 refused: refused.into_iter().map(need_out).collect(),
@@ -351,6 +356,7 @@
                         .map(|m| Move {
                             machine: MachineId::new(m.machine),
                             to: Partition(m.to),
+                            vacate: m.vacate,
                         })
                         .collect(),
                     refused: reply.refused.into_iter().map(need_in).collect(),
