--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -6,7 +6,7 @@
 use crate::jobs::Job;
 use crate::membership::Stage;
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
-use crate::protocol::{Priority, Shape};
+use crate::protocol::{JobSpec, Priority, Shape};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One team's claim in a round: what it uses, and the share by which it is served.
@@ -35,6 +35,26 @@
 /// A task that may be stopped: its attempt, its team and what it takes.
 type Victim = (TaskId, Attempt, usize, Amounts);
 
+/// How urgent work is, between 0 and 1, by the seconds until it has to be started to be in time.
+///
+/// What can be in time comes first, the tightest ahead; then what can be done by one and a half
+/// deadlines; last what is late in any case, for it would only make others late as well.
+///
+/// Estimates are often wrong by half: what would be in time with half of its estimate counts as such.
+pub fn urgency(slack_s: f64, spec: &JobSpec) -> f64 {
+    const SCALE_S: f64 = 60.0;
+    let within = |left_s: f64| 1.0 / (1.0 + left_s.min(1e9) / SCALE_S);
+    let slack_s = slack_s + 0.5 * spec.estimate_s;
+    let late_s = slack_s + 0.5 * spec.deadline_s.unwrap_or(0.0);
+    if slack_s >= 0.0 {
+        0.6 + 0.4 * within(slack_s)
+    } else if late_s >= 0.0 {
+        0.3 + 0.2 * within(late_s)
+    } else {
+        0.1
+    }
+}
+
 /// A job that waits, as the queue sees it.
 struct Waiting {
     id: JobId,
@@ -42,6 +62,7 @@
     priority: Priority,
     /// Seconds until it has to be started to be in time; services and jobs without deadline: none.
     slack_s: f64,
+    urgency: f64,
     at: u64,
     tasks: Vec<u32>,
 }
@@ -187,6 +208,7 @@
                 team,
                 priority: job.spec.priority,
                 slack_s,
+                urgency: urgency(slack_s, &job.spec),
                 at: job.at_wall,
                 tasks,
             });
@@ -194,7 +216,7 @@
         waiting.sort_by(|a, b| {
             b.priority
                 .cmp(&a.priority)
-                .then(a.slack_s.total_cmp(&b.slack_s))
+                .then(b.urgency.total_cmp(&a.urgency))
                 .then(a.at.cmp(&b.at))
         });
         waiting
@@ -334,11 +356,7 @@
             }
         }
         let spec = &job.spec;
-        let urgency = if slack_s < 0.0 {
-            0.9
-        } else {
-            1.0 / (1.0 + slack_s.min(1e6) / 60.0)
-        };
+        let urgency = urgency(slack_s, spec);
         Some(JobTerms {
             size: Self::size(spec),
             models: spec.models.clone(),
