--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -263,6 +263,14 @@
                 m.addr = entry.addr;
             }
             _ => {
+                let kind = if entry.spot { " (spot)" } else { "" };
+                self.log(
+                    Level::Debug,
+                    format!(
+                        "{id}: {} in {}{kind}, partition {}",
+                        entry.model, entry.zone, entry.part
+                    ),
+                );
                 if self.machines.contains_key(&id) {
                     // Handed over empty; whatever this controller thought of it is void.
                     self.release_all(&id, "it was handed to another partition");
