Beats are answered in an outage of the state service, under the promises of all peers

Tests: five, each failing without its guard; the stand-in now checks at every step that no two controllers act for a partition.

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -612,6 +612,7 @@
         let now = self.now.ms;
         let every = 2 * self.set.report_ms() / 5;
         let leader = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
+        let wants_grant = self.wants_grants();
         let names: Vec<String> = self.set.platform.siblings.iter().map(|s| s.host_name.clone()).collect();
         for name in names {
             let to = ControllerId::new(name);
@@ -621,6 +622,7 @@
             }
             peer.asking = true;
             peer.asked = now.max(1);
+            peer.asked_grant = wants_grant;
             let digests = if leader.as_ref() == Some(&to) && self.entitled() {
                 self.own_digests()
             } else {
@@ -629,16 +631,20 @@
             let request = PeerRequest::Hello {
                 name: self.me.as_str().to_owned(),
                 entitled: self.entitled(),
+                wants_grant,
+                relies: self.relies_on(&to),
                 digests,
             };
             let timeout = self.set.report_ms() / 2;
-            self.ask(to.clone(), request, timeout, Purpose::Hello { to });
+            self.ask(to.clone(), request, timeout, Purpose::Hello { to, sent: now });
         }
     }
 
-    pub(crate) fn on_hello(&mut self, id: u64, name: String, entitled: bool, digests: Vec<Digest>) {
+    pub(crate) fn on_hello(&mut self, id: u64, from: ControllerId, stands: (bool, bool, bool), digests: Vec<Digest>) {
         let now = self.now.ms;
-        let from = ControllerId::new(name);
+        let (entitled, wants_grant, relies) = stands;
+        let granted = wants_grant && self.promise();
+        self.note_reliance(&from, relies || granted);
         let lead = self.is_leader();
         if let Some(peer) = self.member.peers.get_mut(&from) {
             peer.entitled = entitled;
@@ -670,10 +676,13 @@
                 .collect();
         }
         let entitled = self.entitled();
+        let relies = self.relies_on(&from);
         self.out.push(crate::controller::Output::Tell {
             id,
             reply: PeerReply::Hello {
                 entitled,
+                granted,
+                relies,
                 moves,
                 refused,
             },
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -152,6 +152,10 @@
         name: String,
         /// It holds its lease.
         entitled: bool,
+        /// It asks for a promise to leave the membership as it is.
+        wants_grant: bool,
+        /// It relies, or may come to rely, on a promise of the other.
+        relies: bool,
         /// Its partitions.
         digests: Vec<Digest>,
     },
@@ -166,6 +170,10 @@
     Hello {
         /// The answerer holds its lease.
         entitled: bool,
+        /// The answerer promises to leave the membership as it is for a controller's lease.
+        granted: bool,
+        /// It relies, or may come to rely, on a promise of the other.
+        relies: bool,
         /// Machines to hand over (from the leader only).
         moves: Vec<Move>,
         /// Kinds of machine that the cloud refused lately (from the leader only).
@@ -350,6 +358,7 @@
     },
     Hello {
         to: ControllerId,
+        sent: u64,
     },
     Relay {
         asker: Asker,
@@ -449,7 +458,7 @@
             out: Vec::new(),
             next_call: 1,
             pending: BTreeMap::new(),
-            member: Membership::new(incarnation),
+            member: Membership::new(incarnation, now.ms + set.lease_ms()),
             tenures: BTreeMap::new(),
             types: Vec::new(),
             jobs: BTreeMap::new(),
@@ -592,8 +601,10 @@
             PeerRequest::Hello {
                 name,
                 entitled,
+                wants_grant,
+                relies,
                 digests,
-            } => self.on_hello(id, name, entitled, digests),
+            } => self.on_hello(id, ControllerId::new(name), (entitled, wants_grant, relies), digests),
         }
     }
 
@@ -635,17 +646,23 @@
     fn on_peer_reply(&mut self, purpose: Purpose, result: Option<PeerReply>) {
         match (purpose, result) {
             (
-                Purpose::Hello { to },
+                Purpose::Hello { to, sent },
                 Some(PeerReply::Hello {
                     entitled,
+                    granted,
+                    relies,
                     moves,
                     refused,
                 }),
             ) => {
                 self.note_peer(&to, true, entitled);
+                self.note_reliance(&to, relies);
+                if granted {
+                    self.note_grant(&to, sent);
+                }
                 self.on_moves(&to, moves, refused);
             }
-            (Purpose::Hello { to }, _) => self.note_peer(&to, false, false),
+            (Purpose::Hello { to, .. }, _) => self.note_peer(&to, false, false),
             (Purpose::Relay { asker, report }, result) => self.on_relayed(asker, &report, result),
             (Purpose::ForwardStatus { asker, job }, result) => match result {
                 Some(PeerReply::Answer(answer)) if answer.status == 200 => self.answer(asker, answer),
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -75,6 +75,8 @@
     pub(crate) entitled: bool,
     pub(crate) asked: u64,
     pub(crate) asking: bool,
+    /// The question that is out asks for a promise.
+    pub(crate) asked_grant: bool,
 }
 
 /// A controller's standing and its view of the others.
@@ -94,6 +96,16 @@
     /// Number of the watch that counts: an older one may hang for long after a cut has ended.
     watch_number: u64,
     extend_failed: bool,
+    /// The last call about a lease failed: the state service does not serve this controller.
+    unserved: bool,
+    /// Peers' promises not to change the membership, by when each ends on this clock.
+    grants: BTreeMap<ControllerId, u64>,
+    /// This controller's own promises: it neither takes the lead nor raises an epoch before.
+    promised_until: u64,
+    /// A process that has just started may have forgotten promises: it leads only once every peer
+    /// has said that it relies on none, or the longest would be over.
+    fresh_until: u64,
+    cleared: BTreeSet<ControllerId>,
     retry_at: u64,
     pub(crate) ledger: u64,
     pub(crate) members: BTreeMap<ControllerId, MemberRecord>,
@@ -108,7 +120,7 @@
 }
 
 impl Membership {
-    pub(crate) fn new(inc: Incarnation) -> Self {
+    pub(crate) fn new(inc: Incarnation, fresh_until: u64) -> Self {
         Self {
             inc,
             permit: None,
@@ -123,6 +135,11 @@
             watching: false,
             watch_number: 0,
             extend_failed: false,
+            unserved: false,
+            grants: BTreeMap::new(),
+            promised_until: 0,
+            fresh_until,
+            cleared: BTreeSet::new(),
             retry_at: 0,
             ledger: 0,
             members: BTreeMap::new(),
@@ -235,9 +252,82 @@
 }
 
 impl Controller {
-    /// Whether this controller may act now.
+    /// Whether this controller may act now: inside its lease, or under the promises of all peers.
     pub fn entitled(&self) -> bool {
-        self.member.permit.is_some() && self.now.ms < self.member.entitled_until
+        self.entitled_at(self.now.ms)
+    }
+
+    fn entitled_at(&self, now: u64) -> bool {
+        self.member.permit.is_some() && now < self.member.entitled_until.max(self.granted_until())
+    }
+
+    /// Whether this controller acts for a partition at some time after its last step.
+    pub fn acts_at(&self, now: u64, partition: Partition) -> bool {
+        let active = |t: &Tenure| t.stage == Stage::Active;
+        self.entitled_at(now) && self.tenures.get(&partition).is_some_and(active)
+    }
+
+    /// The time up to which every peer has promised to leave the membership as it is.
+    fn granted_until(&self) -> u64 {
+        let siblings = &self.set.platform.siblings;
+        let until = |name: &str| self.member.grants.get(&ControllerId::new(name)).copied().unwrap_or(0);
+        siblings.iter().map(|s| until(&s.host_name)).min().unwrap_or(0)
+    }
+
+    /// Whether the peers should be asked for promises: only they can say whether this is an outage.
+    pub(crate) fn wants_grants(&self) -> bool {
+        self.member.extend_failed && self.entitled()
+    }
+
+    /// Gives a promise, if this controller is not served either. One that is served refuses: whoever
+    /// asked is then alone, and steps down at the end of its lease.
+    pub(crate) fn promise(&mut self) -> bool {
+        if !self.member.unserved {
+            return false;
+        }
+        let until = self.now.ms + self.set.lease_ms();
+        self.member.promised_until = self.member.promised_until.max(until);
+        true
+    }
+
+    /// A peer has answered a request for its promise that was sent at `sent`.
+    ///
+    /// It counts from the sending, and only if it comes while this controller is still entitled: so
+    /// there is no moment between its lease and the promises in which others could have moved on.
+    pub(crate) fn note_grant(&mut self, from: &ControllerId, sent: u64) {
+        if self.entitled() {
+            let until = sent + self.set.entitlement_ms();
+            if self.now.ms >= self.member.entitled_until.saturating_sub(self.set.lease_ms() / 4) {
+                self.log(
+                    Level::Debug,
+                    format!("{from} promises to leave the membership as it is"),
+                );
+            }
+            self.member.grants.insert(from.clone(), until);
+        }
+    }
+
+    /// Whether this controller relies, or may come to rely, on a promise of a peer's.
+    pub(crate) fn relies_on(&self, peer: &ControllerId) -> bool {
+        let given = self.member.grants.get(peer).is_some_and(|until| self.now.ms < *until);
+        given || self.member.peers.get(peer).is_some_and(|p| p.asked_grant)
+    }
+
+    pub(crate) fn note_reliance(&mut self, peer: &ControllerId, relies: bool) {
+        if relies {
+            self.member.cleared.remove(peer);
+        } else {
+            self.member.cleared.insert(peer.clone());
+        }
+    }
+
+    /// Whether this controller's promises, forgotten ones included, let it change the membership.
+    fn may_change_membership(&self) -> bool {
+        let now = self.now.ms;
+        let siblings = &self.set.platform.siblings;
+        let clear = |name: &str| self.member.cleared.contains(&ControllerId::new(name));
+        let fresh = now < self.member.fresh_until && !siblings.iter().all(|s| clear(&s.host_name));
+        now >= self.member.promised_until && !fresh
     }
 
     pub(crate) fn epoch(&self) -> Option<Epoch> {
@@ -391,6 +481,7 @@
         };
         match granted {
             Some(g) => {
+                self.member.unserved = false;
                 self.member.permit = Some(g.permit);
                 self.member.extended_at = sent;
                 self.member.entitled_until = sent + self.set.entitlement_ms();
@@ -400,7 +491,10 @@
                 self.log(Level::Info, format!("lease taken, life {inc}"));
                 self.tick_membership();
             }
-            None => self.back_off(),
+            None => {
+                self.member.unserved = true;
+                self.back_off();
+            }
         }
     }
 
@@ -412,6 +506,7 @@
         match result {
             Some((200, _)) => {
                 let until = sent + self.set.entitlement_ms();
+                self.member.unserved = false;
                 if !self.entitled() {
                     self.log(Level::Info, "lease extended again after a gap: acting again");
                 }
@@ -424,6 +519,7 @@
             Some((404, _)) => self.lose_lease(),
             _ => {
                 self.member.extend_failed = true;
+                self.member.unserved = true;
                 // Try again soon: an extension that failed is worth more than a quiet line.
                 let soon = self.set.report_ms() / 4;
                 self.member.extended_at = (self.now.ms + soon).saturating_sub(self.set.lease_ms() / 4);
@@ -443,6 +539,8 @@
         );
         self.member.permit = None;
         self.member.entitled_until = 0;
+        self.member.grants.clear();
+        self.member.unserved = false;
         self.member.inc = Incarnation(self.member.inc.0 + 1);
         self.member.written = None;
         self.member.retry_at = self.now.ms;
@@ -488,7 +586,7 @@
 
     fn seek_leadership(&mut self) {
         let Some(permit) = self.member.permit else { return };
-        if self.member.taking || !self.entitled() || !self.member.watching {
+        if self.member.taking || !self.entitled() || !self.member.watching || !self.may_change_membership() {
             return;
         }
         // Whoever leads must itself be a member that the others see.
@@ -522,7 +620,7 @@
     }
 
     fn lead_epoch(&mut self) {
-        if !self.is_leader() || self.member.epoch_writing || !self.member.watching {
+        if !self.is_leader() || self.member.epoch_writing || !self.member.watching || !self.may_change_membership() {
             return;
         }
         let names = self.set.names();
@@ -821,6 +919,7 @@
         let now = self.now.ms;
         let peer = self.member.peers.entry(name.clone()).or_default();
         peer.asking = false;
+        peer.asked_grant = false;
         peer.reachable = reachable;
         if reachable {
             peer.heard = Some(now);
--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::fmt::Write as _;
-use tidelatch_core::ids::Incarnation;
+use tidelatch_core::ids::{Incarnation, Partition};
 use tidelatch_core::settings::{Operator, Platform, Settings};
 use tidelatch_core::{Answer, Controller, Input, Level, Method, Now, Output, PeerReply, PeerRequest, Target};
 
@@ -298,6 +298,7 @@
             self.now = at;
             self.expire_leases();
             self.happen(event);
+            self.check_owners();
         }
         self.now = until;
         self.expire_leases();
@@ -982,6 +983,16 @@
         }
     }
 
+    /// No two controllers may act for a partition at a time.
+    fn check_owners(&mut self) {
+        for p in 0..3 {
+            let acts = |n: &Node| n.core.as_ref().is_some_and(|c| c.acts_at(self.now, Partition(p)));
+            if self.nodes.iter().filter(|n| acts(n)).count() > 1 {
+                self.breach(format!("two controllers act for partition {p}"));
+            }
+        }
+    }
+
     /// A task has started on a machine: the rules are checked.
     fn started(&mut self, machine: &str, task: &str) {
         self.note(&format!("{machine} starts {task}"));
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -368,18 +368,111 @@
 }
 
 #[test]
-fn a_long_state_outage_breaks_no_rule() {
-    // Guard: without a lease nothing is answered; workers end their sessions, and that is believed.
+fn a_long_state_outage_costs_no_task() {
+    // Guard: under the promises of all peers a controller goes on answering beats, and no gap lies
+    // between its lease and the promises.
     let mut world = with_service(0);
-    world.store.down = true;
-    world.run(40_000);
-    world.store.down = false;
+    world.accepted(1, &job(2, 1, "standing", 2));
     assert!(
-        world.run_until(40_000, |w| w.running("job-000001") == 2),
+        world.run_until(30_000, |w| w.running("job-000002") == 2),
         "{}",
         world.trace()
     );
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
+    let epoch = world.epoch();
+    world.note("the state service goes down");
+    world.store.down = true;
+    world.run(60_000);
+    world.store.down = false;
+    world.note("the state service is back");
+    world.run(10_000);
+    assert_eq!(world.epoch(), epoch, "{}", world.trace());
+    assert!(
+        world.workers.values().all(|w| w.session == 1),
+        "no worker's lease ended"
+    );
+    assert_eq!(world.running("job-000001") + world.running("job-000002"), 4);
+    keep(&world, "long_state_outage");
+}
+
+#[test]
+fn a_crash_in_a_long_state_outage_costs_only_what_must_be() {
+    // The peers' promises last for a controller's lease, so a restart in between is bridged.
+    let mut world = with_service(0);
+    let owner = world.owner_of_team(0);
+    world.store.down = true;
+    world.run(12_000);
+    world.crash((owner + 1) % 3);
+    world.run(5000);
+    world.start((owner + 1) % 3);
+    world.run(25_000);
+    assert!(world.workers.values().all(|w| w.session == 1), "{}", world.trace());
+    world.store.down = false;
+    world.run(20_000);
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+/// All controllers are refused, each by itself, so that leases run out in the store; then all but the
+/// owner of team 0 are served again. Two controllers must never act for its partition.
+fn refused_one_by_one(restart_others: bool) -> World {
+    let mut world = with_service(0);
+    let owner = world.owner_of_team(0);
+    let name = format!("berth-{owner}");
+    world.note("every controller is refused by the state service, each by itself");
+    world.meddle(|l| if l.to == "state" { Fate::Lost } else { Fate::Pass });
+    world.run(20_000);
+    if restart_others {
+        for other in (0..3).filter(|i| *i != owner) {
+            world.crash(other);
+            world.start(other);
+        }
+    }
+    world.note("all but the owner are served again, and the owner is cut off from them");
+    world.meddle(move |l| {
+        if l.from == name || l.to == name {
+            Fate::Lost
+        } else {
+            Fate::Pass
+        }
+    });
+    world.run(30_000);
+    assert_ne!(world.owner_of_team(0), owner, "{}", world.trace());
+    world.calm();
+    world.run(30_000);
+    assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    world
+}
+
+#[test]
+fn a_promise_is_kept_by_those_who_are_served_again() {
+    // Guard: whoever has promised neither leads nor raises an epoch until that is over.
+    keep(&refused_one_by_one(false), "promises_are_kept");
+}
+
+#[test]
+fn a_promise_is_kept_even_if_it_may_be_forgotten() {
+    // Guard: a new process leads only once all peers rely on nothing, or the longest promise is over.
+    keep(&refused_one_by_one(true), "promises_may_be_forgotten");
+}
+
+#[test]
+fn the_promise_of_one_peer_is_not_enough() {
+    // Guard: any peer could change the membership, so every one of them has to promise.
+    let mut world = with_service(0);
+    let owner = world.owner_of_team(0);
+    let (refused, served) = (
+        format!("berth-{}", (owner + 1) % 3),
+        format!("berth-{}", (owner + 2) % 3),
+    );
+    let name = format!("berth-{owner}");
+    world.meddle(move |l| {
+        let without_state = l.to == "state" && (l.from == name || l.from == refused);
+        let cut = (l.from == name && l.to == served) || (l.from == served && l.to == name);
+        if without_state || cut { Fate::Lost } else { Fate::Pass }
+    });
+    world.run(30_000);
+    assert_eq!(world.owner_of_team(0), (owner + 2) % 3, "{}", world.trace());
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
 
 #[test]
--- a/crates/tidelatch/src/peers.rs
+++ b/crates/tidelatch/src/peers.rs
@@ -158,15 +158,21 @@
         let request = PeerRequest::Hello {
             name: r.name,
             entitled: r.entitled,
+            wants_grant: r.wants_grant,
+            relies: r.relies,
             digests: r.digests.into_iter().map(digest_in).collect(),
         };
         match self.ask(request).await? {
             PeerReply::Hello {
                 entitled,
+                granted,
+                relies,
                 moves,
                 refused,
             } => Ok(tonic::Response::new(wire::HelloReply {
                 entitled,
+                granted,
+                relies,
                 moves: moves
                     .into_iter()
                     .map(|m| wire::Move {
@@ -340,16 +346,22 @@
             PeerRequest::Hello {
                 name,
                 entitled,
+                wants_grant,
+                relies,
                 digests,
             } => {
                 let request = wire::HelloRequest {
                     name,
                     entitled,
+                    wants_grant,
+                    relies,
                     digests: digests.into_iter().map(digest_out).collect(),
                 };
                 let reply = client.hello(request).await.ok()?.into_inner();
                 Some(PeerReply::Hello {
                     entitled: reply.entitled,
+                    granted: reply.granted,
+                    relies: reply.relies,
                     moves: reply
                         .moves
                         .into_iter()
