--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -6,6 +6,7 @@
 use crate::membership::{Membership, Tenure};
 use crate::picture::{Guest, Machine};
 use crate::protocol::{JobSpec, MachineType, Rental};
+use crate::queue::Learned;
 use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -434,6 +435,7 @@
     pub(crate) state_reads: Bucket,
     pub(crate) state_writes: Bucket,
     pub(crate) batch_due: Option<u64>,
+    pub(crate) learned: Learned,
     pub(crate) flush_due: u64,
     pub(crate) consolidate_due: u64,
     pub(crate) consolidated: BTreeMap<Partition, u64>,
@@ -468,6 +470,7 @@
             state_reads,
             state_writes,
             batch_due: None,
+            learned: Learned::default(),
             flush_due: 0,
             consolidate_due: 0,
             consolidated: BTreeMap::new(),
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -8,7 +8,7 @@
 use crate::controller::{Answer, Asker, Controller, Level, Method, NOT_SENT, PeerReply, PeerRequest, Purpose, Target};
 use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::{ROSTER_PREFIX, Stage};
-use crate::protocol::{Command, Orders, Report, TaskState};
+use crate::protocol::{Command, Orders, Report, Shape, TaskState};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -834,7 +834,10 @@
                     m.failures.clear();
                 }
                 let here = self.machines.get(id).map(|m| m.partition);
-                if self.jobs.get(&task.job).map(|j| j.partition) == here {
+                if let Some(job) = self.jobs.get(&task.job).filter(|j| Some(j.partition) == here) {
+                    if let Some(began) = began.filter(|_| job.spec.shape == Shape::Array) {
+                        self.learned.note(&job.spec, now.saturating_sub(began) as f64 / 1000.0);
+                    }
                     self.task_done(task);
                 }
             }
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -35,6 +35,43 @@
 /// A task that may be stopped: its attempt, its team and what it takes.
 type Victim = (TaskId, Attempt, usize, Amounts);
 
+/// What the run times of a class's tasks have taught about its estimates.
+#[derive(Debug, Clone, Default)]
+pub struct Learned {
+    /// By class: the sum of the logarithms of run time over estimate, and their number.
+    ratios: BTreeMap<String, (f64, f64)>,
+}
+
+impl Learned {
+    /// Tasks that count before a class's estimates are corrected.
+    const ENOUGH: f64 = 8.0;
+    /// Weight of what was learned, in tasks: older ones fade beyond it.
+    const MEMORY: f64 = 64.0;
+
+    /// A task of a class has run for so long.
+    pub fn note(&mut self, spec: &JobSpec, ran_s: f64) {
+        if spec.estimate_s <= 0.0 || ran_s <= 0.0 {
+            return;
+        }
+        let (sum, n) = self.ratios.entry(spec.class.clone()).or_default();
+        let fade = if *n >= Self::MEMORY {
+            1.0 - 1.0 / Self::MEMORY
+        } else {
+            1.0
+        };
+        *sum = *sum * fade + (ran_s / spec.estimate_s).ln().clamp(-2.0, 2.0);
+        *n = *n * fade + 1.0;
+    }
+
+    /// The run time to expect of a job's tasks: its estimate, as corrected by what was learned.
+    pub fn run_s(&self, spec: &JobSpec) -> f64 {
+        match self.ratios.get(&spec.class) {
+            Some((sum, n)) if *n >= Self::ENOUGH => spec.estimate_s * (sum / n).exp(),
+            _ => spec.estimate_s,
+        }
+    }
+}
+
 /// How urgent work is, between 0 and 1, by the seconds until it has to be started to be in time.
 ///
 /// What can be in time comes first, the tightest ahead; then what can be done by one and a half
@@ -172,6 +209,7 @@
             .map(|(i, t)| (t.name.clone(), i))
             .collect();
         let mut waiting = Vec::new();
+        let learned = &self.learned;
         for (id, job) in &mut self.jobs {
             if job.partition != partition || !job.startable(now.ms) {
                 continue;
@@ -202,7 +240,7 @@
             let slack_s = job
                 .spec
                 .deadline_s
-                .map_or(f64::MAX, |d| d - age_s - job.spec.estimate_s);
+                .map_or(f64::MAX, |d| d - age_s - learned.run_s(&job.spec));
             waiting.push(Waiting {
                 id: id.clone(),
                 team,
@@ -368,7 +406,7 @@
             image_gb: spec.image_gb,
             guaranteed: self.within_guarantee(id, job),
             deadline_s: spec.deadline_s.unwrap_or(0.0),
-            estimate_s: spec.estimate_s,
+            estimate_s: self.learned.run_s(spec),
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
             service: spec.shape == Shape::Service,
             in_zone,
--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -5,7 +5,8 @@
 use tidelatch_core::ids::Partition;
 use tidelatch_core::placement::{Amounts, Batch, JobTerms, Slot};
 use tidelatch_core::protocol::MachineType;
-use tidelatch_core::queue::{Claim, turn};
+use tidelatch_core::protocol::parse_submission;
+use tidelatch_core::queue::{Claim, Learned, turn};
 
 fn slot(zone: &str, spot: bool, free_gpus: f64) -> Slot {
     Slot {
@@ -224,3 +225,18 @@
         "arrays that may use spot machines get them"
     );
 }
+
+#[test]
+fn estimates_are_corrected_by_what_tasks_of_their_class_took() {
+    let body = br#"{"uid":"job-1","consist":"c","crew":"t","shape":"sweep","precedence":"low","wagons":1,"vcpus":1,
+        "accelerators":1,"ramGb":1,"stock":"i","sizeGb":1,"together":false,"spread":false,"standby":true,
+        "runtimeS":50,"waypointS":0,"stowS":0}"#;
+    let (_, spec) = parse_submission(body).expect("well formed");
+    let mut learned = Learned::default();
+    learned.note(&spec, 100.0);
+    assert_eq!(learned.run_s(&spec), 50.0, "one task tells nothing");
+    (0..20).for_each(|_| learned.note(&spec, 100.0));
+    assert!((learned.run_s(&spec) - 100.0).abs() < 1e-6);
+    (0..400).for_each(|_| learned.note(&spec, 25.0));
+    assert!(learned.run_s(&spec) < 30.0, "older tasks fade");
+}
