--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -1037,12 +1037,7 @@
     /// Marks machines to be returned: idle ones, and faulty ones once they are empty.
     fn retire(&mut self) {
         let now = self.now.ms;
-        let acting: Vec<Partition> = self
-            .tenures
-            .iter()
-            .filter(|(_, t)| t.stage == Stage::Active)
-            .map(|(p, _)| *p)
-            .collect();
+        let acting = self.acting_partitions();
         let idle_per_boot = self.set.operator.idle_per_boot;
         let mut log = Vec::new();
         for (id, m) in &mut self.machines {
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -8,7 +8,7 @@
 use crate::protocol::{JobSpec, MachineType, Rental};
 use crate::queue::Learned;
 use crate::settings::Settings;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Status of a call that was never sent: no connection came about, so nothing can have been executed.
 pub const NOT_SENT: u16 = 0;
@@ -430,6 +430,7 @@
     pub(crate) types: Vec<MachineType>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) over: BTreeMap<JobId, Over>,
+    pub(crate) over_order: VecDeque<JobId>,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) cloud: Cloud,
     pub(crate) state_reads: Bucket,
@@ -465,6 +466,7 @@
             types: Vec::new(),
             jobs: BTreeMap::new(),
             over: BTreeMap::new(),
+            over_order: VecDeque::new(),
             machines: BTreeMap::new(),
             cloud,
             state_reads,
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -2,7 +2,7 @@
 
 use crate::controller::{Answer, Asker, Controller, Level, Method, PeerRequest, Purpose as Call, Target};
 use crate::ids::{Epoch, JobId, MachineId, Partition, Stamp, TaskId};
-use crate::membership::{JOB_PREFIX, Stage};
+use crate::membership::JOB_PREFIX;
 use crate::protocol::{Item, JobSpec, Malformed, Shape, TaskState, TxnAnswer, parse_submission, submission_id};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -293,9 +293,23 @@
         }
     }
 
+    /// Keeps a final state at hand. Beyond a part of the memory the oldest are dropped: a question about
+    /// one of those is answered by a read.
+    fn remember_over(&mut self, id: &JobId, over: Over) {
+        // A fifth of the memory, at about 300 bytes for each.
+        let most = (self.set.platform.facts.machine_limits.ram_mb * 1e6 / 5.0 / 300.0) as usize;
+        self.over.insert(id.clone(), over);
+        self.over_order.push_back(id.clone());
+        while self.over_order.len() > most.max(1000) {
+            if let Some(oldest) = self.over_order.pop_front() {
+                self.over.remove(&oldest);
+            }
+        }
+    }
+
     fn job_over(&mut self, id: &JobId, over: Over) {
         let body = over.body(id);
-        self.over.insert(id.clone(), over);
+        self.remember_over(id, over);
         if let Some(job) = self.jobs.remove(id) {
             for asker in job.askers {
                 self.answer(asker, Answer::new(200, body.clone()));
@@ -750,12 +764,7 @@
             return;
         }
         self.flush_due = self.now.ms + self.set.report_ms() / 3;
-        let acting: Vec<Partition> = self
-            .tenures
-            .iter()
-            .filter(|(_, t)| t.stage == Stage::Active)
-            .map(|(p, _)| *p)
-            .collect();
+        let acting = self.acting_partitions();
         let again: Vec<(JobId, Ending)> = self
             .jobs
             .iter()
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -371,6 +371,12 @@
                 .any(|p| p.entitled && p.heard.is_some_and(|t| self.now.ms.saturating_sub(t) < recently))
     }
 
+    /// The partitions that this controller has taken over.
+    pub(crate) fn acting_partitions(&self) -> Vec<Partition> {
+        let active = self.tenures.iter().filter(|(_, t)| t.stage == Stage::Active);
+        active.map(|(p, _)| *p).collect()
+    }
+
     pub(crate) fn epoch_condition(&self) -> Value {
         let stamp = self.member.epoch.as_ref().map_or(Stamp(0), |(_, s)| *s);
         json!({ "k": EPOCH_KEY, "stamp": stamp })
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -168,12 +168,7 @@
     /// Draws batches from the queues and places them, until nothing more can be placed.
     pub(crate) fn run_batch(&mut self) {
         self.batch_due = None;
-        let acting: Vec<Partition> = self
-            .tenures
-            .iter()
-            .filter(|(_, t)| t.stage == Stage::Active)
-            .map(|(p, _)| *p)
-            .collect();
+        let acting = self.acting_partitions();
         if !self.entitled() {
             return;
         }
--- a/crates/tidelatch/src/http.rs
+++ b/crates/tidelatch/src/http.rs
@@ -92,6 +92,7 @@
             let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut parsed = httparse::Request::new(&mut headers);
             match parsed.parse(&self.buffer) {
+                Ok(httparse::Status::Complete(head)) if head > HEAD_LIMIT => return Err(Fault::HeadTooLarge),
                 Ok(httparse::Status::Complete(head)) => {
                     let method = parsed.method.unwrap_or_default().to_owned();
                     let path = parsed.path.unwrap_or_default().to_owned();
@@ -393,3 +394,77 @@
         Ok((status, body))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use smol::net::TcpListener;
+
+    /// What a connection reads when the other side sends some bytes and closes.
+    fn read<T>(sent: &[u8], take: impl AsyncFnOnce(&mut Connection) -> T) -> T {
+        smol::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let to = listener.local_addr().expect("it has an address");
+            let mut sender = TcpStream::connect(to).await.expect("it listens");
+            sender.write_all(sent).await.expect("the bytes go out");
+            drop(sender);
+            let (stream, _) = listener.accept().await.expect("a connection");
+            take(&mut Connection::new(stream)).await
+        })
+    }
+
+    #[test]
+    fn requests_follow_each_other_on_one_connection() {
+        let sent = b"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nConnection: close\r\n\r\n";
+        read(sent, async |c| {
+            let first = c.request().await.expect("a request");
+            assert_eq!(
+                (first.path.as_str(), first.body.as_slice(), first.keep_alive),
+                ("/a", &b"abc"[..], true)
+            );
+            let second = c.request().await.expect("another");
+            assert_eq!(
+                (second.method.as_str(), second.body.len(), second.keep_alive),
+                ("GET", 0, false)
+            );
+            assert!(matches!(c.request().await, Err(Fault::Closed)));
+        });
+    }
+
+    #[test]
+    fn chunked_bodies_are_put_together() {
+        let sent =
+            b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n";
+        read(sent, async |c| {
+            assert_eq!(c.request().await.expect("a request").body, b"abcde")
+        });
+    }
+
+    #[test]
+    fn what_is_too_large_or_malformed_is_told_apart() {
+        let large = format!("POST /a HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BODY_LIMIT + 1);
+        read(large.as_bytes(), async |c| {
+            assert!(matches!(c.request().await, Err(Fault::BodyTooLarge)))
+        });
+        let head = format!("GET /a HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(2 * HEAD_LIMIT));
+        read(head.as_bytes(), async |c| {
+            assert!(matches!(c.request().await, Err(Fault::HeadTooLarge)))
+        });
+        for bad in [
+            "nonsense\r\n\r\n",
+            "POST /a HTTP/1.1\r\nContent-Length: many\r\n\r\n",
+            "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+        ] {
+            read(bad.as_bytes(), async |c| {
+                assert!(matches!(c.request().await, Err(Fault::Malformed)), "{bad}")
+            });
+        }
+        read(b"POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", async |c| {
+            assert!(
+                matches!(c.request().await, Err(Fault::Closed)),
+                "it ends within the body"
+            );
+        });
+    }
+}
