The search runs in slices, within a budget that scales with the processor share

With hundreds of jobs waiting, one round could have looked at machines millions of times, at a few hundredths of a core: for seconds, in which beats and polls wait. Now a slice ends with its budget, what found no machine rests, and the rest goes on after the batch's wait. Test: a_crowd_of_jobs_is_searched_in_slices_and_all_of_them_run, which fails without the rest.

--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -1,6 +1,6 @@
 //! The state machine: inputs, outputs, and the table of calls that are under way.
 
-use crate::capacity::Cloud;
+use crate::capacity::{Cloud, Wish};
 use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition};
 use crate::jobs::{Job, Over, Purpose as JobPurpose};
 use crate::membership::{Membership, Tenure};
@@ -437,6 +437,8 @@
     pub(crate) state_writes: Bucket,
     pub(crate) batch_due: Option<u64>,
     pub(crate) learned: Learned,
+    /// Jobs that a slice of the search left out, with what they would need, until when.
+    pub(crate) resting: BTreeMap<JobId, (Option<Wish>, u64)>,
     pub(crate) flush_due: u64,
     pub(crate) consolidate_due: u64,
     pub(crate) consolidated: BTreeMap<Partition, u64>,
@@ -473,6 +475,7 @@
             state_writes,
             batch_due: None,
             learned: Learned::default(),
+            resting: BTreeMap::new(),
             flush_due: 0,
             consolidate_due: 0,
             consolidated: BTreeMap::new(),
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -172,11 +172,19 @@
         if !self.entitled() {
             return;
         }
+        let now = self.now.ms;
+        self.resting.retain(|_, (_, until)| now < *until);
         let mut wishes = Vec::new();
+        let mut budget = self.set.search_evaluations();
         for partition in acting {
-            wishes.extend(self.place_partition(partition));
+            wishes.extend(self.place_partition(partition, &mut budget));
         }
+        wishes.extend(self.resting.values().filter_map(|(wish, _)| wish.clone()));
         self.cloud.wishes = wishes;
+        if budget == 0 {
+            // The rest goes on in the next slice: beats and polls come first.
+            self.want_batch();
+        }
         let waits = self
             .jobs
             .values()
@@ -206,7 +214,7 @@
         let mut waiting = Vec::new();
         let learned = &self.learned;
         for (id, job) in &mut self.jobs {
-            if job.partition != partition || !job.startable(now.ms) {
+            if job.partition != partition || !job.startable(now.ms) || self.resting.contains_key(id) {
                 continue;
             }
             // Tasks older than the take-over may be on a machine that has not reported; and a job
@@ -255,7 +263,7 @@
         waiting
     }
 
-    fn place_partition(&mut self, partition: Partition) -> Vec<Wish> {
+    fn place_partition(&mut self, partition: Partition, budget: &mut usize) -> Vec<Wish> {
         let teams = self.set.platform.facts.teams.clone();
         let used = self.used_by_teams();
         let limits: Vec<Amounts> = teams
@@ -302,7 +310,11 @@
             }
             let tasks: Vec<usize> = batch.iter().map(|d| d.job).collect();
             let first: Vec<bool> = batch.iter().map(|d| d.guaranteed).collect();
-            let moves = tasks.len() * self.set.operator.search_moves_per_task as usize;
+            // The greedy pass looks at each machine once for each task; each move does so for one.
+            let (n, width) = (tasks.len(), slots.len().max(1));
+            let most = n * self.set.operator.search_moves_per_task as usize;
+            let moves = most.min(budget.saturating_sub(n * width) / width);
+            *budget = budget.saturating_sub((n + moves) * width);
             let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks)
                 .guaranteed_first(first)
                 .place(moves);
@@ -323,6 +335,9 @@
                     }
                 }
             }
+            if *budget == 0 {
+                break;
+            }
         }
         // Tasks of jobs that stuck wait too, even if no batch drew them; their room is limited.
         for (j, w) in waiting.iter().enumerate().filter(|(j, _)| stuck.contains(j)) {
@@ -347,6 +362,16 @@
                 .count += 1;
         }
         self.preempt(partition, &needy, &waiting, &jobs, &used);
+        if *budget == 0 {
+            // What found no machine rests for a while, so that the next slice gets to the others; its
+            // wishes stand meanwhile.
+            let until = self.now.ms + self.set.batch_retry_ms();
+            for j in stuck {
+                if let Some(w) = waiting.get(j) {
+                    self.resting.insert(w.id.clone(), (wishes.remove(&j), until));
+                }
+            }
+        }
         wishes.into_values().collect()
     }
 
--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -260,6 +260,9 @@
     /// Moves that a batch's search may try, per task of the batch.
     #[schemars(range(min = 0, max = 1_000))]
     pub search_moves_per_task: u32,
+    /// Time that one slice of the search may take, at this controller's share of a processor.
+    #[schemars(range(min = 0.001, max = 10.0))]
+    pub search_budget_s: f64,
     /// A controller's lease in the state service, as a part of the workers' lease.
     #[schemars(range(min = 0.1, max = 0.9))]
     pub controller_lease_per_worker_lease: f64,
@@ -281,6 +284,7 @@
             batch_wait_per_report: 0.08,
             batch_retry_per_report: 0.4,
             search_moves_per_task: 8,
+            search_budget_s: 0.2,
             controller_lease_per_worker_lease: 0.4,
             idle_per_boot: 0.6,
             silent_per_worker_lease: 0.8,
@@ -301,6 +305,7 @@
                 0.0,
                 1_000.0,
             ),
+            ("search_budget_s", self.search_budget_s, 0.001, 10.0),
             (
                 "controller_lease_per_worker_lease",
                 self.controller_lease_per_worker_lease,
@@ -376,6 +381,13 @@
     pub fn silent_ms(&self) -> u64 {
         ms(self.platform.facts.workers.lease_s * self.operator.silent_per_worker_lease)
     }
+    /// How often one slice of the search may look at a machine for a task.
+    pub fn search_evaluations(&self) -> usize {
+        // About what a whole core of today does in a second, on the low side.
+        const PER_CORE_SECOND: f64 = 4e6;
+        let cores = self.platform.facts.machine_limits.cores;
+        (self.operator.search_budget_s * cores * PER_CORE_SECOND).max(1000.0) as usize
+    }
     /// Number of partitions: one for each controller.
     pub fn partitions(&self) -> u32 {
         self.platform.facts.nodes.max(1)
--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -153,7 +153,7 @@
 const REPORT_MS: u64 = 2_500;
 const CANCEL_MS: u64 = 38_000;
 
-fn settings(index: usize) -> Settings {
+fn settings(index: usize, operator: &Operator) -> Settings {
     let siblings: Vec<Value> = (0..3)
         .filter(|i| *i != index)
         .map(|i| json!({ "host_name": format!("berth-{i}"), "area": "a", "address": format!("10.0.0.{}:8081", i + 1) }))
@@ -177,7 +177,7 @@
     assert!(platform.faults().is_empty(), "the stand-in's own settings are in order");
     Settings {
         platform,
-        operator: Operator::default(),
+        operator: operator.clone(),
     }
 }
 
@@ -201,6 +201,11 @@
 impl World {
     /// Three controllers that have just been started.
     pub fn new() -> Self {
+        Self::with(&Operator::default())
+    }
+
+    /// Three controllers with settings of the operators' own.
+    pub fn with(operator: &Operator) -> Self {
         let mut world = Self {
             now: 0,
             store: Store::default(),
@@ -226,7 +231,7 @@
             world.nodes.push(Node {
                 core: None,
                 life: 0,
-                settings: settings(i),
+                settings: settings(i, operator),
                 open: HashSet::new(),
             });
             world.start(i);
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
+use tidelatch_core::settings::Operator;
 use tidelatch_standin::{Fate, World, job};
 
 /// Compares a world's trace with the kept one, and checks that no rule was broken.
@@ -668,6 +669,50 @@
     keep(&world, "vacated_machine");
 }
 
+fn in_zone(mut job: serde_json::Value, zone: &str) -> serde_json::Value {
+    job["yard"] = serde_json::json!(zone);
+    job
+}
+
+#[test]
+fn a_crowd_of_jobs_is_searched_in_slices_and_all_of_them_run() {
+    // Guard: a slice ends with its budget, what found no machine rests, and the others get their turn.
+    let mut world = World::with(&Operator {
+        search_budget_s: 0.001,
+        ..Operator::default()
+    });
+    world.cloud.most = 1;
+    world.run_ms = 500;
+    world.run(3000);
+    // The one machine that the cloud has is in zone a, kept by a replica.
+    world.accepted(0, &in_zone(job(100, 0, "standing", 1), "a"));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000100") > 0),
+        "{}",
+        world.trace()
+    );
+    for id in 0..95 {
+        // Most jobs want a zone that has no machine; those behind them must not starve.
+        let body = if id < 80 {
+            in_zone(job(id + 1, 0, "sweep", 60), "b")
+        } else {
+            in_zone(job(id + 1, 0, "sweep", 2), "a")
+        };
+        let request = world.submit(0, &body);
+        world.run(100);
+        assert_eq!(world.status(request), 201, "{}", world.trace());
+    }
+    let over = |w: &World| {
+        (81..96).all(|id| {
+            w.store
+                .get(&format!("t/j/job-{id:06}"))
+                .is_some_and(|j| j["st"] == "done")
+        })
+    };
+    assert!(world.run_until(200_000, over), "{}", world.trace());
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
 #[test]
 fn idle_machines_are_returned() {
     let mut world = World::new();
