--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -3,7 +3,7 @@
 use crate::controller::{Answer, Asker, Controller, Level, Method, PeerRequest, Purpose as Call, Target};
 use crate::ids::{Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::JOB_PREFIX;
-use crate::protocol::{Item, JobSpec, Malformed, Shape, TaskState, TxnAnswer, parse_submission, submission_id};
+use crate::protocol::{Item, JobSpec, Shape, TaskState, TxnAnswer, parse_submission, submission_id};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -361,23 +361,24 @@
             self.answer(asker, Answer::later(503, 1, "not entitled to act at present"));
             return;
         }
-        let parsed = parse_submission(body);
-        let refusal = match &parsed {
-            Err(fault) => Some(Answer::new(400, json!({ "error": fault.to_string() }).to_string())),
-            Ok((_, spec)) => self.never_runs(spec),
+        let refusal = match parse_submission(body) {
+            Err(fault) => Err(Answer::new(400, json!({ "error": fault.to_string() }).to_string())),
+            Ok((id, spec)) => match self.never_runs(&spec) {
+                Some(answer) => Err(answer),
+                None => Ok((id, spec)),
+            },
         };
-        let (id, spec) = match (parsed, refusal, id) {
-            (_, Some(answer), Some(id)) if answer.status != 503 => {
+        let (id, spec) = match (refusal, id) {
+            (Ok(job), _) => job,
+            (Err(answer), Some(id)) if answer.status != 503 => {
                 // Refused for good only if it has not been accepted before.
                 self.known(asker, id, answer);
                 return;
             }
-            (_, Some(answer), _) => {
+            (Err(answer), _) => {
                 self.answer(asker, answer);
                 return;
             }
-            (Err(Malformed::NotAnObject | Malformed::Field(_)), None, _) => return,
-            (Ok(job), None, _) => job,
         };
         let queued = self.jobs.values().filter(|j| j.spec.team == spec.team).count();
         if queued >= self.set.operator.queue_jobs_per_team as usize {
