--- a/crates/tidelatch-standin/src/state.rs
+++ b/crates/tidelatch-standin/src/state.rs
@@ -25,6 +25,8 @@
     changes: Vec<Change>,
     revision: u64,
     next_lease: u64,
+    /// Changes up to this revision are not kept any more: older watches get 410.
+    pub kept_from: u64,
     /// All requests get 503, and no lease ends.
     pub down: bool,
 }
@@ -146,6 +148,9 @@
             let prefix = query(path, "prefix").unwrap_or("").to_owned();
             let since = query(path, "since").and_then(|s| s.parse().ok()).unwrap_or(0);
             let wait: u64 = query(path, "waitMs").and_then(|s| s.parse().ok()).unwrap_or(0);
+            if since < self.kept_from {
+                return Said::Now(410, json!({ "error": "too old" }));
+            }
             return match self.news(&prefix, since) {
                 Some(news) => Said::Now(200, news),
                 None => Said::Later(prefix, since, now + wait),
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -669,6 +669,60 @@
     keep(&world, "vacated_machine");
 }
 
+#[test]
+fn a_full_queue_is_told_at_once_when_to_come_back() {
+    let mut world = World::with(&Operator {
+        queue_jobs_per_team: 2,
+        ..Operator::default()
+    });
+    world.run(3000);
+    world.accepted(0, &job(1, 0, "sweep", 1));
+    world.accepted(0, &job(2, 0, "sweep", 1));
+    let refused = world.submit(0, &job(3, 0, "sweep", 1));
+    let (at, answer) = world
+        .answers
+        .get(&refused)
+        .cloned()
+        .expect("answered within the same step");
+    assert_eq!((at, answer.status), (world.now, 429));
+    assert!(answer.retry_after_s.is_some());
+    let known = world.submit(0, &job(2, 0, "sweep", 1));
+    assert_eq!(world.status(known), 200, "a job that is known is not refused");
+    world.accepted(0, &job(4, 1, "sweep", 1));
+}
+
+#[test]
+fn a_watch_that_is_too_old_is_replaced_by_reading_the_keys_again() {
+    // Guard: 410 means that changes were missed; what is gone must go, what is new must come.
+    let mut world = with_service(0);
+    world.meddle(|l| {
+        let deaf = l.from == "berth-1" && l.what.starts_with("GET /changes");
+        if deaf { Fate::Lost } else { Fate::Pass }
+    });
+    world.run(10_000);
+    world.accepted(0, &job(2, 1, "sweep", 1));
+    let request = world.withdraw(0, "job-000001");
+    world.run(1000);
+    assert_eq!(world.said(request), "withdrawn", "{}", world.trace());
+    world.run(15_000);
+    let machines = world.store.keys("t/m/").len();
+    world.store.kept_from = world.store.revision();
+    world.calm();
+    assert!(
+        world.run_until(40_000, |w| w
+            .store
+            .get("t/j/job-000002")
+            .is_some_and(|j| j["st"] == "done")),
+        "the owner learns of a job that it had not heard of: {}",
+        world.trace()
+    );
+    let poll = world.poll(1, "job-000001");
+    world.run(300);
+    assert_eq!(world.said(poll), "withdrawn");
+    assert!(machines <= 1, "the service's machine has been returned");
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
 fn in_zone(mut job: serde_json::Value, zone: &str) -> serde_json::Value {
     job["yard"] = serde_json::json!(zone);
     job
