A controller whose watch hangs reads the keys again, and tries to lead with patience

Cause: the trace of a live owner that hears nothing. A watch's answer has no size limit, so one could be too long for good; and a leader that did not hear of its own epoch tried to raise it ten times a second, each try counting against the budget of changes. After two watches without an answer the keys are read in pages; after a try to lead or to raise the epoch the next waits for the watch to come that far, or a quarter of the lease. Tests: a_watch_that_never_answers_is_made_up_for_by_reading_the_keys, and a bound on tries.

--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -8,7 +8,7 @@
 use crate::controller::{Controller, Level, Method, Purpose, Target};
 use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
 use crate::jobs::bits_from_hex;
-use crate::protocol::{Changes, Granted, Items, MachineTypes};
+use crate::protocol::{Changes, Granted, Items, MachineTypes, TxnAnswer};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -95,6 +95,7 @@
     watching: bool,
     /// Number of the watch that counts: an older one may hang for long after a cut has ended.
     watch_number: u64,
+    watch_failures: u32,
     extend_failed: bool,
     /// The last call about a lease failed: the state service does not serve this controller.
     unserved: bool,
@@ -114,6 +115,9 @@
     pub(crate) leader_since: u64,
     pub(crate) epoch: Option<(EpochRecord, Stamp)>,
     epoch_writing: bool,
+    /// After a try to lead or to raise the epoch: no other before this, or before the watch has come
+    /// to this revision. A controller whose watch hangs must not burn the budget of changes.
+    settle: (u64, u64),
     pub(crate) peers: BTreeMap<ControllerId, Peer>,
     was_entitled: bool,
     listed_machines: BTreeSet<MachineId>,
@@ -134,6 +138,7 @@
             listing: false,
             watching: false,
             watch_number: 0,
+            watch_failures: 0,
             extend_failed: false,
             unserved: false,
             grants: BTreeMap::new(),
@@ -148,6 +153,7 @@
             leader_since: 0,
             epoch: None,
             epoch_writing: false,
+            settle: (0, 0),
             peers: BTreeMap::new(),
             was_entitled: false,
             listed_machines: BTreeSet::new(),
@@ -324,6 +330,10 @@
     /// Whether this controller's promises, forgotten ones included, let it change the membership.
     fn may_change_membership(&self) -> bool {
         let now = self.now.ms;
+        let (until, revision) = self.member.settle;
+        if now < until && self.member.ledger < revision {
+            return false;
+        }
         let siblings = &self.set.platform.siblings;
         let clear = |name: &str| self.member.cleared.contains(&ControllerId::new(name));
         let fresh = now < self.member.fresh_until && !siblings.iter().all(|s| clear(&s.host_name));
@@ -359,7 +369,7 @@
     /// general outage all stay, since each removal costs a pause that doubles.
     pub(crate) fn takes_requests(&self) -> bool {
         if self.entitled() {
-            return self.member.listed;
+            return self.member.ledger > 0;
         }
         let recently = 2 * self.set.report_ms();
         self.member.was_entitled
@@ -619,12 +629,22 @@
 
     pub(crate) fn on_leader_take(&mut self, result: Option<(u16, Vec<u8>)>) {
         self.member.taking = false;
+        self.settle(&result);
         if let Some((200, _)) = result {
             self.log(Level::Info, "taken the lead");
             self.member.leader_since = self.now.ms;
         }
     }
 
+    /// Waits for the watch to tell what has come of a try, for a quarter of the lease at most.
+    fn settle(&mut self, result: &Option<(u16, Vec<u8>)>) {
+        let answer = result
+            .as_ref()
+            .and_then(|(_, body)| serde_json::from_slice::<TxnAnswer>(body).ok());
+        let revision = answer.map_or(u64::MAX, |a| a.ledger);
+        self.member.settle = (self.now.ms + self.set.lease_ms() / 4, revision);
+    }
+
     fn lead_epoch(&mut self) {
         if !self.is_leader() || self.member.epoch_writing || !self.member.watching || !self.may_change_membership() {
             return;
@@ -652,6 +672,7 @@
 
     pub(crate) fn on_epoch_write(&mut self, result: Option<(u16, Vec<u8>)>) {
         self.member.epoch_writing = false;
+        self.settle(&result);
         if let Some((status, _)) = result
             && status != 200
         {
@@ -704,6 +725,7 @@
         match result {
             Some((200, body)) => match serde_json::from_slice::<Changes>(&body) {
                 Ok(changes) => {
+                    self.member.watch_failures = 0;
                     for change in changes.news {
                         if let Some(key) = change.write {
                             self.apply(&key, Some(change.value), change.stamp);
@@ -723,7 +745,16 @@
                 self.member.listed = false;
                 self.tick_membership();
             }
-            _ => self.back_off(),
+            _ => {
+                // An answer has no size limit: one that is too long for this controller would be so
+                // again. The keys themselves come in pages.
+                self.member.watch_failures += 1;
+                if self.member.watch_failures >= 2 {
+                    self.member.watch_failures = 0;
+                    self.member.listed = false;
+                }
+                self.back_off();
+            }
         }
     }
 
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -237,6 +237,11 @@
     world.run(500);
     assert_eq!(world.said(poll), "done", "{}", world.trace());
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
+    let tries = world.trace().matches("raising the epoch to 3").count();
+    assert!(
+        tries <= 12,
+        "a leader that hears nothing must not burn the budget of changes: {tries} tries"
+    );
     keep(&world, "live_owner_is_waited_for");
 }
 
@@ -723,6 +728,28 @@
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
 
+#[test]
+fn a_watch_that_never_answers_is_made_up_for_by_reading_the_keys() {
+    // Guard: a watch's answer has no size limit, so one may be too long for a controller for good.
+    let mut world = World::new();
+    world.run(3000);
+    world.meddle(|l| {
+        let deaf = l.from == "berth-1" && l.what.starts_with("GET /changes");
+        if deaf { Fate::AnswerLost } else { Fate::Pass }
+    });
+    world.run(10_000);
+    world.accepted(0, &job(1, 1, "sweep", 1));
+    assert!(
+        world.run_until(120_000, |w| w
+            .store
+            .get("t/j/job-000001")
+            .is_some_and(|j| j["st"] == "done")),
+        "{}",
+        world.trace()
+    );
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
 fn in_zone(mut job: serde_json::Value, zone: &str) -> serde_json::Value {
     job["yard"] = serde_json::json!(zone);
     job
