--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs: accepting them, telling of them, cancelling them, and what is stored of them.
 
 use crate::controller::{Answer, Asker, Controller, Level, Method, PeerRequest, Purpose as Call, Target};
-use crate::ids::{Epoch, JobId, MachineId, Partition, Stamp, TaskId};
+use crate::ids::{ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::JOB_PREFIX;
 use crate::protocol::{Item, JobSpec, Shape, TaskState, TxnAnswer, parse_submission, submission_id};
 use serde::{Deserialize, Serialize};
@@ -488,8 +488,7 @@
                 self.answer(asker, Answer::new(200, body));
                 return;
             }
-            let owner = self.holding(job.partition).map(|h| h.owner.clone());
-            if let Some(owner) = owner.filter(|o| *o != self.me && may_forward && self.reachable(o)) {
+            if let Some(owner) = self.owner_elsewhere(job.partition, may_forward) {
                 let request = PeerRequest::Forward {
                     job: id.as_str().to_owned(),
                     withdraw: false,
@@ -501,6 +500,13 @@
         self.read_status(asker, id);
     }
 
+    /// Whom to pass a question on to: the owner of a partition, if that is another controller within
+    /// reach and the question has not been passed on before.
+    fn owner_elsewhere(&self, partition: Partition, may_forward: bool) -> Option<ControllerId> {
+        let owner = &self.holding(partition)?.owner;
+        (may_forward && *owner != self.me && self.reachable(owner)).then(|| owner.clone())
+    }
+
     fn live_body(&self, id: &JobId, job: &Job) -> String {
         let running: usize = job
             .placed
@@ -532,8 +538,7 @@
             return;
         };
         if self.acting(partition).is_none() {
-            let owner = self.holding(partition).map(|h| h.owner.clone());
-            match owner.filter(|o| *o != self.me && may_forward && self.reachable(o)) {
+            match self.owner_elsewhere(partition, may_forward) {
                 Some(owner) => {
                     let request = PeerRequest::Forward {
                         job: id.as_str().to_owned(),
