Racks and books: machines that come up together cost few changes

Change: machines of one kind, rental and partition share one value (a rack); machines that come up within a batch's wait are entered in one value with their addresses (a book). The rule stays: no tasks before both are written.

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -7,13 +7,12 @@
 use crate::controller::{
     Bucket, Controller, Digest, Idle, Level, Method, Move, Need, PeerReply, PeerRequest, Purpose, Target,
 };
-use crate::ids::{ControllerId, MachineId, Partition, Stamp};
-use crate::membership::{ROSTER_PREFIX, Stage, TYPES_KEY};
-use crate::picture::{Machine, RosterEntry};
+use crate::ids::{ControllerId, MachineId, Partition};
+use crate::membership::{Stage, TYPES_KEY};
+use crate::picture::Machine;
 use crate::placement::{Amounts, JobTerms};
-use crate::protocol::{
-    MachineList, MachineNames, MachineType, MachineTypes, Priority, Rental, Report, Shape, TxnAnswer,
-};
+use crate::protocol::{MachineList, MachineNames, MachineType, MachineTypes, Priority, Rental, Report, Shape};
+use crate::roster::Rented;
 use crate::settings::Settings;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -153,7 +152,16 @@
 ///
 /// A task may wait for room as long as it will still be in time, and in any case as long as a machine
 /// rented now would take to boot. Services and guaranteed work wait no longer than `patience_s`.
-pub fn absorb(wishes: &mut [Wish], lanes: &mut [Lane], types: &[MachineType], patience_s: f64) {
+///
+/// Where the cheap kinds are refused, so that another machine would cost a multiple, tasks wait for room
+/// as long as they will still be in time: a machine that is there frees some every few seconds.
+pub fn absorb(
+    wishes: &mut [Wish],
+    lanes: &mut [Lane],
+    types: &[MachineType],
+    refused: &dyn Fn(&Kind) -> bool,
+    patience_s: f64,
+) {
     let boot_s = types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
     if boot_s == f64::MAX {
         return;
@@ -163,8 +171,19 @@
         // What a machine rented now could not finish in time either need not cost one.
         let hopeless = wish.slack_s < boot_s;
         let late = wish.slack_s + 0.5 * wish.deadline_s - 0.5 * wish.run_s;
-        let limit = if hopeless { late.max(0.5 * boot_s) } else { 0.5 * boot_s };
-        let limit = if wish.guaranteed { limit.min(patience_s) } else { limit };
+        let dear = dearness(wish, types, refused) > DEAR;
+        let limit = if hopeless {
+            late.max(0.5 * boot_s)
+        } else if dear {
+            wish.slack_s.max(0.5 * boot_s)
+        } else {
+            0.5 * boot_s
+        };
+        let limit = if wish.guaranteed && !dear {
+            limit.min(patience_s)
+        } else {
+            limit
+        };
         let limit = if wish.service { 0.0 } else { limit };
         while wish.count > 0 {
             // Room that is free, or will be once its machine has booted, is always taken: a machine
@@ -190,6 +209,31 @@
     }
 }
 
+/// From this multiple of the cheapest price on, a machine is not rented for what can still be in time
+/// without it.
+const DEAR: f64 = 1e9;
+
+/// What a task costs on the cheapest kind that can be had, over what it costs on the cheapest of all.
+fn dearness(wish: &Wish, types: &[MachineType], refused: &dyn Fn(&Kind) -> bool) -> f64 {
+    let (mut cheapest, mut to_be_had) = (f64::MAX, f64::MAX);
+    for t in types {
+        let fit = room_for(&wish.size, &[t.cpus, t.gpus, t.memory_gb]);
+        for zone in t.zones.iter().filter(|_| fit > 0) {
+            for spot in [true, false] {
+                if !wish.allows(&t.name, zone, spot) {
+                    continue;
+                }
+                let cost = if spot { t.spot_price } else { t.price } / f64::from(fit);
+                cheapest = cheapest.min(cost);
+                if !refused(&(t.name.clone(), zone.clone(), spot)) {
+                    to_be_had = to_be_had.min(cost);
+                }
+            }
+        }
+    }
+    to_be_had / cheapest.max(1e-9)
+}
+
 /// Kind of machine: type, zone, spot.
 pub type Kind = (String, String, bool);
 
@@ -309,16 +353,14 @@
     /// Rentals that got no clear answer: the same request is sent again.
     retry: Vec<(Rental, Vec<Partition>)>,
     /// Rented, and not in the roster yet.
-    unlisted: Vec<(MachineId, Partition, Kind)>,
-    writing_roster: bool,
+    pub(crate) unlisted: Vec<Rented>,
     /// The revision that a partition's digest must know before it counts.
-    fresh_from: BTreeMap<Partition, u64>,
+    pub(crate) fresh_from: BTreeMap<Partition, u64>,
     lent_at: BTreeMap<Partition, u64>,
     moves: BTreeMap<ControllerId, Vec<Move>>,
     strangers: BTreeMap<MachineId, (Kind, u64)>,
     deleted: BTreeMap<MachineId, u64>,
     deleting: bool,
-    drops: Vec<MachineId>,
     due: u64,
     hosts_at: u64,
 }
@@ -340,14 +382,12 @@
             rental_count: 0,
             retry: Vec::new(),
             unlisted: Vec::new(),
-            writing_roster: false,
             fresh_from: BTreeMap::new(),
             lent_at: BTreeMap::new(),
             moves: BTreeMap::new(),
             strangers: BTreeMap::new(),
             deleted: BTreeMap::new(),
             deleting: false,
-            drops: Vec::new(),
             due: 0,
             hosts_at: 0,
         }
@@ -401,7 +441,8 @@
         self.cloud.due = now + self.set.report_ms() / 5;
         self.retire();
         self.send_deletes();
-        self.send_drops();
+        let keep = 4 * self.set.worker_lease_ms();
+        self.cloud.deleted.retain(|_, t| now.saturating_sub(*t) < keep);
         if self.is_leader() {
             for digest in self.own_digests() {
                 self.cloud.digests.insert(digest.partition, (digest, now));
@@ -416,6 +457,7 @@
         } else {
             self.cloud.digests.clear();
             self.cloud.unlisted.clear();
+            self.forget_new_racks();
             self.cloud.retry.clear();
             self.cloud.strangers.clear();
         }
@@ -592,8 +634,8 @@
                 .iter()
                 .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
                 .sum::<f64>();
-            absorb(&mut wishes, &mut lanes, &self.types, self.guarantee_s());
             let refused = |kind: &Kind| self.cloud.refused.get(kind).is_some_and(|t| now < *t);
+            absorb(&mut wishes, &mut lanes, &self.types, &refused, self.guarantee_s());
             let needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
             yielding.sort_by(|a, b| a.0.total_cmp(&b.0));
             digests.push(Digest {
@@ -907,7 +949,12 @@
                     self.cloud.refused.insert(kind.clone(), now + pause);
                 }
                 for (name, p) in names.into_iter().zip(split) {
-                    self.cloud.unlisted.push((name, p, kind.clone()));
+                    self.cloud.unlisted.push(Rented {
+                        machine: name,
+                        partition: p,
+                        kind: kind.clone(),
+                        found: false,
+                    });
                 }
                 self.write_roster();
             }
@@ -928,75 +975,6 @@
         }
     }
 
-    /// Enters rented machines in the roster. Only then may anybody use them.
-    fn write_roster(&mut self) {
-        if self.cloud.writing_roster || self.cloud.unlisted.is_empty() || !self.is_leader() {
-            return;
-        }
-        if !self.state_writes.take(self.now.ms, 0.0, 0.1) {
-            return;
-        }
-        let room = self.set.platform.facts.state.txn_ops as usize;
-        let n = self.cloud.unlisted.len().min(room);
-        let mut conditions = vec![self.leader_condition(), self.epoch_condition()];
-        let mut changes = Vec::new();
-        let (mut machines, mut partitions) = (Vec::new(), Vec::new());
-        for (id, p, kind) in self.cloud.unlisted.iter().take(n) {
-            let entry = RosterEntry {
-                part: *p,
-                model: kind.0.clone(),
-                zone: kind.1.clone(),
-                spot: kind.2,
-                addr: String::new(),
-                seen: (0, 0),
-                at: self.now.wall_ms,
-            };
-            let key = format!("{ROSTER_PREFIX}{id}");
-            conditions.push(json!({ "k": key, "stamp": Stamp(0) }));
-            changes.push(json!({ "write": key, "value": entry }));
-            machines.push(id.clone());
-            partitions.push(*p);
-        }
-        self.cloud.writing_roster = true;
-        self.txn(conditions, changes, Purpose::RosterWrite { machines, partitions });
-    }
-
-    pub(crate) fn on_roster_write(
-        &mut self,
-        machines: Vec<MachineId>,
-        partitions: Vec<Partition>,
-        result: Option<(u16, Vec<u8>)>,
-    ) {
-        self.cloud.writing_roster = false;
-        let (status, answer) = match result {
-            Some((status, body)) => (status, serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default()),
-            None => (0, TxnAnswer::default()),
-        };
-        let listed: Vec<MachineId> = match status {
-            200 => {
-                for p in partitions {
-                    self.cloud.fresh_from.insert(p, answer.ledger);
-                }
-                machines
-            }
-            // An earlier copy has landed.
-            409 => machines
-                .into_iter()
-                .filter(|m| {
-                    answer
-                        .failed
-                        .iter()
-                        .any(|k| k.strip_prefix(ROSTER_PREFIX) == Some(m.as_str()))
-                })
-                .collect(),
-            _ => Vec::new(),
-        };
-        self.cloud.unlisted.retain(|(id, _, _)| !listed.contains(id));
-        if status == 200 {
-            self.write_roster();
-        }
-    }
-
     /// Machines that report but are in nobody's roster: rentals that were carried out late.
     fn adopt_strangers(&mut self) {
         let now = self.now.ms;
@@ -1030,7 +1008,12 @@
                 .map_or(Partition(0), |(p, _)| *p);
             self.log(Level::Info, format!("{id} reports but is in no roster: taking it in"));
             self.cloud.strangers.remove(&id);
-            self.cloud.unlisted.push((id, to, kind));
+            self.cloud.unlisted.push(Rented {
+                machine: id,
+                partition: to,
+                kind,
+                found: true,
+            });
         }
     }
 
@@ -1110,38 +1093,14 @@
                 // The answer says that the machine and all that was on it are gone.
                 m.gone = true;
                 self.cloud.deleted.insert(id.clone(), self.now.ms);
-                self.cloud.drops.push(id.clone());
                 self.release_all(&id, "the cloud has deleted it");
+                // Several that go at about the same time cost one change.
+                let soon = self.now.ms + self.set.report_ms() / 2;
+                self.rack_due(&id, soon);
             }
         }
     }
 
-    /// Takes machines that are gone out of the roster.
-    fn send_drops(&mut self) {
-        let now = self.now.ms;
-        let keep = 4 * self.set.worker_lease_ms();
-        self.cloud.deleted.retain(|_, t| now.saturating_sub(*t) < keep);
-        if self.cloud.drops.is_empty() || !self.state_writes.take(now, 0.0, 0.3) {
-            return;
-        }
-        let room = self.set.platform.facts.state.txn_ops as usize;
-        let n = self.cloud.drops.len().min(room);
-        let machines: Vec<MachineId> = self.cloud.drops.drain(..n).collect();
-        let changes = machines
-            .iter()
-            .map(|id| json!({ "delete": format!("{ROSTER_PREFIX}{id}") }))
-            .collect();
-        let condition = self.epoch_condition();
-        self.txn(vec![condition], changes, Purpose::RosterDrop { machines });
-    }
-
-    pub(crate) fn on_roster_drop(&mut self, machines: Vec<MachineId>, result: Option<(u16, Vec<u8>)>) {
-        if !matches!(result, Some((200, _))) {
-            let still: Vec<MachineId> = machines.into_iter().filter(|m| self.machines.contains_key(m)).collect();
-            self.cloud.drops.extend(still);
-        }
-    }
-
     /// Looks for machines that are paid for but in no roster.
     fn list_hosts(&mut self) {
         let now = self.now.ms;
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -1,12 +1,13 @@
 //! The state machine: inputs, outputs, and the table of calls that are under way.
 
 use crate::capacity::{Cloud, Wish};
-use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition};
+use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
 use crate::jobs::{Job, Over, Purpose as JobPurpose};
 use crate::membership::{Membership, Tenure};
 use crate::picture::{Guest, Machine};
 use crate::protocol::{JobSpec, MachineType, Rental};
 use crate::queue::Learned;
+use crate::roster::{Book, RackRecord, Roster};
 use crate::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -324,21 +325,18 @@
         rental: Rental,
         split: Vec<Partition>,
     },
-    RosterWrite {
-        machines: Vec<MachineId>,
-        partitions: Vec<Partition>,
-    },
-    FirstBeat {
-        machine: MachineId,
-        asker: Asker,
-        beat: (u64, u64),
+    /// New racks of the leader's.
+    RacksNew,
+    /// A rack that changes, with what comes of it.
+    Rack {
+        rack: String,
+        stamp: Stamp,
+        changes: Vec<(String, Option<RackRecord>)>,
     },
-    RosterMove {
-        machine: MachineId,
-        to: Partition,
-    },
-    RosterDrop {
-        machines: Vec<MachineId>,
+    /// Machines that have come up, and the first reports that wait for that to be stored.
+    Book {
+        book: Book,
+        askers: Vec<(Asker, MachineId, (u64, u64))>,
     },
     Delete {
         machines: Vec<MachineId>,
@@ -433,6 +431,7 @@
     pub(crate) over_order: VecDeque<JobId>,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) cloud: Cloud,
+    pub(crate) roster: Roster,
     pub(crate) state_reads: Bucket,
     pub(crate) state_writes: Bucket,
     pub(crate) batch_due: Option<u64>,
@@ -471,6 +470,7 @@
             over_order: VecDeque::new(),
             machines: BTreeMap::new(),
             cloud,
+            roster: Roster::default(),
             state_reads,
             state_writes,
             batch_due: None,
@@ -513,6 +513,7 @@
         self.tick_tenures();
         self.tick_jobs();
         self.tick_machines();
+        self.tick_roster();
         self.tick_batch();
         self.consolidate();
         self.tick_capacity();
@@ -630,10 +631,9 @@
             Purpose::Types => self.on_types(result),
             Purpose::TypesWrite => self.cloud.types_writing = false,
             Purpose::Rent { rental, split } => self.on_rent(rental, split, result),
-            Purpose::RosterWrite { machines, partitions } => self.on_roster_write(machines, partitions, result),
-            Purpose::FirstBeat { machine, asker, beat } => self.on_first_beat_stored(machine, asker, beat, result),
-            Purpose::RosterMove { machine, to } => self.on_roster_move(machine, to, result),
-            Purpose::RosterDrop { machines } => self.on_roster_drop(machines, result),
+            Purpose::RacksNew => self.on_racks_new(result),
+            Purpose::Rack { rack, stamp, changes } => self.on_rack(rack, stamp, changes, result),
+            Purpose::Book { book, askers } => self.on_book(book, askers, result),
             Purpose::Delete { machines } => self.on_delete(machines, result),
             Purpose::Hosts => self.on_hosts(result),
             Purpose::Confirm { machine } => self.on_confirm(machine, result),
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod placement;
 pub mod protocol;
 pub mod queue;
+pub mod roster;
 pub mod settings;
 
 pub use controller::{
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -6,7 +6,7 @@
 //! condition: none of an older epoch can land after it.
 
 use crate::controller::{Controller, Level, Method, Purpose, Target};
-use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
+use crate::ids::{ControllerId, Epoch, Incarnation, JobId, Partition, Stamp};
 use crate::jobs::bits_from_hex;
 use crate::protocol::{Changes, Granted, Items, MachineTypes, TxnAnswer};
 use serde::{Deserialize, Serialize};
@@ -22,8 +22,10 @@
 pub const TYPES_KEY: &str = "t/y";
 /// Prefix of job records.
 pub const JOB_PREFIX: &str = "t/j/";
-/// Prefix of roster entries.
+/// Prefix of the roster's racks.
 pub const ROSTER_PREFIX: &str = "t/m/";
+/// Prefix of the roster's books: machines that have come up.
+pub const BOOK_PREFIX: &str = "t/u/";
 
 /// A controller's own key, which lives as long as its lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -120,7 +122,6 @@
     settle: (u64, u64),
     pub(crate) peers: BTreeMap<ControllerId, Peer>,
     was_entitled: bool,
-    listed_machines: BTreeSet<MachineId>,
 }
 
 impl Membership {
@@ -156,7 +157,6 @@
             settle: (0, 0),
             peers: BTreeMap::new(),
             was_entitled: false,
-            listed_machines: BTreeSet::new(),
         }
     }
 }
@@ -694,14 +694,11 @@
             // What is listed anew replaces what was known: keys that are gone must not stay.
             self.member.members.clear();
             self.member.leader = None;
-            self.member.listed_machines.clear();
+            self.roster_listing_begins();
         }
         let ledger = if first_ledger == 0 { page.ledger } else { first_ledger };
         let last = page.items.last().map(|i| i.k.clone());
         for item in page.items {
-            if let Some(id) = item.k.strip_prefix(ROSTER_PREFIX) {
-                self.member.listed_machines.insert(MachineId::new(id));
-            }
             self.apply(&item.k, Some(item.value), item.stamp);
         }
         match last {
@@ -709,8 +706,7 @@
             _ => {
                 self.member.listed = true;
                 self.member.ledger = ledger;
-                let listed = std::mem::take(&mut self.member.listed_machines);
-                self.machines.retain(|id, m| listed.contains(id) || m.stamp.0 > ledger);
+                self.roster_listed(ledger);
                 self.note_epoch();
                 self.tick_membership();
             }
@@ -764,8 +760,10 @@
             if let Some(id) = JobId::parse(id) {
                 self.apply_job(id, value, stamp);
             }
-        } else if let Some(id) = key.strip_prefix(ROSTER_PREFIX) {
-            self.apply_machine(MachineId::new(id), value, stamp);
+        } else if let Some(name) = key.strip_prefix(ROSTER_PREFIX) {
+            self.apply_rack(name, value, stamp);
+        } else if let Some(name) = key.strip_prefix(BOOK_PREFIX) {
+            self.apply_book(name, value);
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
             let name = ControllerId::new(name);
             let record = value.and_then(|v| serde_json::from_value::<MemberRecord>(v).ok());
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -6,35 +6,13 @@
 //! silent worker's lease is never taken as evidence: any entitled controller may have answered it.
 
 use crate::controller::{Answer, Asker, Controller, Level, Method, NOT_SENT, PeerReply, PeerRequest, Purpose, Target};
-use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
-use crate::membership::{ROSTER_PREFIX, Stage};
+use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, TaskId};
+use crate::membership::Stage;
 use crate::protocol::{Command, Orders, Report, Shape, TaskState};
-use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use crate::roster::RackRecord;
+use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A machine in the stored roster.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RosterEntry {
-    /// The partition whose owner uses it.
-    pub part: Partition,
-    /// Type.
-    pub model: String,
-    /// Zone.
-    pub zone: String,
-    /// Spot machine.
-    pub spot: bool,
-    /// Where it takes commands. Empty until its first report: such a machine has never held a task.
-    #[serde(default)]
-    pub addr: String,
-    /// Its session and sequence number when the entry was written: nothing older counts.
-    #[serde(default)]
-    pub seen: (u64, u64),
-    /// Time of day of its rental.
-    #[serde(default)]
-    pub at: u64,
-}
-
 /// How far a start has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum HeldState {
@@ -92,8 +70,8 @@
     pub(crate) zone: String,
     pub(crate) spot: bool,
     pub(crate) addr: String,
-    pub(crate) stamp: Stamp,
-    pub(crate) rented_wall: u64,
+    /// The rack that it stands in.
+    pub(crate) rack: String,
     last: (u64, u64),
     pub(crate) heard: Option<u64>,
     /// When it was last heard with no other controller between.
@@ -126,7 +104,6 @@
     pub(crate) idle_since: Option<u64>,
     /// Being handed to another partition.
     pub(crate) moving: Option<Partition>,
-    pub(crate) moving_sent: bool,
     /// To be deleted; nothing is started on it any more.
     pub(crate) retiring: bool,
     /// Being emptied for another partition, and since when.
@@ -136,12 +113,10 @@
     pub(crate) deleting: bool,
     /// The cloud has answered its deletion.
     pub(crate) gone: bool,
-    /// Its address, while its entry is being written for the first time.
-    storing: Option<String>,
+    /// It is being entered in a book.
+    pub(crate) storing: bool,
     /// It was in the roster, and up, when the tenure began: it may hold tasks not known of.
     may_hold: bool,
-    /// A hand-over was refused at this revision: once the watch has come so far, it is known why.
-    settles_at: Option<u64>,
 }
 
 impl Machine {
@@ -163,6 +138,60 @@
         !self.addr.is_empty()
     }
 
+    /// A machine that has just come into the roster, or into a partition.
+    pub(crate) fn new(rack: &str, record: &RackRecord, addr: String, last: (u64, u64), now: u64) -> Self {
+        Self {
+            partition: record.part,
+            model: record.model.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+            addr,
+            rack: rack.to_owned(),
+            last,
+            heard: None,
+            heard_directly: None,
+            known_since: now,
+            confirmed: false,
+            confirming: false,
+            confirm_at: 0,
+            held: Vec::new(),
+            ended: Vec::new(),
+            pins: BTreeMap::new(),
+            commanding: None,
+            direct_from: 0,
+            notice: false,
+            failures: BTreeSet::new(),
+            failed_at: 0,
+            probes_failed: 0,
+            probing: false,
+            probe_at: 0,
+            suspect: false,
+            avoid_until: 0,
+            images: Vec::new(),
+            idle_since: None,
+            moving: None,
+            retiring: false,
+            draining: false,
+            vacating: None,
+            deleting: false,
+            gone: false,
+            storing: false,
+            may_hold: false,
+        }
+    }
+
+    /// A book says that it is up.
+    pub(crate) fn come_up(&mut self, addr: &str, seen: (u64, u64)) {
+        self.storing = false;
+        self.addr = addr.to_owned();
+        self.last = self.last.max(seen);
+    }
+
+    /// The session and sequence number of its newest report.
+    pub(crate) fn last(&self) -> (u64, u64) {
+        self.last
+    }
+
     /// May tasks be placed on it?
     pub(crate) fn usable(&self, now: u64, patience: u64) -> bool {
         self.confirmed
@@ -218,18 +247,6 @@
         self.held.is_empty() && self.pins.is_empty() && self.commanding.is_none()
     }
 
-    fn entry(&self) -> RosterEntry {
-        RosterEntry {
-            part: self.partition,
-            model: self.model.clone(),
-            zone: self.zone.clone(),
-            spot: self.spot,
-            addr: self.addr.clone(),
-            seen: self.last,
-            at: self.rented_wall,
-        }
-    }
-
     fn note_image(&mut self, image: &str, gb: f64, room: f64) {
         self.images.retain(|(i, _)| i != image);
         self.images.push((image.to_owned(), gb));
@@ -240,89 +257,6 @@
 }
 
 impl Controller {
-    pub(crate) fn apply_machine(&mut self, id: MachineId, value: Option<Value>, stamp: Stamp) {
-        if self.machines.get(&id).is_some_and(|m| m.stamp >= stamp) {
-            return;
-        }
-        let entry = value.and_then(|v| serde_json::from_value::<RosterEntry>(v).ok());
-        let Some(entry) = entry else {
-            if let Some(m) = self.machines.get(&id) {
-                let partition = m.partition;
-                self.release_all(&id, "its roster entry is gone");
-                self.machines.remove(&id);
-                // The cloud's list still shows it for a while, and a late report may come.
-                self.cloud.note_deleted(id.clone(), self.now.ms);
-                self.log(Level::Debug, format!("{id} left partition {partition}"));
-            }
-            return;
-        };
-        let now = self.now.ms;
-        match self.machines.get_mut(&id) {
-            Some(m) if m.partition == entry.part => {
-                m.stamp = stamp;
-                m.addr = entry.addr;
-            }
-            _ => {
-                let kind = if entry.spot { " (spot)" } else { "" };
-                self.log(
-                    Level::Debug,
-                    format!(
-                        "{id}: {} in {}{kind}, partition {}",
-                        entry.model, entry.zone, entry.part
-                    ),
-                );
-                if self.machines.contains_key(&id) {
-                    // Handed over empty; whatever this controller thought of it is void.
-                    self.release_all(&id, "it was handed to another partition");
-                }
-                self.machines.insert(
-                    id,
-                    Machine {
-                        partition: entry.part,
-                        model: entry.model,
-                        zone: entry.zone,
-                        spot: entry.spot,
-                        addr: entry.addr,
-                        stamp,
-                        rented_wall: entry.at,
-                        last: entry.seen,
-                        heard: None,
-                        heard_directly: None,
-                        known_since: now,
-                        confirmed: false,
-                        confirming: false,
-                        confirm_at: 0,
-                        held: Vec::new(),
-                        ended: Vec::new(),
-                        pins: BTreeMap::new(),
-                        commanding: None,
-                        direct_from: 0,
-                        notice: false,
-                        failures: BTreeSet::new(),
-                        failed_at: 0,
-                        probes_failed: 0,
-                        probing: false,
-                        probe_at: 0,
-                        suspect: false,
-                        avoid_until: 0,
-                        images: Vec::new(),
-                        idle_since: None,
-                        moving: None,
-                        moving_sent: false,
-                        retiring: false,
-                        draining: false,
-                        vacating: None,
-                        deleting: false,
-                        gone: false,
-                        storing: None,
-                        may_hold: false,
-                        settles_at: None,
-                    },
-                );
-            }
-        }
-    }
-
     /// At the start of a tenure nothing of the partition's machines and jobs is known any more.
     pub(crate) fn reset_partition(&mut self, partition: Partition) {
         let now = self.now.ms;
@@ -341,15 +275,14 @@
             m.known_since = now;
             m.idle_since = None;
             m.moving = None;
-            m.moving_sent = false;
             m.retiring = false;
             m.draining = false;
             m.vacating = None;
             m.deleting = false;
-            m.storing = None;
-            m.settles_at = None;
+            m.storing = false;
             m.may_hold = m.up();
         }
+        self.reset_roster(partition);
         self.reset_jobs(partition);
     }
 
@@ -574,76 +507,16 @@
             self.answer_orders(asker, epoch, stops);
             return;
         }
-        let first = self
-            .machines
-            .get(&id)
-            .is_some_and(|m| !m.up() && m.storing.is_none() && !m.gone);
+        let first = self.machines.get(&id).is_some_and(|m| !m.up() && !m.storing && !m.gone);
         if first && !report.addr.is_empty() {
             // It may hold tasks only once its entry says that it is up.
-            self.store_first_beat(asker, &id, report);
+            self.store_first_beat(asker, report);
             return;
         }
         let commands = self.orders_for(&id, Some((report.session, report.seq)));
         self.answer_orders(asker, epoch, commands);
     }
 
-    fn store_first_beat(&mut self, asker: Asker, id: &MachineId, report: &Report) {
-        let Some(m) = self.machines.get_mut(id) else { return };
-        m.storing = Some(report.addr.clone());
-        let mut entry = m.entry();
-        entry.addr = report.addr.clone();
-        let key = format!("{ROSTER_PREFIX}{id}");
-        let conditions = vec![json!({ "k": key, "stamp": m.stamp }), self.epoch_condition()];
-        self.txn(
-            conditions,
-            vec![json!({ "write": key, "value": entry })],
-            Purpose::FirstBeat {
-                machine: id.clone(),
-                asker,
-                beat: (report.session, report.seq),
-            },
-        );
-    }
-
-    pub(crate) fn on_first_beat_stored(
-        &mut self,
-        id: MachineId,
-        asker: Asker,
-        beat: (u64, u64),
-        result: Option<(u16, Vec<u8>)>,
-    ) {
-        let stamp = match result {
-            Some((200, body)) => serde_json::from_slice::<crate::protocol::TxnAnswer>(&body).ok(),
-            _ => None,
-        };
-        let partition = self.machines.get(&id).map(|m| m.partition);
-        let acting = partition.is_some_and(|p| self.acting(p).is_some());
-        if let Some(m) = self.machines.get_mut(&id) {
-            let addr = m.storing.take();
-            // Without an answer the watch may yet bring the entry; until then the machine is not up,
-            // and nothing is placed on it.
-            if let (Some(answer), Some(addr)) = (stamp, addr) {
-                m.stamp = m.stamp.max(Stamp(answer.ledger));
-                m.addr = addr;
-            }
-        }
-        let Some(epoch) = self.epoch().filter(|_| self.entitled()) else {
-            self.answer(asker, Answer::later(503, 1, "not entitled to act at present"));
-            return;
-        };
-        let commands = if acting && partition.is_some() {
-            self.run_batch();
-            if self.machines.get(&id).is_some_and(|m| m.last == beat) {
-                self.orders_for(&id, Some(beat))
-            } else {
-                Vec::new()
-            }
-        } else {
-            Vec::new()
-        };
-        self.answer_orders(asker, epoch, commands);
-    }
-
     fn heard_directly(&mut self, id: &MachineId) {
         let now = self.now.ms;
         if let Some(m) = self.machines.get_mut(id) {
@@ -877,7 +750,7 @@
     }
 
     /// Orders for a machine: with the answer to one of its beats, or in a direct command.
-    fn orders_for(&mut self, id: &MachineId, beat: Option<(u64, u64)>) -> Vec<Command> {
+    pub(crate) fn orders_for(&mut self, id: &MachineId, beat: Option<(u64, u64)>) -> Vec<Command> {
         let now = self.now.ms;
         let report = self.set.report_ms();
         let mut commands = Vec::new();
@@ -1187,34 +1060,11 @@
             self.confirm_machines(p);
             self.probe_silent(p, active_at);
             self.give_up_silent(p, active_at);
-            self.settle_moves(p);
         }
         let lease = self.set.worker_lease_ms();
         self.guests.retain(|_, g| now.saturating_sub(g.seen) < lease);
     }
 
-    /// Hand-overs without a definite answer are sent again; refused ones end.
-    fn settle_moves(&mut self, partition: Partition) {
-        let ledger = self.member.ledger;
-        let mut again = Vec::new();
-        for (id, m) in self.machines.iter_mut().filter(|(_, m)| m.partition == partition) {
-            let Some(to) = m.moving else { continue };
-            if let Some(at) = m.settles_at {
-                if ledger >= at {
-                    m.settles_at = None;
-                    m.moving = None;
-                }
-            } else if !m.moving_sent {
-                again.push((id.clone(), to));
-            }
-        }
-        for (id, to) in again {
-            if self.state_writes.take(self.now.ms, 0.0, 0.2) {
-                self.hand_over(&id, to);
-            }
-        }
-    }
-
     /// Asks machines whose report is overdue.
     fn probe_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
@@ -1343,49 +1193,6 @@
             }
         }
     }
-
-    /// Hands an empty machine to another partition.
-    pub(crate) fn hand_over(&mut self, id: &MachineId, to: Partition) {
-        let Some(m) = self.machines.get(id) else { return };
-        if self.acting(m.partition).is_none() {
-            return;
-        }
-        let Some(m) = self.machines.get_mut(id) else { return };
-        m.moving = Some(to);
-        m.moving_sent = true;
-        let mut entry = m.entry();
-        entry.part = to;
-        let key = format!("{ROSTER_PREFIX}{id}");
-        let conditions = vec![json!({ "k": key, "stamp": m.stamp }), self.epoch_condition()];
-        self.txn(
-            conditions,
-            vec![json!({ "write": key, "value": entry })],
-            Purpose::RosterMove {
-                machine: id.clone(),
-                to,
-            },
-        );
-    }
-
-    pub(crate) fn on_roster_move(&mut self, id: MachineId, to: Partition, result: Option<(u16, Vec<u8>)>) {
-        let Some(m) = self.machines.get_mut(&id) else { return };
-        if m.moving != Some(to) {
-            return;
-        }
-        m.moving_sent = false;
-        match result {
-            // The watch brings the new entry; until then the machine stays out of use here.
-            Some((200, _)) => m.moving_sent = true,
-            // Refused. If it was an earlier copy that landed, the watch brings that by then.
-            Some((409, body)) => {
-                m.settles_at =
-                    Some(serde_json::from_slice::<crate::protocol::TxnAnswer>(&body).map_or(0, |t| t.ledger));
-            }
-            // No definite answer: a copy may still land, so the machine stays out of use and the
-            // hand-over is sent again until there is one.
-            _ => {}
-        }
-    }
 }
 
 impl Machine {
