A guarantee is claimed once: room made for one task counts for its team

A team whose guarantee was not used up had victims stopped for each of its waiting tasks, for what was found for one of them did not count for the next: 150 tasks claimed a guarantee of 60 in one search. Excluded: spot machines taken and machines that died (under 100 tasks); stopping later (after six boots instead of one) lost as many.

--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -662,6 +662,10 @@
                 .find(|(id, free)| fits(free) && self.machines.get(*id).is_some_and(&allowed))
                 .map(|(id, _)| id.clone());
             if let Some(id) = coming {
+                // Room that was made for one task counts for its team: the guarantee is not claimed twice.
+                if let Some(u) = used.get_mut(w.team) {
+                    *u += mine;
+                }
                 if let Some(free) = soon.get_mut(&id) {
                     free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
                 }
@@ -714,6 +718,9 @@
                 }
             }
             if let Some((_, id, chosen)) = best {
+                if let Some(u) = used.get_mut(w.team) {
+                    *u += mine;
+                }
                 if let Some(free) = soon.get_mut(&id) {
                     for (_, _, _, size) in &chosen {
                         free.iter_mut().zip(size).for_each(|(f, s)| *f += s);
