Services leave dear kinds to those who need them; images within the class's wait

Change: what a machine costs for a task, over the cheapest kind, counts in the score; evenness over zones counts half; an image that takes longer to fetch than the class may wait decides; guaranteed work stops others early enough for its aim. Excluded: arrays on those machines (there were none).

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -237,7 +237,7 @@
 /// Kind of machine: type, zone, spot.
 pub type Kind = (String, String, bool);
 
-fn room_for(size: &Amounts, free: &Amounts) -> u32 {
+pub(crate) fn room_for(size: &Amounts, free: &Amounts) -> u32 {
     size.iter()
         .zip(free)
         .filter(|(s, _)| **s > 0.0)
@@ -510,7 +510,7 @@
     }
 
     /// Time within which guaranteed work should start, by the objectives.
-    fn guarantee_s(&self) -> f64 {
+    pub(crate) fn guarantee_s(&self) -> f64 {
         let objectives = &self.set.platform.facts.objectives;
         objectives
             .iter()
--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -14,6 +14,19 @@
     size.iter().zip(room).all(|(s, r)| *s <= r + SLACK)
 }
 
+/// How many of a size fit into an amount.
+fn most_of(size: &Amounts, total: &Amounts) -> f64 {
+    let each = size.iter().zip(total).filter(|(s, _)| **s > 0.0);
+    each.map(|(s, t)| ((t + SLACK) / s).floor()).fold(f64::MAX, f64::min)
+}
+
+/// Weight of a machine's price for services, which stay.
+const DEAR_SERVICE: f64 = 2.0;
+/// Weight of a machine's price for arrays, which leave soon.
+const DEAR_ARRAY: f64 = 0.5;
+/// What starting takes beside the fetch.
+const FETCH_MARGIN_S: f64 = 0.5;
+
 fn take(room: &mut Amounts, size: &Amounts) {
     room.iter_mut().zip(size).for_each(|(r, s)| *r -= s);
 }
@@ -41,6 +54,8 @@
     pub fetch_s_per_gb: f64,
     /// Seconds that its type takes to boot.
     pub boot_s: f64,
+    /// What it costs an hour.
+    pub price: f64,
 }
 
 /// What the tasks of one job have in common.
@@ -72,6 +87,10 @@
     pub rank: f64,
     /// A service: its replicas are better apart.
     pub service: bool,
+    /// What a task costs an hour on the cheapest machine that would take it, full of its like; 0: unknown.
+    pub cheapest: f64,
+    /// Seconds left within which it should start, by the objectives of its class.
+    pub wait_left_s: f64,
     /// Tasks now in each zone, uncertain ones included.
     pub in_zone: BTreeMap<String, u32>,
     /// Its team's place.
@@ -168,14 +187,25 @@
         } else {
             0.0
         };
-        let spot = if job.spot && slot.spot { 1.0 } else { 0.0 };
+        // A kind that costs this job a multiple of what another does is left to those who need it.
+        // Small machines that take one replica each are often the only ones that a zone has.
+        let dear = if job.cheapest > 0.0 {
+            let fit = most_of(&job.size, &slot.total).max(1.0);
+            (slot.price / fit / job.cheapest - 1.0).clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
+        let dear = dear * if job.service { DEAR_SERVICE } else { DEAR_ARRAY };
+        // An image that takes longer to fetch than the class may wait decides.
+        let missed = job.wait_left_s > 0.0 && fetch_s > 0.0 && fetch_s + FETCH_MARGIN_S > job.wait_left_s;
+        let missed = if missed { 2.0 } else { 0.0 };
         // Accelerators are wasted on tasks that need none.
         let waste = if job.size[1] == 0.0 && slot.total[1] > 0.0 {
             1.0
         } else {
             0.0
         };
-        2.0 * image + 1.5 * packing + apart + 0.5 * spot - waste
+        2.0 * image + 1.5 * packing + 0.5 * apart - dear - waste - missed
     }
 
     fn put(&mut self, task: usize, slot: usize) {
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -405,6 +405,22 @@
             .unwrap_or(0.0)
     }
 
+    /// What a task costs an hour on the cheapest kind of machine that its job may use.
+    fn cheapest(&self, spec: &JobSpec) -> f64 {
+        let size = Self::size(spec);
+        let mut best = f64::MAX;
+        for t in &self.types {
+            let fit = crate::capacity::room_for(&size, &[t.cpus, t.gpus, t.memory_gb]);
+            let allowed = spec.models.as_ref().is_none_or(|m| m.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z));
+            if fit > 0 && allowed {
+                let price = if spec.spot { t.spot_price.min(t.price) } else { t.price };
+                best = best.min(price / f64::from(fit));
+            }
+        }
+        if best == f64::MAX { 0.0 } else { best }
+    }
+
     fn terms(&self, id: &JobId, team: usize, slack_s: f64) -> Option<JobTerms> {
         let job = self.jobs.get(id)?;
         let mut in_zone = BTreeMap::new();
@@ -429,6 +445,11 @@
             estimate_s: self.learned.run_s(spec),
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
             service: spec.shape == Shape::Service,
+            cheapest: self.cheapest(spec),
+            wait_left_s: {
+                let age_s = self.now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
+                (self.wait_s(id) - age_s).max(0.0)
+            },
             in_zone,
             team,
         })
@@ -465,6 +486,7 @@
                 images,
                 fetch_s_per_gb: 1.0 / t.fetch_gb_per_s.max(1e-3),
                 boot_s: t.boot_s,
+                price: if m.spot { t.spot_price } else { t.price },
             });
         }
         (ids, slots)
@@ -641,7 +663,12 @@
             let waited_s = self.now.wall_ms.saturating_sub(w.at) as f64 / 1000.0;
             let boot_s = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
             // Where the class may wait for a machine to boot, nobody is stopped before that.
-            let patience_s = (self.wait_s(&w.id) - boot_s).max(0.0);
+            // The time for guaranteed work counts as well, for work that is.
+            let wait_s = match (self.wait_s(&w.id), terms.guaranteed) {
+                (wait_s, true) => wait_s.min(self.guarantee_s()),
+                (wait_s, false) => wait_s,
+            };
+            let patience_s = (wait_s - boot_s).max(0.0);
             let urgent = w.priority >= Priority::Prod && waited_s >= patience_s;
             let due = within && waited_s > boot_s;
             if !urgent && !due {
--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -18,6 +18,7 @@
         images: BTreeSet::new(),
         fetch_s_per_gb: 1.0,
         boot_s: 30.0,
+        price: 7.0,
     }
 }
 
@@ -36,6 +37,8 @@
         estimate_s: 50.0,
         rank,
         service: false,
+        cheapest: 0.0,
+        wait_left_s: 0.0,
         in_zone: BTreeMap::new(),
         team: 0,
     }
