What waits gets what is idle elsewhere; lending no longer holds up renting

Where the cloud refused every kind that would do, no need was stated at all, so nobody vacated either. Excluded: renting (those machines were up). Change: digests name what waits; idle machines go to it; what is on its way counts for whom it goes to.

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -5,7 +5,7 @@
 //! out. An owner returns what stays idle and deletes what is lost.
 
 use crate::controller::{
-    Bucket, Controller, Digest, Idle, Level, Method, Move, Need, PeerReply, PeerRequest, Purpose, Target,
+    Bucket, Controller, Digest, Idle, Level, Method, Move, Need, PeerReply, PeerRequest, Purpose, Target, Want,
 };
 use crate::ids::{ControllerId, MachineId, Partition};
 use crate::membership::{Stage, TYPES_KEY};
@@ -77,6 +77,30 @@
         }
     }
 
+    /// The same as the leader sees it.
+    fn want(&self, zones: &[String]) -> Want {
+        let open = |z: &&String| {
+            self.zone.as_ref().is_none_or(|x| x == *z)
+                && (!self.one_zone || self.in_zone.iter().all(|(x, n)| *n == 0 || x == *z))
+                && self
+                    .most_per_zone
+                    .is_none_or(|most| self.in_zone.get(*z).copied().unwrap_or(0) < most)
+        };
+        let allowed: Vec<String> = zones.iter().filter(open).cloned().collect();
+        Want {
+            models: self.models.clone().unwrap_or_default(),
+            zones: if allowed.len() == zones.len() {
+                Vec::new()
+            } else {
+                allowed
+            },
+            spot: self.spot,
+            urgent: self.urgent,
+            size: self.size,
+            count: self.count,
+        }
+    }
+
     fn allows(&self, model: &str, zone: &str, spot: bool) -> bool {
         (self.spot || !spot)
             && self.models.as_ref().is_none_or(|m| m.iter().any(|x| x == model))
@@ -272,6 +296,9 @@
                 continue;
             }
             let mut best: Option<(f64, u32, Kind, Amounts)> = None;
+            // Where the cloud refuses all that would do, the cheapest is named all the same: another
+            // partition may have one to lend or to vacate.
+            let mut any: Option<(f64, u32, Kind, Amounts)> = None;
             for t in types {
                 let total = [t.cpus, t.gpus, t.memory_gb];
                 // Full machines are assumed: what this job leaves free, the next one takes.
@@ -289,23 +316,24 @@
                 for zone in &t.zones {
                     for spot in [true, false] {
                         let kind = (t.name.clone(), zone.clone(), spot);
-                        if !wish.allows(&t.name, zone, spot) || refused(&kind) {
+                        if !wish.allows(&t.name, zone, spot) {
                             continue;
                         }
                         let price = if spot { t.spot_price } else { t.price };
                         let cost = price / f64::from(fit) * overhead;
                         let crowd =
                             in_zones.get(zone).copied().unwrap_or(0) + 8 * wish.in_zone.get(zone).copied().unwrap_or(0);
+                        let best = if refused(&kind) { &mut any } else { &mut best };
                         let better = best
                             .as_ref()
                             .is_none_or(|(c, n, _, _)| cost < c - 1e-9 || (cost < c + 1e-9 && crowd < *n));
                         if better {
-                            best = Some((cost, crowd, kind, total));
+                            *best = Some((cost, crowd, kind, total));
                         }
                     }
                 }
             }
-            let Some((_, _, kind, total)) = best else { break };
+            let Some((_, _, kind, total)) = best.or(any) else { break };
             let need = needs.entry(kind.clone()).or_insert((0, false, true));
             need.0 += 1;
             need.1 |= wish.urgent;
@@ -332,8 +360,41 @@
         .collect()
 }
 
+/// Most machines in one rental.
+const RENTAL: usize = 50;
 /// Most machines that a digest offers to vacate.
 const YIELDING: usize = 4;
+/// Most kinds of waiting tasks in a digest.
+const WANTS: usize = 40;
+
+/// Puts together what waits in the same terms, production work and the most first.
+fn wants(wishes: &[Wish], zones: &[String]) -> Vec<Want> {
+    let mut wants: Vec<Want> = Vec::new();
+    for wish in wishes.iter().filter(|w| w.count > 0) {
+        let want = wish.want(zones);
+        let same = |w: &&mut Want| {
+            w.size == want.size
+                && w.zones == want.zones
+                && w.models == want.models
+                && (w.spot, w.urgent) == (want.spot, want.urgent)
+        };
+        match wants.iter_mut().find(same) {
+            Some(w) => w.count += want.count,
+            None => wants.push(want),
+        }
+    }
+    wants.sort_by(|a, b| b.urgent.cmp(&a.urgent).then(b.count.cmp(&a.count)));
+    wants.truncate(WANTS);
+    wants
+}
+
+/// A machine that the leader has asked an owner to hand over.
+#[derive(Debug, Clone)]
+struct Lent {
+    machine: Idle,
+    to: Partition,
+    at: u64,
+}
 
 /// The cloud as this controller sees it, and what is under way there.
 #[derive(Debug)]
@@ -356,7 +417,7 @@
     pub(crate) unlisted: Vec<Rented>,
     /// The revision that a partition's digest must know before it counts.
     pub(crate) fresh_from: BTreeMap<Partition, u64>,
-    lent_at: BTreeMap<Partition, u64>,
+    lent: Vec<Lent>,
     moves: BTreeMap<ControllerId, Vec<Move>>,
     strangers: BTreeMap<MachineId, (Kind, u64)>,
     deleted: BTreeMap<MachineId, u64>,
@@ -383,7 +444,7 @@
             retry: Vec::new(),
             unlisted: Vec::new(),
             fresh_from: BTreeMap::new(),
-            lent_at: BTreeMap::new(),
+            lent: Vec::new(),
             moves: BTreeMap::new(),
             strangers: BTreeMap::new(),
             deleted: BTreeMap::new(),
@@ -630,6 +691,7 @@
                 .filter(|w| w.partition == *p)
                 .cloned()
                 .collect();
+            let wants = wants(&wishes, &self.set.platform.facts.zones);
             demand += wishes
                 .iter()
                 .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
@@ -643,6 +705,7 @@
                 ledger: self.member.ledger,
                 demand,
                 needs,
+                wants,
                 idle,
                 yielding: yielding.into_iter().map(|(_, i)| i).take(YIELDING).collect(),
             });
@@ -807,6 +870,18 @@
         let now = self.now.ms;
         let recent = 2 * self.set.report_ms();
         self.cloud.refused.retain(|_, t| now < *t);
+        // What was lent has arrived once the watch says so; until then it counts for whom it goes to.
+        let ledger = self.member.ledger;
+        let mut lent = std::mem::take(&mut self.cloud.lent);
+        lent.retain(|l| {
+            let here = self.machines.get(&l.machine.machine).map(|m| m.partition);
+            if here == Some(l.to) {
+                let from = self.cloud.fresh_from.entry(l.to).or_default();
+                *from = (*from).max(ledger);
+            }
+            here.is_some() && here != Some(l.to) && now.saturating_sub(l.at) < 2 * recent
+        });
+        self.cloud.lent = lent;
         let fresh: Vec<Digest> = self
             .cloud
             .digests
@@ -814,50 +889,68 @@
             .filter(|(d, at)| {
                 now.saturating_sub(*at) < recent
                     && d.ledger >= self.cloud.fresh_from.get(&d.partition).copied().unwrap_or(0)
-                    && self
-                        .cloud
-                        .lent_at
-                        .get(&d.partition)
-                        .is_none_or(|t| now.saturating_sub(*t) > recent && *at > *t)
             })
             .map(|(d, _)| d.clone())
             .collect();
-        let mut idle: Vec<(Partition, Idle)> = fresh
-            .iter()
-            .filter(|d| d.needs.is_empty())
-            .flat_map(|d| d.idle.iter().map(|i| (d.partition, i.clone())))
-            .collect();
-        let mut yielding: Vec<(Partition, Idle)> = fresh
-            .iter()
-            .flat_map(|d| d.yielding.iter().map(|i| (d.partition, i.clone())))
-            .collect();
+        // On its way already: for each partition, by kind.
+        let mut coming: Vec<(Partition, Idle)> = self.cloud.lent.iter().map(|l| (l.to, l.machine.clone())).collect();
+        let moving = |i: &Idle| self.cloud.lent.iter().any(|l| l.machine.machine == i.machine);
+        let offers = |list: &dyn Fn(&Digest) -> Vec<Idle>| -> Vec<(Partition, Idle)> {
+            let of = |d: &Digest| list(d).into_iter().map(|i| (d.partition, i)).collect::<Vec<_>>();
+            fresh.iter().flat_map(of).filter(|(_, i)| !moving(i)).collect()
+        };
+        let mut idle = offers(&|d| {
+            let spare = |i: &&Idle| !d.wants.iter().any(|w| w.takes(i));
+            d.idle.iter().filter(spare).cloned().collect()
+        });
+        let mut yielding = offers(&|d| d.yielding.clone());
+        let mut moves: Vec<(Partition, Idle, Partition, bool)> = Vec::new();
         let mut wanted: BTreeMap<Kind, Vec<(Partition, bool)>> = BTreeMap::new();
         // Shares by demand: whoever has most demand to its name is served first where kinds run out.
         let mut order: Vec<&Digest> = fresh.iter().collect();
         order.sort_by(|a, b| {
-            let urgent = |d: &Digest| d.needs.iter().any(|n| n.urgent);
+            let urgent = |d: &Digest| d.wants.iter().any(|n| n.urgent);
             urgent(b).cmp(&urgent(a)).then(b.demand.total_cmp(&a.demand))
         });
+        // What waits gets what is idle elsewhere, even where room of its own will be free in time.
+        for d in &order {
+            for want in &d.wants {
+                let mut left = want.count;
+                let fit = |i: &Idle| {
+                    let t = self.types.iter().find(|t| t.name == i.model)?;
+                    Some(room_for(&want.size, &[t.cpus, t.gpus, t.memory_gb])).filter(|n| *n > 0)
+                };
+                while left > 0 {
+                    let at = coming
+                        .iter()
+                        .position(|(p, i)| *p == d.partition && want.takes(i) && fit(i).is_some());
+                    if let Some(at) = at {
+                        let (_, i) = coming.swap_remove(at);
+                        left = left.saturating_sub(fit(&i).unwrap_or(1));
+                        continue;
+                    }
+                    let at = idle
+                        .iter()
+                        .position(|(p, i)| *p != d.partition && want.takes(i) && fit(i).is_some());
+                    let Some(at) = at else { break };
+                    let (from, i) = idle.swap_remove(at);
+                    left = left.saturating_sub(fit(&i).unwrap_or(1));
+                    moves.push((from, i, d.partition, false));
+                }
+            }
+        }
+        let mut arriving: Vec<(Partition, Idle)> = self.cloud.lent.iter().map(|l| (l.to, l.machine.clone())).collect();
+        arriving.extend(moves.iter().map(|(_, i, to, _)| (*to, i.clone())));
         for d in order {
             for need in &d.needs {
                 for _ in 0..need.count {
                     let kind = (need.model.clone(), need.zone.clone(), need.spot);
-                    // An idle machine of the same type will do in any zone, unless it is a spot machine
-                    // and the work may not use one.
-                    let found = idle.iter().position(|(p, i)| {
-                        *p != d.partition && i.model == need.model && i.zone == need.zone && (need.spot || !i.spot)
-                    });
-                    if let Some(at) = found {
-                        let (from, i) = idle.swap_remove(at);
-                        if let Some(owner) = self.holding(from).map(|h| h.owner.clone()) {
-                            self.cloud.lent_at.insert(d.partition, now);
-                            self.cloud.lent_at.insert(from, now);
-                            self.cloud.moves.entry(owner).or_default().push(Move {
-                                machine: i.machine,
-                                to: d.partition,
-                                vacate: false,
-                            });
-                        }
+                    // What was lent is there sooner than what would be rented.
+                    let same = |i: &Idle| {
+                        i.model == need.model && (need.any_zone || i.zone == need.zone) && (need.spot || !i.spot)
+                    };
+                    if let Some(at) = arriving.iter().position(|(to, i)| *to == d.partition && same(i)) {
+                        arriving.swap_remove(at);
                         continue;
                     }
                     // Production work gets machines that others can do without, and they what is rented.
@@ -869,19 +962,23 @@
                     });
                     if let Some(at) = found.filter(|_| need.urgent) {
                         let (from, i) = yielding.remove(at);
-                        if let Some(owner) = self.holding(from).map(|h| h.owner.clone()) {
-                            self.cloud.lent_at.insert(d.partition, now);
-                            self.cloud.moves.entry(owner).or_default().push(Move {
-                                machine: i.machine,
-                                to: d.partition,
-                                vacate: true,
-                            });
-                        }
+                        moves.push((from, i, d.partition, true));
                     }
                     wanted.entry(kind).or_default().push((d.partition, need.urgent));
                 }
             }
         }
+        for (from, machine, to, vacate) in moves {
+            let Some(owner) = self.holding(from).map(|h| h.owner.clone()) else {
+                continue;
+            };
+            self.cloud.moves.entry(owner).or_default().push(Move {
+                machine: machine.machine.clone(),
+                to,
+                vacate,
+            });
+            self.cloud.lent.push(Lent { machine, to, at: now });
+        }
         self.send_rentals(wanted);
     }
 
@@ -906,17 +1003,22 @@
             if self.cloud.refused.contains_key(&kind) || !self.cloud_budget(0.0) {
                 continue;
             }
-            let split: Vec<Partition> = parts.iter().map(|(p, _)| *p).take(50).collect();
-            self.cloud.rental_count += 1;
-            // The revision at which this leader took its key is nobody else's.
-            let rental = Rental {
-                request: format!("r-{leader_stamp}-{}", self.cloud.rental_count),
-                model: kind.0,
-                zone: kind.1,
-                spot: kind.2,
-                count: split.len() as u32,
-            };
-            self.rent(rental, split);
+            for (n, chunk) in parts.chunks(RENTAL).enumerate() {
+                if n > 0 && !self.cloud_budget(0.0) {
+                    break;
+                }
+                let split: Vec<Partition> = chunk.iter().map(|(p, _)| *p).collect();
+                self.cloud.rental_count += 1;
+                // The revision at which this leader took its key is nobody else's.
+                let rental = Rental {
+                    request: format!("r-{leader_stamp}-{}", self.cloud.rental_count),
+                    model: kind.0.clone(),
+                    zone: kind.1.clone(),
+                    spot: kind.2,
+                    count: split.len() as u32,
+                };
+                self.rent(rental, split);
+            }
         }
     }
 
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -92,6 +92,31 @@
     pub any_zone: bool,
 }
 
+/// Tasks that wait for room: what the leader needs to know to lend them what is idle elsewhere.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Want {
+    /// Machine types that would do; empty: any.
+    pub models: Vec<String>,
+    /// Zones that would do; empty: any.
+    pub zones: Vec<String>,
+    /// May use spot machines.
+    pub spot: bool,
+    /// Production work.
+    pub urgent: bool,
+    /// What each task takes.
+    pub size: [f64; 3],
+    /// How many.
+    pub count: u32,
+}
+
+impl Want {
+    /// Whether a machine would do.
+    pub fn takes(&self, machine: &Idle) -> bool {
+        let among = |list: &[String], name: &String| list.is_empty() || list.contains(name);
+        (self.spot || !machine.spot) && among(&self.models, &machine.model) && among(&self.zones, &machine.zone)
+    }
+}
+
 /// A machine with nothing on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Idle {
@@ -116,6 +141,8 @@
     pub demand: f64,
     /// Machines wanted.
     pub needs: Vec<Need>,
+    /// Tasks that wait, even for what will be free in time.
+    pub wants: Vec<Want>,
     /// Machines with nothing on them.
     pub idle: Vec<Idle>,
     /// Machines with nothing but work that yields to production, the least loss first.
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -18,5 +18,5 @@
 
 pub use controller::{
     Answer, Controller, Digest, Idle, Input, Level, Method, Move, NOT_SENT, Need, Now, Output, PeerReply, PeerRequest,
-    Target,
+    Target, Want,
 };
--- a/crates/tidelatch/src/peers.rs
+++ b/crates/tidelatch/src/peers.rs
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use tidelatch_core::ids::{MachineId, Partition};
-use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest};
+use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, Want};
 use tonic::body::Body;
 use tower_service::Service;
 
@@ -65,6 +65,30 @@
     }
 }
 
+fn want_out(w: Want) -> wire::Want {
+    wire::Want {
+        models: w.models,
+        zones: w.zones,
+        spot: w.spot,
+        urgent: w.urgent,
+        size: w.size.to_vec(),
+        count: w.count,
+    }
+}
+
+fn want_in(w: wire::Want) -> Want {
+    let mut size = [0.0; 3];
+    size.iter_mut().zip(w.size).for_each(|(s, v)| *s = v);
+    Want {
+        models: w.models,
+        zones: w.zones,
+        spot: w.spot,
+        urgent: w.urgent,
+        size,
+        count: w.count,
+    }
+}
+
 fn digest_out(d: Digest) -> wire::Digest {
     wire::Digest {
         partition: d.partition.0,
@@ -73,6 +97,7 @@
         needs: d.needs.into_iter().map(need_out).collect(),
         idle: d.idle.into_iter().map(idle_out).collect(),
         yielding: d.yielding.into_iter().map(idle_out).collect(),
+        wants: d.wants.into_iter().map(want_out).collect(),
     }
 }
 
@@ -84,6 +109,7 @@
         needs: d.needs.into_iter().map(need_in).collect(),
         idle: d.idle.into_iter().map(idle_in).collect(),
         yielding: d.yielding.into_iter().map(idle_in).collect(),
+        wants: d.wants.into_iter().map(want_in).collect(),
     }
 }
 
