Replicas that could run elsewhere move for those that could not

Change: a replica that could as well run in another zone moves there, for one that may not; a few at a time, and it does not come back to that zone for a while.

--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -468,6 +468,8 @@
     pub(crate) flush_due: u64,
     pub(crate) consolidate_due: u64,
     pub(crate) consolidated: BTreeMap<Partition, u64>,
+    /// When replicas of a partition were last moved to make room for others.
+    pub(crate) swapped: BTreeMap<Partition, u64>,
     /// Machines that have something to do at once.
     pub(crate) poked: BTreeSet<MachineId>,
     pub(crate) commands_sent: u64,
@@ -506,6 +508,7 @@
             flush_due: 0,
             consolidate_due: 0,
             consolidated: BTreeMap::new(),
+            swapped: BTreeMap::new(),
             poked: BTreeSet::new(),
             commands_sent: 0,
             guests: BTreeMap::new(),
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -107,6 +107,8 @@
     /// Distinct machines on which a task failed since one last ran through.
     pub(crate) failed_on: BTreeSet<MachineId>,
     pub(crate) hold_until: u64,
+    /// A zone that a replica has just left for another job's, and until when none comes back.
+    pub(crate) shunned: Option<(String, u64)>,
 }
 
 fn bit(words: &[u64], i: u32) -> bool {
@@ -150,6 +152,7 @@
             askers: Vec::new(),
             failed_on: BTreeSet::new(),
             hold_until: 0,
+            shunned: None,
         }
     }
 
--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -71,6 +71,8 @@
     pub one_zone: bool,
     /// Most tasks in one zone.
     pub most_per_zone: Option<u32>,
+    /// A zone that it has just left for others, and does not come back to yet.
+    pub shunned: Option<String>,
     /// May use spot machines.
     pub spot: bool,
     /// Image.
@@ -97,6 +99,20 @@
     pub team: usize,
 }
 
+impl JobTerms {
+    /// Hard filters that do not depend on room.
+    pub fn admits(&self, model: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.models.as_ref().is_none_or(|m| m.iter().any(|x| x == model))
+            && self.zone.as_ref().is_none_or(|z| z == zone)
+            && self.shunned.as_ref().is_none_or(|z| z != zone)
+            && (!self.one_zone || self.in_zone.iter().all(|(z, n)| *n == 0 || z == zone))
+            && self
+                .most_per_zone
+                .is_none_or(|most| self.in_zone.get(zone).copied().unwrap_or(0) < most)
+    }
+}
+
 /// Result for one task of a batch: the machine's place, or none.
 pub type Choice = Option<usize>;
 
@@ -134,17 +150,6 @@
         self
     }
 
-    /// Hard filters that do not depend on room.
-    fn allowed(&self, job: &JobTerms, slot: &Slot) -> bool {
-        (job.spot || !slot.spot)
-            && job.models.as_ref().is_none_or(|m| m.contains(&slot.model))
-            && job.zone.as_ref().is_none_or(|z| *z == slot.zone)
-            && (!job.one_zone || job.in_zone.iter().all(|(z, n)| *n == 0 || *z == slot.zone))
-            && job
-                .most_per_zone
-                .is_none_or(|most| job.in_zone.get(&slot.zone).copied().unwrap_or(0) < most)
-    }
-
     fn can(&self, task: usize, slot: usize) -> bool {
         let (Some(job), Some(slot)) = (
             self.tasks.get(task).and_then(|j| self.jobs.get(*j)),
@@ -154,7 +159,7 @@
         };
         fits(&job.size, &slot.free)
             && self.teams.get(job.team).is_some_and(|room| fits(&job.size, room))
-            && self.allowed(job, slot)
+            && job.admits(&slot.model, &slot.zone, slot.spot)
     }
 
     /// Soft terms, each between 0 and 1 times its weight.
@@ -338,7 +343,7 @@
                 .get(task)
                 .and_then(|j| self.jobs.get(*j))
                 .zip(self.slots.get(from))
-                .is_some_and(|(job, slot)| self.allowed(job, slot));
+                .is_some_and(|(job, slot)| job.admits(&slot.model, &slot.zone, slot.spot));
             if !worth {
                 continue;
             }
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -437,6 +437,11 @@
             zone: spec.zone.clone(),
             one_zone: spec.one_zone,
             most_per_zone: spec.spread.then(|| spec.tasks.div_ceil(2)),
+            shunned: job
+                .shunned
+                .as_ref()
+                .filter(|(_, until)| self.now.ms < *until)
+                .map(|(z, _)| z.clone()),
             spot: spec.spot,
             image: spec.image.clone(),
             image_gb: spec.image_gb,
@@ -645,6 +650,7 @@
             }
         }
         let mut stops: Vec<(MachineId, TaskId, Attempt)> = Vec::new();
+        let mut stuck: Vec<usize> = Vec::new();
         for j in needy {
             let (Some(w), Some(terms)) = (waiting.get(*j), jobs.get(*j)) else {
                 continue;
@@ -674,15 +680,7 @@
             if !urgent && !due {
                 continue;
             }
-            let allowed = |m: &crate::picture::Machine| {
-                (terms.spot || !m.spot)
-                    && terms.models.as_ref().is_none_or(|x| x.contains(&m.model))
-                    && terms.zone.as_ref().is_none_or(|z| *z == m.zone)
-                    && (!terms.one_zone || terms.in_zone.iter().all(|(z, n)| *n == 0 || *z == m.zone))
-                    && terms
-                        .most_per_zone
-                        .is_none_or(|most| terms.in_zone.get(&m.zone).copied().unwrap_or(0) < most)
-            };
+            let allowed = |m: &crate::picture::Machine| terms.admits(&m.model, &m.zone, m.spot);
             let fits = |free: &Amounts| terms.size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
             let coming = soon
                 .iter()
@@ -761,6 +759,8 @@
                     }
                     stops.push((id.clone(), task, attempt));
                 }
+            } else if terms.service && w.priority >= Priority::Prod {
+                stuck.push(*j);
             }
         }
         for (machine, task, attempt) in stops {
@@ -770,6 +770,117 @@
             );
             self.stop_held(&machine, &task, attempt);
         }
+        self.swap_replicas(partition, &stuck, jobs, soon);
+    }
+
+    /// Moves replicas that could as well run in another zone, for replicas that could not.
+    ///
+    /// Spreading leaves the last replicas of a service only some zones, and those may be full of
+    /// services that use less of the others than they could. A few at a time, for each is away for as
+    /// long as it takes to fetch its image.
+    fn swap_replicas(
+        &mut self,
+        partition: Partition,
+        stuck: &[usize],
+        jobs: &[JobTerms],
+        mut soon: BTreeMap<MachineId, Amounts>,
+    ) {
+        const AT_ONCE: usize = 4;
+        let now = self.now.ms;
+        let settled = self.set.worker_lease_ms();
+        let lately = self
+            .swapped
+            .get(&partition)
+            .is_some_and(|t| now.saturating_sub(*t) < 2 * self.set.report_ms());
+        if stuck.is_empty() || lately {
+            return;
+        }
+        let fits = |size: &Amounts, free: &Amounts| size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
+        // Room that lower priority would yield counts: a replica that waits gets it at once.
+        let mut could: BTreeMap<MachineId, Amounts> = BTreeMap::new();
+        for (id, free) in &soon {
+            let mut free = *free;
+            for h in self.machines.get(id).into_iter().flat_map(|m| &m.held) {
+                let yields = self
+                    .jobs
+                    .get(&h.task.job)
+                    .is_some_and(|j| j.spec.priority < Priority::Prod);
+                if yields && h.stop.is_none() {
+                    free.iter_mut().zip(h.size).for_each(|(f, s)| *f += s);
+                }
+            }
+            could.insert(id.clone(), free);
+        }
+        let mut moves: Vec<(MachineId, TaskId, Attempt)> = Vec::new();
+        for j in stuck {
+            if moves.len() >= AT_ONCE {
+                break;
+            }
+            let Some(terms) = jobs.get(*j) else { continue };
+            let mut found = None;
+            'machines: for (id, free) in &soon {
+                let Some(m) = self.machines.get(id) else { continue };
+                if !terms.admits(&m.model, &m.zone, m.spot) {
+                    continue;
+                }
+                for h in m.held.iter().filter(|h| h.stop.is_none()) {
+                    let old = h.running_since.is_some_and(|t| now.saturating_sub(t) > settled);
+                    let mut with = *free;
+                    with.iter_mut().zip(h.size).for_each(|(f, s)| *f += s);
+                    if !old || !fits(&terms.size, &with) || moves.iter().any(|(_, t, _)| t.job == h.task.job) {
+                        continue;
+                    }
+                    let Some(job) = self.jobs.get(&h.task.job) else {
+                        continue;
+                    };
+                    if job.spec.shape != Shape::Service || job.partition != partition || job.shunned.is_some() {
+                        continue;
+                    }
+                    let team = self.set.team(&job.spec.team).map_or(0, |(t, _)| t);
+                    let Some(mut other) = self.terms(&h.task.job, team, f64::MAX) else {
+                        continue;
+                    };
+                    if let Some(n) = other.in_zone.get_mut(&m.zone) {
+                        *n = n.saturating_sub(1);
+                    }
+                    other.shunned = Some(m.zone.clone());
+                    let to = could.iter().find(|(to, free)| {
+                        let there = self.machines.get(*to);
+                        fits(&h.size, free) && there.is_some_and(|t| other.admits(&t.model, &t.zone, t.spot))
+                    });
+                    if let Some((to, _)) = to {
+                        found = Some((id.clone(), h.task.clone(), h.attempt, h.size, to.clone()));
+                        break 'machines;
+                    }
+                }
+            }
+            let Some((id, task, attempt, size, to)) = found else {
+                continue;
+            };
+            if let Some(free) = soon.get_mut(&id) {
+                free.iter_mut().zip(size).for_each(|(f, s)| *f += s);
+                free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
+            }
+            if let Some(free) = could.get_mut(&to) {
+                free.iter_mut().zip(size).for_each(|(f, s)| *f -= s);
+            }
+            moves.push((id, task, attempt));
+        }
+        if moves.is_empty() {
+            return;
+        }
+        self.swapped.insert(partition, now);
+        for (machine, task, attempt) in moves {
+            self.log(
+                crate::controller::Level::Info,
+                format!("{machine}: {task} moves to another zone, for a replica that may not"),
+            );
+            let zone = self.machines.get(&machine).map(|m| m.zone.clone()).unwrap_or_default();
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.shunned = Some((zone, now + 2 * settled));
+            }
+            self.stop_held(&machine, &task, attempt);
+        }
     }
 }
 
--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -29,6 +29,7 @@
         zone: None,
         one_zone: false,
         most_per_zone: None,
+        shunned: None,
         spot: true,
         image: "i".into(),
         image_gb: 5.0,
