A new service leaves zones without a cheap kind to whom spreading leaves nothing else

Excluded: teams' limits; arrays there; the rate of renting (all were up by 40 s). Change: for twice a boot's time a service that spreads has no more replicas outside the zones with its cheapest kind than these zones cannot take, unless the cloud refuses that kind.

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -199,7 +199,7 @@
         let limit = if hopeless {
             late.max(0.5 * boot_s)
         } else if dear {
-            wish.slack_s.max(0.5 * boot_s)
+            (0.5 * wish.slack_s).max(0.5 * boot_s)
         } else {
             0.5 * boot_s
         };
@@ -470,6 +470,11 @@
         }
     }
 
+    /// Whether the cloud has refused a kind lately.
+    pub(crate) fn is_refused(&self, kind: &Kind, now: u64) -> bool {
+        self.refused.get(kind).is_some_and(|t| now < *t)
+    }
+
     /// A machine is known to be gone: that it is still listed, or reports late, means nothing.
     pub(crate) fn note_deleted(&mut self, id: MachineId, now: u64) {
         self.deleted.insert(id, now);
--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -71,6 +71,11 @@
     pub one_zone: bool,
     /// Most tasks in one zone.
     pub most_per_zone: Option<u32>,
+    /// Zones with the cheapest kind, and how many tasks may be in other ones; none: no such limit. What
+    /// only those other zones can take is left to whom spreading leaves nothing else.
+    pub cheap_zones: Vec<String>,
+    /// See `cheap_zones`.
+    pub most_elsewhere: u32,
     /// A zone that it has just left for others, and does not come back to yet.
     pub shunned: Option<String>,
     /// May use spot machines.
@@ -100,6 +105,11 @@
 }
 
 impl JobTerms {
+    fn elsewhere(&self) -> u32 {
+        let dear = self.in_zone.iter().filter(|(z, _)| !self.cheap_zones.contains(z));
+        dear.map(|(_, n)| n).sum()
+    }
+
     /// Hard filters that do not depend on room.
     pub fn admits(&self, model: &str, zone: &str, spot: bool) -> bool {
         (self.spot || !spot)
@@ -107,6 +117,9 @@
             && self.zone.as_ref().is_none_or(|z| z == zone)
             && self.shunned.as_ref().is_none_or(|z| z != zone)
             && (!self.one_zone || self.in_zone.iter().all(|(z, n)| *n == 0 || z == zone))
+            && (self.cheap_zones.is_empty()
+                || self.cheap_zones.iter().any(|z| z == zone)
+                || self.elsewhere() < self.most_elsewhere)
             && self
                 .most_per_zone
                 .is_none_or(|most| self.in_zone.get(zone).copied().unwrap_or(0) < most)
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -32,6 +32,9 @@
 /// of lower priority loses.
 const EQUAL_COST: f64 = 1e6;
 
+/// Boot times of the slowest type for which a new service keeps to the zones that are cheap for it.
+const CHEAP_BOOTS: f64 = 2.0;
+
 /// Age at which a job that nothing has been started of comes first, in seconds. Users want even the
 /// largest to begin within four minutes: that leaves time for a machine to boot and to fetch an image.
 const STARVED_S: f64 = 90.0;
@@ -464,6 +467,31 @@
         if best == f64::MAX { 0.0 } else { best }
     }
 
+    /// The zones with a kind that is about as cheap for a job as the cheapest; none if all zones are, or
+    /// if the cloud has none of it at present.
+    fn cheap_zones(&self, spec: &JobSpec, cheapest: f64) -> Vec<String> {
+        let size = Self::size(spec);
+        let mut cheap: BTreeSet<&String> = BTreeSet::new();
+        let mut all: BTreeSet<&String> = BTreeSet::new();
+        for t in &self.types {
+            let fit = crate::capacity::room_for(&size, &[t.cpus, t.gpus, t.memory_gb]);
+            if fit == 0 || !spec.models.as_ref().is_none_or(|m| m.contains(&t.name)) {
+                continue;
+            }
+            all.extend(&t.zones);
+            for zone in &t.zones {
+                let kind = (t.name.clone(), zone.clone(), false);
+                if t.price / f64::from(fit) < 1.2 * cheapest && !self.cloud.is_refused(&kind, self.now.ms) {
+                    cheap.insert(zone);
+                }
+            }
+        }
+        if cheap.len() == all.len() || spec.zone.is_some() || spec.spot {
+            return Vec::new();
+        }
+        cheap.into_iter().cloned().collect()
+    }
+
     fn terms(&self, id: &JobId, team: usize, slack_s: f64) -> Option<JobTerms> {
         let job = self.jobs.get(id)?;
         let mut in_zone = BTreeMap::new();
@@ -474,12 +502,24 @@
         }
         let spec = &job.spec;
         let urgency = urgency(slack_s, spec);
+        let age_s = self.now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
+        let most_per_zone = spec.spread.then(|| spec.tasks.div_ceil(2));
+        let cheapest = self.cheapest(spec);
+        // For as long as machines rented for it take to boot; after that, any room is better than none.
+        let boot_s = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let cheap_zones = match most_per_zone {
+            Some(_) if spec.shape == Shape::Service && age_s < CHEAP_BOOTS * boot_s => self.cheap_zones(spec, cheapest),
+            _ => Vec::new(),
+        };
+        let there = most_per_zone.unwrap_or(0).saturating_mul(cheap_zones.len() as u32);
         Some(JobTerms {
+            cheap_zones,
+            most_elsewhere: spec.tasks.saturating_sub(there),
             size: Self::size(spec),
             models: spec.models.clone(),
             zone: spec.zone.clone(),
             one_zone: spec.one_zone,
-            most_per_zone: spec.spread.then(|| spec.tasks.div_ceil(2)),
+            most_per_zone,
             shunned: job
                 .shunned
                 .as_ref()
@@ -493,11 +533,8 @@
             estimate_s: self.learned.run_s(spec),
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
             service: spec.shape == Shape::Service,
-            cheapest: self.cheapest(spec),
-            wait_left_s: {
-                let age_s = self.now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
-                (self.wait_s(id) - age_s).max(0.0)
-            },
+            cheapest,
+            wait_left_s: (self.wait_s(id) - age_s).max(0.0),
             in_zone,
             team,
         })
--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -29,6 +29,8 @@
         zone: None,
         one_zone: false,
         most_per_zone: None,
+        cheap_zones: Vec::new(),
+        most_elsewhere: 0,
         shunned: None,
         spot: true,
         image: "i".into(),
@@ -244,3 +246,24 @@
     (0..400).for_each(|_| learned.note(&spec, 25.0));
     assert!(learned.run_s(&spec) < 30.0, "older tasks fade");
 }
+
+#[test]
+fn a_service_leaves_zones_without_a_cheap_kind_to_those_that_may_run_nowhere_else() {
+    // Guard: from hanbit-railplan-grown. The first services took all machines of the scarce zones, and
+    // the last replicas of later ones, which spreading lets run only there, waited for minutes.
+    let mut jobs = [terms(1.0)];
+    jobs[0].service = true;
+    jobs[0].most_per_zone = Some(2);
+    jobs[0].cheap_zones = vec!["a".into()];
+    jobs[0].most_elsewhere = 2;
+    let mut slots = [slot("b", false, 2.0), slot("c", false, 2.0)];
+    let chosen = place(&mut slots, &mut jobs, &[0, 0, 0, 0], ANY);
+    assert_eq!(
+        chosen.iter().flatten().count(),
+        2,
+        "two wait for the cheap zone: {chosen:?}"
+    );
+    let mut slots = [slot("a", false, 2.0)];
+    let chosen = place(&mut slots, &mut jobs, &[0, 0], ANY);
+    assert_eq!(chosen.iter().flatten().count(), 2);
+}
