--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -176,16 +176,7 @@
 ///
 /// A task may wait for room as long as it will still be in time, and in any case as long as a machine
 /// rented now would take to boot. Services and guaranteed work wait no longer than `patience_s`.
-///
-/// Where the cheap kinds are refused, so that another machine would cost a multiple, tasks wait for room
-/// as long as they will still be in time: a machine that is there frees some every few seconds.
-pub fn absorb(
-    wishes: &mut [Wish],
-    lanes: &mut [Lane],
-    types: &[MachineType],
-    refused: &dyn Fn(&Kind) -> bool,
-    patience_s: f64,
-) {
+pub fn absorb(wishes: &mut [Wish], lanes: &mut [Lane], types: &[MachineType], patience_s: f64) {
     let boot_s = types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
     if boot_s == f64::MAX {
         return;
@@ -195,19 +186,8 @@
         // What a machine rented now could not finish in time either need not cost one.
         let hopeless = wish.slack_s < boot_s;
         let late = wish.slack_s + 0.5 * wish.deadline_s - 0.5 * wish.run_s;
-        let dear = dearness(wish, types, refused) > DEAR;
-        let limit = if hopeless {
-            late.max(0.5 * boot_s)
-        } else if dear {
-            (0.5 * wish.slack_s).max(0.5 * boot_s)
-        } else {
-            0.5 * boot_s
-        };
-        let limit = if wish.guaranteed && !dear {
-            limit.min(patience_s)
-        } else {
-            limit
-        };
+        let limit = if hopeless { late.max(0.5 * boot_s) } else { 0.5 * boot_s };
+        let limit = if wish.guaranteed { limit.min(patience_s) } else { limit };
         let limit = if wish.service { 0.0 } else { limit };
         while wish.count > 0 {
             // Room that is free, or will be once its machine has booted, is always taken: a machine
@@ -233,31 +213,6 @@
     }
 }
 
-/// From this multiple of the cheapest price on, a machine is not rented for what can still be in time
-/// without it.
-const DEAR: f64 = 1e9;
-
-/// What a task costs on the cheapest kind that can be had, over what it costs on the cheapest of all.
-fn dearness(wish: &Wish, types: &[MachineType], refused: &dyn Fn(&Kind) -> bool) -> f64 {
-    let (mut cheapest, mut to_be_had) = (f64::MAX, f64::MAX);
-    for t in types {
-        let fit = room_for(&wish.size, &[t.cpus, t.gpus, t.memory_gb]);
-        for zone in t.zones.iter().filter(|_| fit > 0) {
-            for spot in [true, false] {
-                if !wish.allows(&t.name, zone, spot) {
-                    continue;
-                }
-                let cost = if spot { t.spot_price } else { t.price } / f64::from(fit);
-                cheapest = cheapest.min(cost);
-                if !refused(&(t.name.clone(), zone.clone(), spot)) {
-                    to_be_had = to_be_had.min(cost);
-                }
-            }
-        }
-    }
-    to_be_had / cheapest.max(1e-9)
-}
-
 /// Kind of machine: type, zone, spot.
 pub type Kind = (String, String, bool);
 
@@ -729,7 +684,7 @@
                 .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
                 .sum::<f64>();
             let refused = |kind: &Kind| self.cloud.refused.get(kind).is_some_and(|t| now < *t);
-            absorb(&mut wishes, &mut lanes, &self.types, &refused, self.guarantee_s());
+            absorb(&mut wishes, &mut lanes, &self.types, self.guarantee_s());
             let needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
             yielding.sort_by(|a, b| a.0.total_cmp(&b.0));
             digests.push(Digest {
