Warm starts are tried once for each job

While what was stopped was slow to go, each search stopped something else rather than take the free place. Change: one try for each job. Test: a_warm_start_is_tried_once (seen to fail without it).

--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -871,6 +871,10 @@
             .and_then(|m| self.types.iter().find(|t| t.name == m.model))
             .map_or(0.0, |t| terms.image_gb / t.fetch_gb_per_s.max(1e-3));
         let late = terms.wait_left_s > round_s && fetch_s + round_s > terms.wait_left_s;
+        // Once for each job: what was stopped may be slow to go, and a second try would only delay it.
+        let now = self.now.ms;
+        let tried = self.jobs.get(&w.id).and_then(|j| j.warmed_at);
+        let late = late && tried.is_none_or(|t| t == now);
         if !late || w.priority < Priority::Prod || has(self, machine) {
             return false;
         }
@@ -911,6 +915,9 @@
             stops.push((v.task.clone(), v.attempt));
         }
         let id = y.id.clone();
+        if let Some(job) = self.jobs.get_mut(&w.id) {
+            job.warmed_at = Some(now);
+        }
         for (task, attempt) in stops {
             self.log(
                 crate::controller::Level::Info,
--- a/crates/tidelatch-standin/tests/troubles.rs
+++ b/crates/tidelatch-standin/tests/troubles.rs
@@ -485,3 +485,104 @@
     );
     keep(&world, "replicas_move_for_others");
 }
+
+/// One replica with an image on a full machine, and a free place on another one without the image.
+fn with_a_warm_machine() -> World {
+    let mut world = World::sized(
+        &Operator::default(),
+        Size {
+            wait_s: 5.0,
+            ..Size::default()
+        },
+    );
+    world.cloud.most = 2;
+    world.run_ms = 600_000;
+    world.run(3000);
+    world.accepted(0, &heavy(job(1, 0, "standing", 1), "x"));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000001") == 1),
+        "{}",
+        world.trace()
+    );
+    world.accepted(0, &heavy(job(2, 0, "sweep", 2), "y"));
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000002") == 2),
+        "{}",
+        world.trace()
+    );
+    world.run(3000);
+    world
+}
+
+fn heavy(mut job: serde_json::Value, image: &str) -> serde_json::Value {
+    job["stock"] = image.into();
+    job["sizeGb"] = 8.0.into();
+    job
+}
+
+#[test]
+fn production_work_starts_where_its_image_is_if_fetching_would_make_it_late() {
+    let mut world = with_a_warm_machine();
+    let warm = world.machines_of("job-000001");
+    world.accepted(0, &heavy(job(3, 0, "standing", 1), "x"));
+    assert!(
+        world.run_until(5000, |w| w.running("job-000003") == 1),
+        "{}",
+        world.trace()
+    );
+    assert_eq!(world.machines_of("job-000003"), warm, "{}", world.trace());
+    sound(&world);
+}
+
+#[test]
+fn a_warm_start_is_tried_once() {
+    // Guard: from the earlier sites, whose replicas were away for 30 s. Each search stopped something
+    // else instead of taking the free place, while what was stopped first was slow to go.
+    let mut world = World::sized(
+        &Operator::default(),
+        Size {
+            wait_s: 5.0,
+            guarantee: 16.0,
+            limit: 16.0,
+            ..Size::default()
+        },
+    );
+    world.run_ms = 600_000;
+    world.run(3000);
+    // Two machines with the image, each with an array's task beside; a third with a free place.
+    for (id, shape, image, zone) in [
+        (1, "standing", "x", "a"),
+        (2, "sweep", "y", "a"),
+        (3, "standing", "x", "b"),
+        (4, "sweep", "y", "b"),
+        (5, "sweep", "y", "a"),
+    ] {
+        let mut body = heavy(job(id, 0, shape, 1), image);
+        body["yard"] = zone.into();
+        world.accepted(0, &body);
+        let name = format!("job-{id:06}");
+        assert!(world.run_until(30_000, |w| w.running(&name) == 1), "{}", world.trace());
+        world.run(3000);
+    }
+    // Stops are slow to arrive.
+    world.meddle(|l| {
+        if l.what == "POST /commands" && l.body.contains("\"kill\"") {
+            Fate::Lost
+        } else {
+            Fate::Pass
+        }
+    });
+    world.accepted(0, &heavy(job(6, 0, "standing", 1), "x"));
+    assert!(
+        world.run_until(8000, |w| w.running("job-000006") == 1),
+        "{}",
+        world.trace()
+    );
+    assert_eq!(
+        world.trace().matches("finds its image there").count(),
+        1,
+        "{}",
+        world.trace()
+    );
+    sound(&world);
+}
