--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -176,7 +176,16 @@
 ///
 /// A task may wait for room as long as it will still be in time, and in any case as long as a machine
 /// rented now would take to boot. Services and guaranteed work wait no longer than `patience_s`.
-pub fn absorb(wishes: &mut [Wish], lanes: &mut [Lane], types: &[MachineType], patience_s: f64) {
+///
+/// Where the cloud refuses every kind that would do, tasks wait for room for half of their slack: what
+/// is left after that asks for machines that other partitions might lend or vacate.
+pub fn absorb(
+    wishes: &mut [Wish],
+    lanes: &mut [Lane],
+    types: &[MachineType],
+    refused: &dyn Fn(&Kind) -> bool,
+    patience_s: f64,
+) {
     let boot_s = types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
     if boot_s == f64::MAX {
         return;
@@ -186,8 +195,19 @@
         // What a machine rented now could not finish in time either need not cost one.
         let hopeless = wish.slack_s < boot_s;
         let late = wish.slack_s + 0.5 * wish.deadline_s - 0.5 * wish.run_s;
-        let limit = if hopeless { late.max(0.5 * boot_s) } else { 0.5 * boot_s };
-        let limit = if wish.guaranteed { limit.min(patience_s) } else { limit };
+        let none = all_refused(wish, types, refused);
+        let limit = if hopeless {
+            late.max(0.5 * boot_s)
+        } else if none {
+            (0.5 * wish.slack_s).max(0.5 * boot_s)
+        } else {
+            0.5 * boot_s
+        };
+        let limit = if wish.guaranteed && !none {
+            limit.min(patience_s)
+        } else {
+            limit
+        };
         let limit = if wish.service { 0.0 } else { limit };
         while wish.count > 0 {
             // Room that is free, or will be once its machine has booted, is always taken: a machine
@@ -213,6 +233,20 @@
     }
 }
 
+/// Whether the cloud refuses every kind of machine that would do.
+fn all_refused(wish: &Wish, types: &[MachineType], refused: &dyn Fn(&Kind) -> bool) -> bool {
+    let fits = |t: &&MachineType| room_for(&wish.size, &[t.cpus, t.gpus, t.memory_gb]) > 0;
+    let to_be_had = |t: &MachineType| {
+        t.zones.iter().any(|zone| {
+            let kind = |spot| (t.name.clone(), zone.clone(), spot);
+            [true, false]
+                .into_iter()
+                .any(|spot| wish.allows(&t.name, zone, spot) && !refused(&kind(spot)))
+        })
+    };
+    !types.iter().filter(fits).any(to_be_had)
+}
+
 /// Kind of machine: type, zone, spot.
 pub type Kind = (String, String, bool);
 
@@ -684,7 +718,7 @@
                 .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
                 .sum::<f64>();
             let refused = |kind: &Kind| self.cloud.refused.get(kind).is_some_and(|t| now < *t);
-            absorb(&mut wishes, &mut lanes, &self.types, self.guarantee_s());
+            absorb(&mut wishes, &mut lanes, &self.types, &refused, self.guarantee_s());
             let needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
             yielding.sort_by(|a, b| a.0.total_cmp(&b.0));
             digests.push(Digest {
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -109,8 +109,6 @@
     pub(crate) hold_until: u64,
     /// A zone that a replica has just left for another job's, and until when none comes back.
     pub(crate) shunned: Option<(String, u64)>,
-    /// When others were stopped so that its tasks start where their image is.
-    pub(crate) warmed_at: Option<u64>,
 }
 
 fn bit(words: &[u64], i: u32) -> bool {
@@ -155,7 +153,6 @@
             failed_on: BTreeSet::new(),
             hold_until: 0,
             shunned: None,
-            warmed_at: None,
         }
     }
 
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -347,7 +347,6 @@
         let mut next = vec![0usize; waiting.len()];
         let mut stuck: BTreeSet<usize> = BTreeSet::new();
         let mut unplaced: Vec<(usize, u32)> = Vec::new();
-        let mut warm: Option<Vec<Yard>> = None;
         let size = self.set.operator.batch_tasks as usize;
         loop {
             let batch = draw(&waiting, &mut next, &stuck, &mut claims, &jobs, size);
@@ -368,11 +367,6 @@
             for (Drawn { job, index, .. }, choice) in batch.into_iter().zip(choices) {
                 match choice.and_then(|c| ids.get(c)) {
                     Some(machine) => {
-                        if let (Some(w), Some(terms)) = (waiting.get(job), jobs.get(job))
-                            && self.make_warm(partition, w, terms, machine, &mut warm)
-                        {
-                            continue;
-                        }
                         if let Some(w) = waiting.get(job) {
                             let task = TaskId {
                                 job: w.id.clone(),
@@ -845,90 +839,6 @@
         self.swap_replicas(partition, &stuck, jobs, soon);
     }
 
-    /// Whether a production task is better off on a machine that has its image, once work of lower
-    /// priority there has been stopped: it then starts at once, and by fetching it would be late for the
-    /// aim of its class. The stops are ordered; the task waits for the next batch.
-    fn make_warm(
-        &mut self,
-        partition: Partition,
-        w: &Waiting,
-        terms: &JobTerms,
-        machine: &MachineId,
-        yards: &mut Option<Vec<Yard>>,
-    ) -> bool {
-        let has = |c: &Self, id: &MachineId| {
-            c.machines.get(id).is_some_and(|m| {
-                let held =
-                    |h: &crate::picture::Held| c.jobs.get(&h.task.job).is_some_and(|j| j.spec.image == terms.image);
-                m.images.iter().any(|(i, _)| *i == terms.image) || m.held.iter().any(held)
-            })
-        };
-        // Stopping takes a round of its own.
-        let round_s = self.set.batch_retry_ms() as f64 / 1000.0;
-        let fetch_s = self
-            .machines
-            .get(machine)
-            .and_then(|m| self.types.iter().find(|t| t.name == m.model))
-            .map_or(0.0, |t| terms.image_gb / t.fetch_gb_per_s.max(1e-3));
-        let late = terms.wait_left_s > round_s && fetch_s + round_s > terms.wait_left_s;
-        // Once for each job: what was stopped may be slow to go, and a second try would only delay it.
-        let now = self.now.ms;
-        let tried = self.jobs.get(&w.id).and_then(|j| j.warmed_at);
-        let late = late && tried.is_none_or(|t| t == now);
-        if !late || w.priority < Priority::Prod || has(self, machine) {
-            return false;
-        }
-        let yards = yards.get_or_insert_with(|| self.yards(partition, 3 * self.set.report_ms()));
-        let mut best: Option<(f64, usize, Vec<usize>)> = None;
-        for (at, y) in yards.iter().enumerate() {
-            if !terms.admits(&y.model, &y.zone, y.spot) || !has(self, &y.id) {
-                continue;
-            }
-            let mut order: Vec<usize> = (0..y.victims.len()).collect();
-            let lost = |i: &usize| y.victims.get(*i).map_or(f64::MAX, |v| v.lost_s);
-            order.sort_by(|a, b| lost(a).total_cmp(&lost(b)));
-            let (mut free, mut cost, mut chosen) = (y.free, 0.0, Vec::new());
-            for i in order {
-                if terms.size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6) {
-                    break;
-                }
-                let Some(v) = y.victims.get(i).filter(|v| !v.taken && v.priority < w.priority) else {
-                    continue;
-                };
-                free.iter_mut().zip(v.size).for_each(|(f, s)| *f += s);
-                cost += 1.0 + v.lost_s;
-                chosen.push(i);
-            }
-            let fits = terms.size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
-            if fits && !chosen.is_empty() && best.as_ref().is_none_or(|b| cost < b.0) {
-                best = Some((cost, at, chosen));
-            }
-        }
-        let Some((_, at, chosen)) = best else { return false };
-        let Some(y) = yards.get_mut(at) else { return false };
-        y.free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
-        let mut stops = Vec::new();
-        for i in chosen {
-            let Some(v) = y.victims.get_mut(i) else { continue };
-            v.taken = true;
-            y.free.iter_mut().zip(v.size).for_each(|(f, s)| *f += s);
-            stops.push((v.task.clone(), v.attempt));
-        }
-        let id = y.id.clone();
-        if let Some(job) = self.jobs.get_mut(&w.id) {
-            job.warmed_at = Some(now);
-        }
-        for (task, attempt) in stops {
-            self.log(
-                crate::controller::Level::Info,
-                format!("{id}: stopping {task}: {} finds its image there", w.id),
-            );
-            self.stop_held(&id, &task, attempt);
-        }
-        self.want_batch();
-        true
-    }
-
     /// The machines of a partition on which room could be made, with all that could be stopped there.
     fn yards(&self, partition: Partition, patience: u64) -> Vec<Yard> {
         let now = self.now.ms;
--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -187,7 +187,7 @@
         lane(0.0, 0.0, vec![(3.0, [1.0, 1.0, 1.0])]),
         lane(39.0, 2.0, Vec::new()),
     ];
-    absorb(&mut wishes, &mut lanes, &types, 10.0);
+    absorb(&mut wishes, &mut lanes, &types, &|_| false, 10.0);
     assert_eq!(wishes[0].count, 0);
 }
 
@@ -196,12 +196,12 @@
     let types = [machine_type("m", [24.0, 2.0, 100.0], 7.0)];
     let full = || lane(0.0, 0.0, vec![(60.0, [1.0, 1.0, 1.0])]);
     let mut wishes = [wish(1, false)];
-    absorb(&mut wishes, &mut [full()], &types, f64::MAX);
+    absorb(&mut wishes, &mut [full()], &types, &|_| false, f64::MAX);
     assert_eq!(wishes[0].count, 1, "a machine of its own makes it in time");
     let mut wishes = [wish(1, false)];
     wishes[0].slack_s = 10.0;
     wishes[0].deadline_s = 300.0;
-    absorb(&mut wishes, &mut [full()], &types, f64::MAX);
+    absorb(&mut wishes, &mut [full()], &types, &|_| false, f64::MAX);
     assert_eq!(
         wishes[0].count, 0,
         "too late for a boot: it waits instead of costing a machine"
--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -38,8 +38,6 @@
     pub write_rps: f64,
     /// Largest value that it takes, in KiB.
     pub value_kb: f64,
-    /// Seconds within which tasks should start, by the objectives; 0: none says so.
-    pub wait_s: f64,
 }
 
 impl Default for Size {
@@ -50,7 +48,6 @@
             limit: 4.0,
             write_rps: 60.0,
             value_kb: 32.0,
-            wait_s: 0.0,
         }
     }
 }
@@ -214,16 +211,12 @@
     let teams: Vec<Value> = (0..size.teams)
         .map(|i| json!({ "name": format!("team-{i}"), "gpus": size.guarantee, "gpus_max": size.limit }))
         .collect();
-    let objectives: Vec<Value> = match size.wait_s > 0.0 {
-        true => vec![json!({ "kind": "wait", "class": "c", "within_s": size.wait_s, "share": 0.9 })],
-        false => Vec::new(),
-    };
     let platform = json!({
         "host_name": format!("berth-{index}"), "area": "a",
         "api_addr": format!("10.0.0.{}:8080", index + 1), "peer_listen": format!("10.0.0.{}:8081", index + 1),
         "siblings": siblings, "outside": { "cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379" },
         "facts": {
-            "nodes": 3, "zones": ["a", "b"], "skew_ms": 25.0, "teams": teams, "objectives": objectives,
+            "nodes": 3, "zones": ["a", "b"], "skew_ms": 25.0, "teams": teams,
             "workers": { "report_s": 2.5, "lease_s": 18.0, "cancel_s": 38.0 },
             "state": { "rps": 250.0, "write_rps": size.write_rps, "value_kb": size.value_kb, "txn_ops": 16 },
             "cloud": { "rps": 4.0, "list_lag_s": 8.0 },
--- a/crates/tidelatch-standin/tests/scale.rs
+++ b/crates/tidelatch-standin/tests/scale.rs
@@ -14,7 +14,6 @@
             limit: 400.0,
             write_rps: 25.0,
             value_kb: 4.0,
-            wait_s: 0.0,
         },
     );
     world.cloud.most = 300;
