Sockets divided by need; what waits is taken by urgency; lanes are looked at once for each wish

Cause: half of the sockets were for those who come in: 1,745 and 1,794, against 1,848 and 2,131 workers of which one controller alone hears all; and connections of machines that had died stayed for four leases. Excluded: memory (27 of 208 MB), the state service (nothing refused). Peaks of a second are still at the share: next.

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -15,7 +15,8 @@
 use crate::roster::Rented;
 use crate::settings::Settings;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BinaryHeap};
 
 /// Tasks of one job that found no machine.
 #[derive(Debug, Clone)]
@@ -209,30 +210,77 @@
             limit
         };
         let limit = if wish.service { 0.0 } else { limit };
+        // Room that is free, or will be once its machine has booted, is always taken: a machine rented
+        // now would be no faster. Only the lane that was taken changes, so the lanes are looked at once
+        // for each wish and not for each task: with hundreds of both, that was most of the processor time.
+        let mut open: BinaryHeap<Reverse<Opening>> = lanes
+            .iter()
+            .enumerate()
+            .filter(|(_, l)| wish.allows(&l.model, &l.zone, l.spot))
+            .filter_map(|(lane, l)| Opening::of(l, lane, &wish.size, limit))
+            .map(Reverse)
+            .collect();
         while wish.count > 0 {
-            // Room that is free, or will be once its machine has booted, is always taken: a machine
-            // rented now would be no faster.
-            let best = lanes
-                .iter()
-                .enumerate()
-                .filter(|(_, l)| wish.allows(&l.model, &l.zone, l.spot))
-                .filter_map(|(i, l)| l.earliest(&wish.size).map(|(t, n)| (t, n, i)))
-                .filter(|(t, ended, _)| *ended == 0 || *t <= limit)
-                .min_by(|a, b| a.0.total_cmp(&b.0));
-            let Some((start, ended, i)) = best else { break };
-            let Some(lane) = lanes.get_mut(i) else { break };
+            let Some(Reverse(Opening {
+                start_s,
+                ended,
+                lane: at,
+            })) = open.pop()
+            else {
+                break;
+            };
+            let Some(lane) = lanes.get_mut(at) else { break };
+            // What is allowed only shrinks, as zones fill up.
+            if !wish.allows(&lane.model, &lane.zone, lane.spot) {
+                continue;
+            }
             let fetch_s = types
                 .iter()
                 .find(|t| t.name == lane.model)
                 .map_or(0.0, |t| wish.image_gb / t.fetch_gb_per_s.max(1e-3));
             let run_s = if wish.service { f64::MAX } else { wish.run_s + fetch_s };
-            lane.take(&wish.size, start, ended, run_s);
+            lane.take(&wish.size, start_s, ended, run_s);
+            open.extend(Opening::of(lane, at, &wish.size, limit).map(Reverse));
             *wish.in_zone.entry(lane.zone.clone()).or_default() += 1;
             wish.count -= 1;
         }
     }
 }
 
+/// Where and when a task could start.
+#[derive(Debug, PartialEq)]
+struct Opening {
+    start_s: f64,
+    lane: usize,
+    /// Tasks now on the machine that must have ended by then.
+    ended: usize,
+}
+
+impl Opening {
+    fn of(lane: &Lane, at: usize, size: &Amounts, limit: f64) -> Option<Self> {
+        let (start_s, ended) = lane.earliest(size)?;
+        (ended == 0 || start_s <= limit).then_some(Self {
+            start_s,
+            lane: at,
+            ended,
+        })
+    }
+}
+
+impl Eq for Opening {}
+
+impl Ord for Opening {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.start_s.total_cmp(&other.start_s).then(self.lane.cmp(&other.lane))
+    }
+}
+
+impl PartialOrd for Opening {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 /// Whether the cloud refuses every kind of machine that would do.
 fn all_refused(wish: &Wish, types: &[MachineType], refused: &dyn Fn(&Kind) -> bool) -> bool {
     let fits = |t: &&MachineType| room_for(&wish.size, &[t.cpus, t.gpus, t.memory_gb]) > 0;
@@ -274,16 +322,21 @@
     order.sort_by(|a, b| b.urgent.cmp(&a.urgent).then(a.slack_s.total_cmp(&b.slack_s)));
     for wish in order {
         let mut wish = wish.clone();
+        // What has no room for one task of a job has none for the next: room and zones only fill up.
+        let mut from = 0;
         while wish.count > 0 {
             let found = coming
-                .iter_mut()
-                .find(|c| wish.allows(&c.model, &c.zone, c.spot) && room_for(&wish.size, &c.free) > 0);
-            if let Some(c) = found {
+                .iter()
+                .skip(from)
+                .position(|c| wish.allows(&c.model, &c.zone, c.spot) && room_for(&wish.size, &c.free) > 0);
+            from += found.unwrap_or(coming.len());
+            if let Some(c) = coming.get_mut(from) {
                 c.free.iter_mut().zip(wish.size).for_each(|(f, s)| *f -= s);
                 *wish.in_zone.entry(c.zone.clone()).or_default() += 1;
                 wish.count -= 1;
                 continue;
             }
+            from = coming.len();
             let mut best: Option<(f64, u32, Kind, Amounts)> = None;
             // Where the cloud refuses all that would do, the cheapest is named all the same: another
             // partition may have one to lend or to vacate.
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -14,6 +14,9 @@
 /// Status of a call that was never sent: no connection came about, so nothing can have been executed.
 pub const NOT_SENT: u16 = 0;
 
+/// Status of a call for which no socket was free: nothing was tried, so it says nothing of the other side.
+pub const NOT_TRIED: u16 = 1;
+
 /// The time of an input.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Now {
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -17,6 +17,6 @@
 pub mod settings;
 
 pub use controller::{
-    Answer, Controller, Digest, Idle, Input, Level, Method, Move, NOT_SENT, Need, Now, Output, PeerReply, PeerRequest,
-    Target, Want,
+    Answer, Controller, Digest, Idle, Input, Level, Method, Move, NOT_SENT, NOT_TRIED, Need, Now, Output, PeerReply,
+    PeerRequest, Target, Want,
 };
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -5,7 +5,9 @@
 //! the machine begins a new session, or when the cloud has answered that the machine is deleted. A
 //! silent worker's lease is never taken as evidence: any entitled controller may have answered it.
 
-use crate::controller::{Answer, Asker, Controller, Level, Method, NOT_SENT, PeerReply, PeerRequest, Purpose, Target};
+use crate::controller::{
+    Answer, Asker, Controller, Level, Method, NOT_SENT, NOT_TRIED, PeerReply, PeerRequest, Purpose, Target,
+};
 use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, TaskId};
 use crate::membership::Stage;
 use crate::protocol::{Command, Orders, Report, Shape, TaskState};
@@ -989,8 +991,10 @@
                 }
             }
             // Not executed: another session or a newer token, or the connection never came about.
-            (Some(409 | NOT_SENT), report) => {
-                m.direct_from = now + lease / 4;
+            (Some(status @ (409 | NOT_SENT | NOT_TRIED)), report) => {
+                if status != NOT_TRIED {
+                    m.direct_from = now + lease / 4;
+                }
                 let unsent: Vec<(TaskId, Attempt)> = m
                     .held
                     .iter()
@@ -1149,6 +1153,8 @@
     }
 
     pub(crate) fn on_probe(&mut self, id: MachineId, sent: u64, result: Option<(u16, Vec<u8>)>) {
+        // No socket was free here: that says nothing of the machine.
+        let untried = matches!(result, Some((NOT_TRIED, _)));
         let report = match result {
             Some((200, body)) => serde_json::from_slice::<Report>(&body).ok(),
             _ => None,
@@ -1175,7 +1181,7 @@
                 self.heard_directly(&id);
                 self.take_report(&report, false);
             }
-            None if zone_heard => m.probes_failed += 1,
+            None if zone_heard && !untried => m.probes_failed += 1,
             _ => {}
         }
     }
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -7,7 +7,7 @@
 use crate::membership::Stage;
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
 use crate::protocol::{JobSpec, Priority, Shape};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One team's claim in a round: what it uses, and the share by which it is served.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -1013,31 +1013,35 @@
 ) -> Vec<Drawn> {
     let mut batch = Vec::new();
     for priority in [Priority::Prod, Priority::Urgent, Priority::Normal, Priority::Low] {
-        while batch.len() < most {
-            let ready = |j: usize| {
-                waiting
-                    .get(j)
-                    .is_some_and(|w| w.priority == priority && !stuck.contains(&j))
-                    && next
-                        .get(j)
-                        .is_some_and(|n| waiting.get(j).is_some_and(|w| *n < w.tasks.len()))
-            };
-            let mut teams = vec![false; claims.len()];
-            for (_, w) in waiting.iter().enumerate().filter(|(j, _)| ready(*j)) {
-                if let Some(t) = teams.get_mut(w.team) {
-                    *t = true;
-                }
+        // Each team's jobs in their order, so that a draw does not go through all that waits.
+        let mut queues: Vec<VecDeque<usize>> = vec![VecDeque::new(); claims.len()];
+        let mut teams = vec![false; claims.len()];
+        for (j, w) in waiting.iter().enumerate() {
+            let left = next.get(j).is_some_and(|n| *n < w.tasks.len());
+            if w.priority == priority
+                && left
+                && !stuck.contains(&j)
+                && let Some((queue, ready)) = queues.get_mut(w.team).zip(teams.get_mut(w.team))
+            {
+                queue.push_back(j);
+                *ready = true;
             }
+        }
+        while batch.len() < most {
             let Some(team) = turn(claims, &teams) else { break };
-            let Some(j) = (0..waiting.len()).find(|j| ready(*j) && waiting.get(*j).is_some_and(|w| w.team == team))
-            else {
-                break;
-            };
+            let Some(queue) = queues.get_mut(team) else { break };
+            let Some(j) = queue.front().copied() else { break };
             let (Some(w), Some(n)) = (waiting.get(j), next.get_mut(j)) else {
                 break;
             };
             let Some(index) = w.tasks.get(*n).copied() else { break };
             *n += 1;
+            if *n >= w.tasks.len() {
+                queue.pop_front();
+                if let Some(ready) = teams.get_mut(team).filter(|_| queue.is_empty()) {
+                    *ready = false;
+                }
+            }
             let Some((c, job)) = claims.get_mut(team).zip(jobs.get(j)) else {
                 break;
             };
--- a/crates/tidelatch/src/daemon.rs
+++ b/crates/tidelatch/src/daemon.rs
@@ -1,19 +1,22 @@
 //! Sockets and timers round the core. One thread does all the work.
 
-use crate::http::{Client, Connection, Fault};
+use crate::doors::{Division, Door, Doors};
+use crate::http::{self, Client, Connection, Fault};
 use crate::peers::{self, Peers};
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use smol::net::TcpListener;
 use smol::{Executor, Timer};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tidelatch_core::ids::{ControllerId, Incarnation};
 use tidelatch_core::settings::Settings;
-use tidelatch_core::{Answer, Controller, Input, Level, Method, NOT_SENT, Now, Output, PeerReply, PeerRequest, Target};
+use tidelatch_core::{
+    Answer, Controller, Input, Level, Method, NOT_SENT, NOT_TRIED, Now, Output, PeerReply, PeerRequest, Target,
+};
 
 /// What keeps the daemon from running.
 #[derive(Debug, thiserror::Error)]
@@ -108,64 +111,181 @@
         env!("CARGO_PKG_VERSION"),
         platform.api_addr
     );
-    // Half of the sockets for those who come in; the rest for calls and peers.
-    let most = (platform.facts.machine_limits.sockets / 2).max(8) as usize;
-    let patience = Duration::from_secs_f64(platform.facts.workers.lease_s.max(1.0));
+    let division = Division::of(platform.facts.machine_limits.sockets);
+    let workers = &platform.facts.workers;
+    let [report, lease] = [workers.report_s, workers.lease_s].map(|s| Duration::from_secs_f64(s.max(0.5)));
+    let doors = Doors::new(division, report, lease);
     executor
-        .spawn(accept(executor.clone(), users, events.clone(), most, patience))
+        .spawn(accept(executor.clone(), users, events.clone(), doors.clone()))
         .detach();
     executor
         .spawn(peers::serve(executor.clone(), siblings, events.clone()))
         .detach();
-    let mut hands = Hands::new(&executor, &settings, events)?;
+    let mut hands = Hands::new(&executor, &settings, events, division)?;
     // Every life of a process needs a number of its own; random ones do not depend on any clock.
     let incarnation = Incarnation(fastrand::u64(1..1 << 40) << 12);
     let clock = Clock(Instant::now());
     let core = Controller::new(settings, incarnation, clock.now());
-    drive(core, clock, inbox, &mut hands).await;
+    drive(core, clock, inbox, &mut hands, &doors).await;
     Ok(())
 }
 
 /// Time between two ticks of the core.
 const TICK: Duration = Duration::from_millis(100);
 
-async fn drive(mut core: Controller, clock: Clock, inbox: Receiver<Event>, hands: &mut Hands) {
+/// What has come in and waits for the core, by how soon it is needed.
+#[derive(Default)]
+struct Inbox {
+    /// Health checks, and the ends of calls: leases, watches and peers' promises hang on them.
+    first: VecDeque<Event>,
+    /// Reports and users' requests, each with the time of its coming, in turns.
+    reports: VecDeque<(Instant, Event)>,
+    users: VecDeque<(Instant, Event)>,
+    turn: bool,
+}
+
+impl Inbox {
+    fn put(&mut self, event: Event, now: Instant) {
+        match &event {
+            Event::Request { path, .. } if path == REPORT => self.reports.push_back((now, event)),
+            Event::Request { path, .. } if path != "/up" => self.users.push_back((now, event)),
+            Event::Peer {
+                request: PeerRequest::Relay { .. },
+                ..
+            } => self.reports.push_back((now, event)),
+            _ => self.first.push_back(event),
+        }
+    }
+
+    /// The next event, and whether its sender waits for an answer no longer.
+    fn take(&mut self, now: Instant) -> Option<(Event, bool)> {
+        if let Some(event) = self.first.pop_front() {
+            return Some((event, false));
+        }
+        self.turn = !self.turn;
+        let (one, other) = if self.turn {
+            (&mut self.reports, &mut self.users)
+        } else {
+            (&mut self.users, &mut self.reports)
+        };
+        let (at, event) = one.pop_front().or_else(|| other.pop_front())?;
+        let waited = now.saturating_duration_since(at);
+        let late = match &event {
+            Event::Request { method, .. } if *method == Method::Get => waited > POLL_PATIENCE,
+            Event::Request { path, .. } if path == REPORT => waited > REPORT_PATIENCE,
+            Event::Request { .. } => waited > SUBMIT_PATIENCE,
+            _ => waited > REPORT_PATIENCE,
+        };
+        Some((event, late))
+    }
+}
+
+/// Path of workers' reports.
+const REPORT: &str = "/agent/beat";
+/// PROTOCOL's patience of those who ask: a poll, a report, a submission. What has waited for longer is
+/// refused without being looked at, so that time goes to those who still wait.
+const POLL_PATIENCE: Duration = Duration::from_secs(2);
+const REPORT_PATIENCE: Duration = Duration::from_secs(4);
+const SUBMIT_PATIENCE: Duration = Duration::from_secs(5);
+
+async fn drive(mut core: Controller, clock: Clock, inbox: Receiver<Event>, hands: &mut Hands, doors: &Doors) {
+    let mut waiting = Inbox::default();
     let mut next_tick = Instant::now();
-    let mut reap_at = Instant::now() + Client::REAP;
+    let mut reap_at = next_tick + Client::REAP;
+    // One timer for all ticks: to make one anew for each event costs system calls.
+    let mut timer = Timer::at(next_tick);
     loop {
-        let event = async { inbox.recv().await.ok() }
-            .or(async {
-                Timer::at(next_tick).await;
-                None
-            })
-            .await;
-        let input = match event {
-            None => {
-                next_tick = Instant::now() + TICK;
-                if Instant::now() >= reap_at {
-                    reap_at = Instant::now() + Client::REAP;
-                    hands.client.reap();
-                }
-                Input::Tick
-            }
-            Some(event) => hands.input(event),
-        };
-        for output in core.step(clock.now(), input) {
-            hands.carry_out(output);
+        let now = Instant::now();
+        while let Ok(event) = inbox.try_recv() {
+            waiting.put(event, now);
         }
-        // Under a flood of events the timer would never win: time passes all the same.
-        if Instant::now() >= next_tick + TICK {
-            next_tick = Instant::now() + TICK;
+        // Under a flood of events time passes all the same.
+        if now >= next_tick {
+            next_tick = now + TICK;
+            timer.set_at(next_tick);
+            if now >= reap_at {
+                reap_at = now + Client::REAP;
+                hands.client.reap();
+                doors.sweep(now);
+            }
+            hands.end_overdue(now);
             for output in core.step(clock.now(), Input::Tick) {
                 hands.carry_out(output);
             }
         }
-        smol::future::yield_now().await;
+        match waiting.take(now) {
+            Some((event, false)) => {
+                let input = hands.input(event);
+                for output in core.step(clock.now(), input) {
+                    hands.carry_out(output);
+                }
+                smol::future::yield_now().await;
+            }
+            Some((event, true)) => refuse(event),
+            None => {
+                let event = async { inbox.recv().await.ok() }
+                    .or(async {
+                        (&mut timer).await;
+                        None
+                    })
+                    .await;
+                if let Some(event) = event {
+                    waiting.put(event, Instant::now());
+                }
+            }
+        }
+    }
+}
+
+/// Answers who has given up by now, with no other work.
+fn refuse(event: Event) {
+    let answer = Answer::later(503, 1, "overloaded");
+    // Whoever asked may have gone away.
+    match event {
+        Event::Request { reply, .. } => drop(reply.try_send(answer)),
+        Event::Peer { reply, .. } => drop(reply.try_send(PeerReply::Answer(answer))),
+        Event::Reply { .. } | Event::PeerReply { .. } => {}
     }
 }
 
 impl Client {
-    const REAP: Duration = Duration::from_secs(10);
+    const REAP: Duration = Duration::from_secs(2);
+}
+
+/// Calls that are under way, and when each has no answer. They are looked at with each tick: a timer for
+/// each call costs system calls.
+#[derive(Default)]
+struct Overdue {
+    by_time: BTreeMap<(Instant, u64), Sender<()>>,
+    of: HashMap<u64, Instant>,
+}
+
+impl Overdue {
+    /// What tells a call that its time is over.
+    fn add(&mut self, call: u64, ms: u64) -> Receiver<()> {
+        let at = Instant::now() + Duration::from_millis(ms);
+        let (over, told) = smol::channel::bounded(1);
+        self.by_time.insert((at, call), over);
+        self.of.insert(call, at);
+        told
+    }
+
+    fn end(&mut self, call: u64) {
+        if let Some(at) = self.of.remove(&call) {
+            self.by_time.remove(&(at, call));
+        }
+    }
+
+    fn tell(&mut self, now: Instant) {
+        while let Some(((at, call), over)) = self.by_time.pop_first() {
+            if at > now {
+                self.by_time.insert((at, call), over);
+                return;
+            }
+            self.of.remove(&call);
+            let _ = over.try_send(());
+        }
+    }
 }
 
 /// Carries out what the core wants.
@@ -178,12 +298,18 @@
     siblings: HashMap<ControllerId, SocketAddr>,
     events: Sender<Event>,
     next: u64,
+    overdue: Overdue,
     requests: HashMap<u64, Sender<Answer>>,
     questions: HashMap<u64, Sender<PeerReply>>,
 }
 
 impl Hands {
-    fn new(executor: &Arc<Executor<'static>>, settings: &Settings, events: Sender<Event>) -> Result<Self, Stop> {
+    fn new(
+        executor: &Arc<Executor<'static>>,
+        settings: &Settings,
+        events: Sender<Event>,
+        division: Division,
+    ) -> Result<Self, Stop> {
         let platform = &settings.platform;
         let mut siblings = HashMap::new();
         for s in &platform.siblings {
@@ -191,13 +317,14 @@
         }
         Ok(Self {
             executor: executor.clone(),
-            client: Client::default(),
+            client: Client::new(division.commands),
             peers: Peers::new(executor.clone()),
             state: address(&platform.outside.state)?,
             cloud: address(&platform.outside.cloud)?,
             siblings,
             events,
             next: 1,
+            overdue: Overdue::default(),
             requests: HashMap::new(),
             questions: HashMap::new(),
         })
@@ -220,11 +347,22 @@
                 self.questions.insert(id, reply);
                 Input::PeerRequest { id, request }
             }
-            Event::Reply { call, result } => Input::Reply { call, result },
-            Event::PeerReply { call, result } => Input::PeerReply { call, result },
+            Event::Reply { call, result } => {
+                self.overdue.end(call);
+                Input::Reply { call, result }
+            }
+            Event::PeerReply { call, result } => {
+                self.overdue.end(call);
+                Input::PeerReply { call, result }
+            }
         }
     }
 
+    /// Ends the calls whose time is over.
+    fn end_overdue(&mut self, now: Instant) {
+        self.overdue.tell(now);
+    }
+
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Answer { id, answer } => {
@@ -256,13 +394,15 @@
                     Target::Cloud => Some(self.cloud),
                     Target::Worker(addr) => addr.parse().ok(),
                 };
+                let worker = matches!(target, Target::Worker(_));
                 let (client, events) = (self.client.clone(), self.events.clone());
+                let over = self.overdue.add(id, timeout_ms);
                 self.executor
                     .spawn(async move {
-                        let sent = AtomicBool::new(false);
+                        let stage = AtomicU8::new(http::WAITING);
                         let called = async {
                             let to = to?;
-                            match client.call(to, method, &path, &body, &sent).await {
+                            match client.call(to, worker, method, &path, &body, &stage).await {
                                 Ok(answer) => Some(answer),
                                 Err(fault) => {
                                     tracing::debug!("{to}{path}: {fault}");
@@ -270,8 +410,12 @@
                                 }
                             }
                         };
-                        let result = called.or(gone_after(timeout_ms)).await;
-                        let unsent = || (!sent.load(Ordering::Relaxed)).then(|| (NOT_SENT, Vec::new()));
+                        let result = called.or(given_up(over)).await;
+                        let unsent = || match stage.load(Ordering::Relaxed) {
+                            http::WAITING => Some((NOT_TRIED, Vec::new())),
+                            http::CONNECTING => Some((NOT_SENT, Vec::new())),
+                            _ => None,
+                        };
                         let result = result.or_else(unsent);
                         let _ = events.try_send(Event::Reply { call: id, result });
                     })
@@ -285,11 +429,12 @@
             } => {
                 let to = self.siblings.get(&to).copied();
                 let (peers, events) = (self.peers.clone(), self.events.clone());
+                let over = self.overdue.add(id, timeout_ms);
                 self.executor
                     .spawn(async move {
                         let result = match to {
                             Some(to) => {
-                                let result = peers.ask(to, request).or(gone_after(timeout_ms)).await;
+                                let result = peers.ask(to, request).or(given_up(over)).await;
                                 if result.is_none() {
                                     peers.forget(to);
                                 }
@@ -305,35 +450,32 @@
     }
 }
 
-async fn gone_after<T>(ms: u64) -> Option<T> {
-    Timer::after(Duration::from_millis(ms)).await;
+async fn given_up<T>(over: Receiver<()>) -> Option<T> {
+    // Nothing is sent but the end of its time.
+    let _ = over.recv().await;
     None
 }
 
-async fn accept(
-    executor: Arc<Executor<'static>>,
-    listener: TcpListener,
-    events: Sender<Event>,
-    most: usize,
-    patience: Duration,
-) {
-    let open = Arc::new(());
+async fn accept(executor: Arc<Executor<'static>>, listener: TcpListener, events: Sender<Event>, doors: Arc<Doors>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of sockets, most likely: some will close soon.
-            Timer::after(Duration::from_millis(100)).await;
+            Timer::after(TICK).await;
             continue;
         };
-        if Arc::strong_count(&open) > most {
+        let Some(door) = doors.enter(Instant::now()) else {
             drop(stream);
             continue;
-        }
-        let held = open.clone();
+        };
         let events = events.clone();
         executor
             .spawn(async move {
-                let _held = held;
-                if let Err(fault) = converse(Connection::new(stream), events, patience).await {
+                let ended = async {
+                    door.closed().await;
+                    Ok(())
+                };
+                let served = converse(Connection::new(stream), events, &door).or(ended).await;
+                if let Err(fault) = served {
                     tracing::debug!("a connection ended: {fault}");
                 }
             })
@@ -342,22 +484,15 @@
 }
 
 /// Serves one connection, request after request.
-async fn converse(mut connection: Connection, events: Sender<Event>, patience: Duration) -> Result<(), Fault> {
+async fn converse(mut connection: Connection, events: Sender<Event>, door: &Door) -> Result<(), Fault> {
     loop {
-        // Idle connections are closed, and so are those that do not finish a request.
-        let idle = async {
-            Timer::after(patience * 4).await;
-            Err(Fault::Closed)
-        };
-        match connection.wait().or(idle).await {
+        door.idle();
+        match connection.wait().await {
             Err(Fault::Closed) => return Ok(()),
             other => other?,
         }
-        let slow = async {
-            Timer::after(patience).await;
-            Err(Fault::Closed)
-        };
-        let request = match connection.request().or(slow).await {
+        door.reading();
+        let request = match connection.request().await {
             Ok(request) => request,
             Err(fault) => {
                 let status = match fault {
@@ -372,6 +507,11 @@
                 return Ok(());
             }
         };
+        if !door.answering(request.path == REPORT) {
+            let full = br#"{"error":"too many workers report here"}"#;
+            connection.respond(503, Some(1), full, false).await?;
+            return Ok(());
+        }
         let method = match request.method.as_str() {
             "GET" => Method::Get,
             "POST" => Method::Post,
@@ -407,3 +547,78 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn request(method: Method, path: &str) -> (Event, Receiver<Answer>) {
+        let (reply, answer) = smol::channel::bounded(1);
+        let event = Event::Request {
+            method,
+            path: path.to_owned(),
+            body: Vec::new(),
+            reply,
+        };
+        (event, answer)
+    }
+
+    fn path(event: &Event) -> &str {
+        match event {
+            Event::Request { path, .. } => path,
+            Event::Reply { .. } => "reply",
+            _ => "peer",
+        }
+    }
+
+    #[test]
+    fn health_checks_and_replies_overtake_and_who_waits_no_longer_is_refused() {
+        // Guard: when everyone comes back at once, `/up` and the ends of lease calls must not stand behind
+        // a thousand reports, and time must not go into answers that nobody reads.
+        let mut inbox = Inbox::default();
+        let then = Instant::now();
+        let (poll, polled) = request(Method::Get, "/submissions/job-000001");
+        inbox.put(poll, then);
+        for _ in 0..2 {
+            inbox.put(request(Method::Post, REPORT).0, then);
+        }
+        inbox.put(request(Method::Post, "/submissions").0, then);
+        inbox.put(request(Method::Get, "/up").0, then);
+        inbox.put(Event::Reply { call: 1, result: None }, then);
+        let now = then + Duration::from_secs(3);
+        let taken: Vec<(Event, bool)> = std::iter::from_fn(|| inbox.take(now)).collect();
+        let order: Vec<(&str, bool)> = taken.iter().map(|(e, late)| (path(e), *late)).collect();
+        // After 3 s a poll is late, a report and a submission are not; reports and users take turns.
+        assert_eq!(
+            order,
+            [
+                ("/up", false),
+                ("reply", false),
+                (REPORT, false),
+                ("/submissions/job-000001", true),
+                (REPORT, false),
+                ("/submissions", false),
+            ]
+        );
+        for (event, late) in taken {
+            if late {
+                refuse(event);
+            }
+        }
+        let answer = polled.try_recv().expect("an answer at once");
+        assert_eq!((answer.status, answer.retry_after_s), (503, Some(1)));
+    }
+
+    #[test]
+    fn calls_end_when_their_time_is_over_and_not_before() {
+        let mut overdue = Overdue::default();
+        let now = Instant::now();
+        let (short, long, ended) = (overdue.add(1, 500), overdue.add(2, 5000), overdue.add(3, 500));
+        overdue.end(3);
+        overdue.tell(now + Duration::from_secs(2));
+        assert!(short.try_recv().is_ok());
+        assert!(long.try_recv().is_err() && !long.is_closed());
+        assert!(ended.try_recv().is_err());
+        assert_eq!(overdue.of.len(), 1);
+    }
+}
--- a/crates/tidelatch/src/http.rs
+++ b/crates/tidelatch/src/http.rs
@@ -1,10 +1,11 @@
 //! HTTP/1.1 on `httparse`: reading messages, and a client that keeps connections.
 
 use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::lock::{Semaphore, SemaphoreGuardArc};
 use smol::net::TcpStream;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tidelatch_core::Method;
@@ -312,13 +313,27 @@
     }
 }
 
+/// How far a call has come: it waits for a socket.
+pub const WAITING: u8 = 0;
+/// How far a call has come: the connection is being made, and nothing was sent.
+pub const CONNECTING: u8 = 1;
+/// How far a call has come: it may have been carried out.
+pub const SENT: u8 = 2;
+
+/// A connection that was opened, and its place among those to workers.
+struct Opened {
+    connection: Connection,
+    place: Option<SemaphoreGuardArc>,
+}
+
 /// An idle connection, and since when it is idle.
-type Kept = (Connection, Instant);
+type Kept = (Opened, Instant);
 
 /// A client that keeps a few connections to each address.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Kept>>>>,
+    places: Arc<Semaphore>,
 }
 
 impl Client {
@@ -327,7 +342,15 @@
     /// Most idle connections to one address.
     const KEPT: usize = 4;
 
-    fn pooled(&self, to: SocketAddr) -> Option<Connection> {
+    /// A client that has at most so many connections to workers, idle ones included.
+    pub fn new(most: usize) -> Self {
+        Self {
+            idle: Arc::default(),
+            places: Arc::new(Semaphore::new(most)),
+        }
+    }
+
+    fn pooled(&self, to: SocketAddr) -> Option<Opened> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&to)?;
         while let Some((connection, since)) = kept.pop() {
@@ -338,7 +361,7 @@
         None
     }
 
-    fn keep(&self, to: SocketAddr, connection: Connection) {
+    fn keep(&self, to: SocketAddr, connection: Opened) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.entry(to).or_default();
         kept.retain(|(_, since)| since.elapsed() < Self::IDLE);
@@ -356,19 +379,51 @@
         idle.retain(|_, kept| !kept.is_empty());
     }
 
-    /// Makes a call. A fault says nothing of whether it was carried out, unless `sent` is still false.
+    /// Closes the connection to a worker that has lain idle for longest.
+    fn close_oldest(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let counted = |kept: &Vec<Kept>| kept.iter().filter(|(o, _)| o.place.is_some()).map(|(_, t)| *t).min();
+        let oldest = idle.iter().filter_map(|(to, kept)| Some((counted(kept)?, *to))).min();
+        if let Some((since, to)) = oldest
+            && let Some(kept) = idle.get_mut(&to)
+        {
+            kept.retain(|(_, t)| *t != since);
+        }
+    }
+
+    /// A place for a connection to a worker: an idle one's, or the next that becomes free. Whoever waits
+    /// has sent nothing.
+    async fn place(&self) -> SemaphoreGuardArc {
+        if let Some(place) = self.places.try_acquire_arc() {
+            return place;
+        }
+        self.close_oldest();
+        self.places.acquire_arc().await
+    }
+
+    /// Makes a call. A fault says nothing of whether it was carried out, unless `stage` says that it has
+    /// not come so far.
     pub async fn call(
         &self,
         to: SocketAddr,
+        worker: bool,
         method: Method,
         path: &str,
         body: &str,
-        sent: &AtomicBool,
+        stage: &AtomicU8,
     ) -> Result<(u16, Vec<u8>), Fault> {
-        let mut connection = match self.pooled(to) {
-            Some(connection) => connection,
-            None => Connection::new(TcpStream::connect(to).await?),
+        let mut opened = match self.pooled(to) {
+            Some(opened) => opened,
+            None => {
+                let place = if worker { Some(self.place().await) } else { None };
+                stage.store(CONNECTING, Ordering::Relaxed);
+                Opened {
+                    connection: Connection::new(TcpStream::connect(to).await?),
+                    place,
+                }
+            }
         };
+        let connection = &mut opened.connection;
         let word = match method {
             Method::Get => "GET",
             Method::Post => "POST",
@@ -385,11 +440,11 @@
         if method == Method::Post {
             message.push_str(body);
         }
-        sent.store(true, Ordering::Relaxed);
+        stage.store(SENT, Ordering::Relaxed);
         connection.stream.write_all(message.as_bytes()).await?;
         let (status, body, keep_alive) = connection.response().await?;
         if keep_alive && connection.buffer.is_empty() {
-            self.keep(to, connection);
+            self.keep(to, opened);
         }
         Ok((status, body))
     }
--- a/crates/tidelatch/src/main.rs
+++ b/crates/tidelatch/src/main.rs
@@ -1,6 +1,7 @@
 //! tidelatch: a cluster scheduler. The command line.
 
 mod daemon;
+mod doors;
 mod http;
 mod peers;
 mod settings;
