--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -567,9 +567,6 @@
     pub(crate) fn tick_capacity(&mut self) {
         let now = self.now.ms;
         self.want_types();
-        if self.entitled() {
-            self.finish_vacating();
-        }
         if now < self.cloud.due || !self.entitled() {
             return;
         }
@@ -920,7 +917,10 @@
     }
 
     /// Hands over what has been vacated; gives up what does not become empty.
-    fn finish_vacating(&mut self) {
+    pub(crate) fn finish_vacating(&mut self) {
+        if !self.entitled() {
+            return;
+        }
         let now = self.now.ms;
         let patience = 2 * self.set.report_ms();
         let mut ready = Vec::new();
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -468,6 +468,10 @@
     pub(crate) learned: Learned,
     /// Jobs that a slice of the search left out, with what they would need, until when.
     pub(crate) resting: BTreeMap<JobId, (Option<Wish>, u64)>,
+    /// Jobs within their teams' guarantees, as of the last batch.
+    pub(crate) guaranteed: BTreeSet<JobId>,
+    /// When all machines are next looked at.
+    machines_due: u64,
     pub(crate) flush_due: u64,
     pub(crate) consolidate_due: u64,
     pub(crate) consolidated: BTreeMap<Partition, u64>,
@@ -510,6 +514,8 @@
             batch_due: None,
             learned: Learned::default(),
             resting: BTreeMap::new(),
+            guaranteed: BTreeSet::new(),
+            machines_due: 0,
             flush_due: 0,
             consolidate_due: 0,
             consolidated: BTreeMap::new(),
@@ -553,7 +559,13 @@
         self.tick_membership();
         self.tick_tenures();
         self.tick_jobs();
-        self.tick_machines();
+        // Looking through all machines with each tick would cost a controller of a thousand a good part of
+        // its processor, and nothing there is due by less than this.
+        if self.now.ms >= self.machines_due {
+            self.machines_due = self.now.ms + self.set.report_ms() / 16;
+            self.tick_machines();
+            self.finish_vacating();
+        }
         self.tick_roster();
         self.tick_batch();
         self.consolidate();
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -202,6 +202,7 @@
             return;
         }
         let now = self.now.ms;
+        self.guaranteed = self.within_guarantees();
         self.resting.retain(|_, (_, until)| now < *until);
         let mut wishes = Vec::new();
         let mut budget = self.set.search_evaluations();
@@ -421,22 +422,25 @@
         wishes.into_values().collect()
     }
 
-    /// Whether a job fits into its team's guarantee along with the team's earlier unfinished jobs.
-    fn within_guarantee(&self, id: &JobId, job: &Job) -> bool {
-        let Some((_, team)) = self.set.team(&job.spec.team) else {
-            return false;
-        };
-        let earlier = self
-            .jobs
-            .iter()
-            .filter(|(other, j)| j.spec.team == job.spec.team && (j.at_wall, *other) <= (job.at_wall, id));
-        let mut sum = [0.0; 2];
-        for (_, j) in earlier {
+    /// The jobs that fit into their teams' guarantees, each along with its team's earlier unfinished jobs.
+    fn within_guarantees(&self) -> BTreeSet<JobId> {
+        let mut earlier: Vec<(u64, &JobId, &Job)> = self.jobs.iter().map(|(id, j)| (j.at_wall, id, j)).collect();
+        earlier.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        let mut sums: BTreeMap<&str, [f64; 2]> = BTreeMap::new();
+        let mut within = BTreeSet::new();
+        for (_, id, j) in earlier {
+            let Some((_, team)) = self.set.team(&j.spec.team) else {
+                continue;
+            };
+            let sum = sums.entry(j.spec.team.as_str()).or_default();
             let left = f64::from(j.spec.tasks - j.done_count);
             sum[0] += left * j.spec.cpus;
             sum[1] += left * j.spec.gpus;
+            if (team.cpus <= 0.0 || sum[0] <= team.cpus + 1e-6) && (team.gpus <= 0.0 || sum[1] <= team.gpus + 1e-6) {
+                within.insert(id.clone());
+            }
         }
-        (team.cpus <= 0.0 || sum[0] <= team.cpus + 1e-6) && (team.gpus <= 0.0 || sum[1] <= team.gpus + 1e-6)
+        within
     }
 
     /// Time within which tasks of a job's class should start, by the objectives; 0 if none says so.
@@ -528,7 +532,7 @@
             spot: spec.spot,
             image: spec.image.clone(),
             image_gb: spec.image_gb,
-            guaranteed: self.within_guarantee(id, job),
+            guaranteed: self.guaranteed.contains(id),
             deadline_s: spec.deadline_s.unwrap_or(0.0),
             estimate_s: self.learned.run_s(spec),
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
@@ -636,11 +640,34 @@
                 Some((m.held.len() as f64 / price.max(1e-9), id.clone()))
             })
             .collect();
+        if candidates.is_empty() {
+            return;
+        }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        // Others that hold something already, looked at once for all candidates; and no more of those
+        // than a slice of the search may look at: with hundreds of machines each, this grew by the square.
+        let (ids, mut slots) = self.slots(partition, &[0.0; 3]);
+        let mut busy: Vec<MachineId> = Vec::new();
+        let mut held_here = ids
+            .iter()
+            .map(|id| self.machines.get(id).is_some_and(|m| !m.held.is_empty()));
+        slots.retain(|_| held_here.next().unwrap_or(false));
+        busy.extend(
+            ids.into_iter()
+                .filter(|id| self.machines.get(id).is_some_and(|m| !m.held.is_empty())),
+        );
+        let mut budget = self.set.search_evaluations();
         for (_, id) in candidates {
             let Some(m) = self.machines.get(&id) else { continue };
             let held: Vec<(TaskId, Attempt)> = m.held.iter().map(|h| (h.task.clone(), h.attempt)).collect();
-            if self.fits_elsewhere(partition, &id, &held) {
+            let cost = (held.len() + 1) * slots.len();
+            if cost > budget {
+                return;
+            }
+            budget -= cost;
+            let others = busy.iter().zip(&slots).filter(|(other, _)| **other != id);
+            let others = others.map(|(_, s)| s.clone()).collect();
+            if self.fits_elsewhere(others, &id, &held) {
                 self.log(
                     crate::controller::Level::Info,
                     format!("{id}: moving its {} replicas to other machines", held.len()),
@@ -657,16 +684,8 @@
         }
     }
 
-    /// Whether the tasks of a machine would all find room on others that hold something already.
-    fn fits_elsewhere(&self, partition: Partition, id: &MachineId, held: &[(TaskId, Attempt)]) -> bool {
-        let (ids, slots) = self.slots(partition, &[0.0; 3]);
-        let busy = |other: &MachineId| other != id && self.machines.get(other).is_some_and(|m| !m.held.is_empty());
-        let mut slots: Vec<Slot> = ids
-            .iter()
-            .zip(slots)
-            .filter(|(other, _)| busy(other))
-            .map(|(_, s)| s)
-            .collect();
+    /// Whether the tasks of a machine would all find room on some others.
+    fn fits_elsewhere(&self, mut slots: Vec<Slot>, id: &MachineId, held: &[(TaskId, Attempt)]) -> bool {
         let Some(zone) = self.machines.get(id).map(|m| m.zone.clone()) else {
             return false;
         };
