Small jobs first within a team; one task for what is starved; the cloud's list is read page by page

Cause: when more waits than can be in time, order by slack alone makes large jobs take the room of several small ones, and a starved large job took all of its tasks at once. Excluded: renting (all 1,232 machines were in use). The list of machines had only its first 500 read: what stood in no roster beyond them would have been paid for without end.

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -481,6 +481,10 @@
     deleting: bool,
     due: u64,
     hosts_at: u64,
+    /// Last machine of the page of the cloud's list that came last; empty: the next one is the first.
+    hosts_since: String,
+    /// Where the page that was asked for last began.
+    hosts_asked: String,
 }
 
 impl Cloud {
@@ -509,6 +513,8 @@
             deleting: false,
             due: 0,
             hosts_at: 0,
+            hosts_since: String::new(),
+            hosts_asked: String::new(),
         }
     }
 
@@ -1296,11 +1302,15 @@
     fn list_hosts(&mut self) {
         let now = self.now.ms;
         let every = (self.set.platform.facts.cloud.list_lag_s * 2000.0) as u64 + self.set.report_ms();
-        if now < self.cloud.hosts_at + every || !self.cloud_budget(0.3) {
+        // The pages of one list follow each other; a page is 500 machines at most.
+        let between = self.cloud.hosts_since.is_empty();
+        if (between && now < self.cloud.hosts_at + every) || !self.cloud_budget(0.3) {
             return;
         }
         self.cloud.hosts_at = now;
-        self.cloud_call(Method::Get, "/hosts?since=&most=500", String::new(), Purpose::Hosts);
+        self.cloud.hosts_asked = std::mem::take(&mut self.cloud.hosts_since);
+        let path = format!("/hosts?since={}&most=500", self.cloud.hosts_asked);
+        self.cloud_call(Method::Get, path, String::new(), Purpose::Hosts);
     }
 
     pub(crate) fn on_hosts(&mut self, result: Option<(u16, Vec<u8>)>) {
@@ -1308,6 +1318,9 @@
         let Ok(list) = serde_json::from_slice::<MachineList>(&body) else {
             return;
         };
+        // Guard: machines beyond the first page would be paid for without end.
+        let last = list.machines.last().map(|m| m.id.as_str().to_owned());
+        self.cloud.hosts_since = last.filter(|l| list.more && *l > self.cloud.hosts_asked).unwrap_or_default();
         if !self.is_leader() || self.cloud.renting > 0 || !self.cloud.unlisted.is_empty() || self.cloud.deleting {
             return;
         }
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -107,17 +107,20 @@
 /// deadlines; last what is late in any case, for it would only make others late as well.
 ///
 /// Estimates are often wrong by half: what would be in time with half of its estimate counts as such.
-pub fn urgency(slack_s: f64, spec: &JobSpec) -> f64 {
+///
+/// `small` is between 0 and 1, and larger for jobs with little left to do: when more waits than can be in
+/// time, room given to those makes more of their users content.
+pub fn urgency(slack_s: f64, small: f64, spec: &JobSpec) -> f64 {
     const SCALE_S: f64 = 60.0;
     let within = |left_s: f64| 1.0 / (1.0 + left_s.min(1e9) / SCALE_S);
     let slack_s = slack_s + 0.5 * spec.estimate_s;
     let late_s = slack_s + 0.5 * spec.deadline_s.unwrap_or(0.0);
     if slack_s >= 0.0 {
-        0.6 + 0.4 * within(slack_s)
+        0.6 + 0.4 * small * within(slack_s)
     } else if late_s >= 0.0 {
-        0.3 + 0.2 * within(late_s)
+        0.3 + 0.2 * small * within(late_s)
     } else {
-        0.1
+        0.1 + 0.1 * small
     }
 }
 
@@ -128,6 +131,11 @@
     priority: Priority,
     /// Seconds until it has to be started to be in time; services and jobs without deadline: none.
     slack_s: f64,
+    /// What it has left to start, in seconds of run time, and how small that is among what waits.
+    work_s: f64,
+    small: f64,
+    /// Nothing of it has been started for long.
+    starved: bool,
     urgency: f64,
     at: u64,
     tasks: Vec<u32>,
@@ -275,19 +283,40 @@
                 .deadline_s
                 .map_or(f64::MAX, |d| d - age_s - learned.run_s(&job.spec));
             // Nobody is starved: what nothing has been started of for long comes before all else of its
-            // priority, however late or large it is.
+            // priority, however late or large it is; with one task, for the rest has its own place.
             let starved = job.placed.is_empty() && job.done_count == 0 && age_s > STARVED_S;
-            let urgency = if starved { 1.0 } else { urgency(slack_s, &job.spec) };
+            let mut tasks = tasks;
+            if starved && job.spec.shape == Shape::Array {
+                tasks.truncate(1);
+            }
             waiting.push(Waiting {
+                work_s: f64::from(job.waiting_count()) * learned.run_s(&job.spec),
+                small: 1.0,
+                starved,
                 id: id.clone(),
                 team,
                 priority: job.spec.priority,
                 slack_s,
-                urgency,
+                urgency: 0.0,
                 at: job.at_wall,
                 tasks,
             });
         }
+        let due: Vec<f64> = waiting.iter().map(|w| w.work_s).filter(|s| *s > 0.0).collect();
+        let mean_s = due.iter().sum::<f64>() / (due.len() as f64).max(1.0);
+        for w in &mut waiting {
+            let Some(job) = self.jobs.get(&w.id) else { continue };
+            w.small = if mean_s > 0.0 {
+                1.0 / (1.0 + w.work_s / mean_s)
+            } else {
+                1.0
+            };
+            w.urgency = if w.starved {
+                1.0
+            } else {
+                urgency(w.slack_s, w.small, &job.spec)
+            };
+        }
         waiting.sort_by(|a, b| {
             b.priority
                 .cmp(&a.priority)
@@ -505,7 +534,7 @@
             }
         }
         let spec = &job.spec;
-        let urgency = urgency(slack_s, spec);
+        let urgency = urgency(slack_s, 1.0, spec);
         let age_s = self.now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
         let most_per_zone = spec.spread.then(|| spec.tasks.div_ceil(2));
         let cheapest = self.cheapest(spec);
--- a/crates/tidelatch-standin/src/cloud.rs
+++ b/crates/tidelatch-standin/src/cloud.rs
@@ -37,6 +37,8 @@
 impl Cloud {
     /// Boot time of its machines.
     pub const BOOT_MS: u64 = 3000;
+    /// Most machines in a page of its list.
+    pub const PAGE: usize = 500;
 
     /// Carries out one request; the machines rented by it come second.
     pub fn request(&mut self, method: &str, path: &str, body: &str) -> (u16, Value, Vec<String>) {
@@ -93,15 +95,18 @@
                 (200, json!({}), Vec::new())
             }
             ("GET", "/hosts") => {
-                let list: Vec<Value> = self
-                    .machines
-                    .iter()
+                let since = path.split("since=").nth(1).and_then(|p| p.split('&').next());
+                let since = since.unwrap_or_default();
+                let after = self.machines.iter().filter(|(id, _)| id.as_str() > since);
+                let more = after.clone().count() > Self::PAGE;
+                let list: Vec<Value> = after
+                    .take(Self::PAGE)
                     .map(|(id, (zone, spot))| {
                         json!({ "uid": id, "addr": "", "model": "m2", "yard": zone, "standby": spot,
-                                "status": "running", "ageS": 10.0 })
+                                "status": "running", "ageS": 100.0 })
                     })
                     .collect();
-                (200, json!({ "berths": list, "more": false }), Vec::new())
+                (200, json!({ "berths": list, "more": more }), Vec::new())
             }
             _ => (404, json!({}), Vec::new()),
         }
