--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -1320,7 +1320,9 @@
         };
         // Guard: machines beyond the first page would be paid for without end.
         let last = list.machines.last().map(|m| m.id.as_str().to_owned());
-        self.cloud.hosts_since = last.filter(|l| list.more && *l > self.cloud.hosts_asked).unwrap_or_default();
+        self.cloud.hosts_since = last
+            .filter(|l| list.more && *l > self.cloud.hosts_asked)
+            .unwrap_or_default();
         if !self.is_leader() || self.cloud.renting > 0 || !self.cloud.unlisted.is_empty() || self.cloud.deleting {
             return;
         }
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -39,6 +39,9 @@
 /// largest to begin within four minutes: that leaves time for a machine to boot and to fetch an image.
 const STARVED_S: f64 = 90.0;
 
+/// Of so many machines one at a time is emptied within a worker's lease.
+const EMPTIED: u64 = 64;
+
 /// A task that might be stopped to make room.
 struct Victim {
     task: TaskId,
@@ -615,8 +618,8 @@
 
     /// Empties a machine that only a few replicas keep, when others have room for all of them.
     ///
-    /// One machine of a partition at a time, and no more often than a worker's lease lasts, so that
-    /// few replicas are away at any moment.
+    /// One machine of a partition at a time, and no more than one of [`EMPTIED`] within a worker's lease,
+    /// so that few replicas are away at any moment.
     pub(crate) fn consolidate(&mut self) {
         let now = self.now.ms;
         if !self.entitled() || now < self.consolidate_due {
@@ -634,10 +637,12 @@
                 .jobs
                 .values()
                 .any(|j| j.partition == p && j.spec.shape == Shape::Service && j.waiting_count() > 0);
+            let machines = self.machines.values().filter(|m| m.partition == p).count() as u64;
+            let pause = self.set.worker_lease_ms() / (machines / EMPTIED).max(1);
             let lately = self
                 .consolidated
                 .get(&p)
-                .is_some_and(|t| now.saturating_sub(*t) < self.set.worker_lease_ms());
+                .is_some_and(|t| now.saturating_sub(*t) < pause);
             if calm && !lately {
                 self.empty_one(p);
             }
