--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -7,6 +7,7 @@
 use crate::membership::Stage;
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
 use crate::protocol::{JobSpec, Priority, Shape};
+use crate::settings::Objective;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One team's claim in a round: what it uses, and the share by which it is served.
@@ -35,9 +36,22 @@
 /// Boot times of the slowest type for which a new service keeps to the zones that are cheap for it.
 const CHEAP_BOOTS: f64 = 2.0;
 
-/// Age at which a job that nothing has been started of comes first, in seconds. Users want even the
-/// largest to begin within four minutes: that leaves time for a machine to boot and to fetch an image.
-const STARVED_S: f64 = 90.0;
+/// Users want even the largest jobs to begin within four minutes.
+const BEGIN_WITHIN_S: f64 = 240.0;
+/// Part of the time for starting after which a job that nothing has been started of comes first, so that
+/// a machine can still boot and fetch an image; and where no objective names a time for its class.
+const STARVED_PART: f64 = 0.75;
+const STARVED_PART_UNNAMED: f64 = 0.375;
+
+/// Age in seconds at which a job that nothing has been started of comes first, by the time within which
+/// its class should start (0: none is named).
+pub fn starved_s(within_s: f64, shape: Shape) -> f64 {
+    if within_s > 0.0 && shape == Shape::Array {
+        STARVED_PART * within_s.min(BEGIN_WITHIN_S)
+    } else {
+        STARVED_PART_UNNAMED * BEGIN_WITHIN_S
+    }
+}
 
 /// Of so many machines one at a time is emptied within a worker's lease.
 const EMPTIED: u64 = 64;
@@ -254,6 +268,7 @@
             .collect();
         let mut waiting = Vec::new();
         let learned = &self.learned;
+        let objectives = &self.set.platform.facts.objectives;
         for (id, job) in &mut self.jobs {
             if job.partition != partition || !job.startable(now.ms) || self.resting.contains_key(id) {
                 continue;
@@ -287,7 +302,9 @@
                 .map_or(f64::MAX, |d| d - age_s - learned.run_s(&job.spec));
             // Nobody is starved: what nothing has been started of for long comes before all else of its
             // priority, however late or large it is; with one task, for the rest has its own place.
-            let starved = job.placed.is_empty() && job.done_count == 0 && age_s > STARVED_S;
+            let starved = job.placed.is_empty()
+                && job.done_count == 0
+                && age_s > starved_s(start_within(objectives, &job.spec.class), job.spec.shape);
             let mut tasks = tasks;
             if starved && job.spec.shape == Shape::Array {
                 tasks.truncate(1);
@@ -477,14 +494,8 @@
 
     /// Time within which tasks of a job's class should start, by the objectives; 0 if none says so.
     fn wait_s(&self, id: &JobId) -> f64 {
-        let class = self.jobs.get(id).map(|j| j.spec.class.as_str());
-        let objectives = &self.set.platform.facts.objectives;
-        objectives
-            .iter()
-            .filter(|o| o.kind == "wait" && o.class.as_deref() == class)
-            .filter_map(|o| o.within_s)
-            .reduce(f64::min)
-            .unwrap_or(0.0)
+        let class = self.jobs.get(id).map_or("", |j| j.spec.class.as_str());
+        start_within(&self.set.platform.facts.objectives, class)
     }
 
     /// What a task costs an hour on the cheapest kind of machine that its job may use.
@@ -1047,6 +1058,14 @@
     }
 }
 
+/// Time within which tasks of a class should start, by the objectives; 0 if none says so.
+fn start_within(objectives: &[Objective], class: &str) -> f64 {
+    let of_class = objectives
+        .iter()
+        .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(class));
+    of_class.filter_map(|o| o.within_s).reduce(f64::min).unwrap_or(0.0)
+}
+
 /// A task drawn for a batch.
 struct Drawn {
     job: usize,
--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -5,8 +5,9 @@
 use tidelatch_core::ids::Partition;
 use tidelatch_core::placement::{Amounts, Batch, JobTerms, Slot};
 use tidelatch_core::protocol::MachineType;
+use tidelatch_core::protocol::Shape;
 use tidelatch_core::protocol::parse_submission;
-use tidelatch_core::queue::{Claim, Learned, turn};
+use tidelatch_core::queue::{Claim, Learned, starved_s, turn, urgency};
 
 fn slot(zone: &str, spot: bool, free_gpus: f64) -> Slot {
     Slot {
@@ -267,3 +268,45 @@
     let chosen = place(&mut slots, &mut jobs, &[0, 0], ANY);
     assert_eq!(chosen.iter().flatten().count(), 2);
 }
+
+#[test]
+fn when_not_all_can_be_in_time_the_small_come_first_and_nobody_waits_for_ever() {
+    // Guard: order by slack alone gave large jobs the room of several small ones, all late in the end.
+    let body = br#"{"uid":"job-000001","consist":"c","crew":"t","shape":"sweep","precedence":"low","wagons":4,
+        "vcpus":1.0,"accelerators":1.0,"ramGb":1.0,"stock":"i","sizeGb":1.0,"models":null,"yard":null,
+        "together":false,"spread":false,"standby":true,"runtimeS":50.0,"waypointS":0.0,"stowS":0.0,"dueS":155.0}"#;
+    let (_, spec) = parse_submission(body).expect("a submission");
+    let (small, large) = (0.8, 0.2);
+    assert!(urgency(40.0, small, &spec) > urgency(30.0, large, &spec));
+    assert!(urgency(5.0, small, &spec) > urgency(60.0, small, &spec));
+    // What can still be in time is before what cannot, and that before what is late in any case.
+    assert!(urgency(0.0, large, &spec) > urgency(-60.0, small, &spec));
+    assert!(urgency(-60.0, large, &spec) > urgency(-500.0, small, &spec));
+    // Even the largest begins within four minutes: the time left then is for a boot and a fetch.
+    assert_eq!(starved_s(120.0, Shape::Array), 90.0);
+    assert_eq!(starved_s(500.0, Shape::Array), 180.0);
+    assert_eq!(starved_s(0.0, Shape::Array), 90.0);
+    assert_eq!(starved_s(5.0, Shape::Service), 90.0);
+}
+
+#[test]
+fn what_is_taken_off_wishes_does_not_depend_on_how_lanes_are_looked_at() {
+    // Guard: lanes are looked at once for each wish. Zones that fill up, and lanes that come free later
+    // than a task may wait, must still be left out.
+    let types = [machine_type("m", [24.0, 2.0, 100.0], 7.0)];
+    let mut lanes = vec![
+        lane(0.0, 0.0, vec![(20.0, [1.0, 1.0, 1.0]), (500.0, [1.0, 1.0, 1.0])]),
+        lane(0.0, 2.0, Vec::new()),
+        lane(25.0, 2.0, Vec::new()),
+    ];
+    let mut wishes = [wish(9, false)];
+    absorb(&mut wishes, &mut lanes, &types, &|_| false, f64::MAX);
+    // Two at once, one as the first task ends, two on the booting machine; what is placed ends late.
+    assert_eq!(wishes[0].count, 4, "{lanes:?}");
+    let mut spread = wish(4, true);
+    spread.most_per_zone = Some(2);
+    let mut wishes = [spread];
+    let mut lanes = vec![lane(0.0, 2.0, Vec::new()), lane(0.0, 2.0, Vec::new())];
+    absorb(&mut wishes, &mut lanes, &types, &|_| false, f64::MAX);
+    assert_eq!(wishes[0].count, 2, "the zone takes two");
+}
--- a/crates/tidelatch-standin/tests/troubles.rs
+++ b/crates/tidelatch-standin/tests/troubles.rs
@@ -550,7 +550,9 @@
     world.meddle(move |l| {
         n.set(n.get() + 1);
         match l.what {
-            "POST /agent/beat" | "POST /commands" if n.get() % 5 == 0 => Fate::Copied(4000 + 900 * (n.get() % 40)),
+            "POST /agent/beat" | "POST /commands" if n.get().is_multiple_of(5) => {
+                Fate::Copied(4000 + 900 * (n.get() % 40))
+            }
             _ => Fate::Pass,
         }
     });
@@ -611,7 +613,7 @@
         let refused = l.to == "state" && l.from == "berth-1";
         match () {
             () if peers || refused => Fate::Lost,
-            () if l.to == "state" && n.get() % 7 == 0 => Fate::AnswerLost,
+            () if l.to == "state" && n.get().is_multiple_of(7) => Fate::AnswerLost,
             () => Fate::Pass,
         }
     });
--- a/crates/tidelatch/src/daemon.rs
+++ b/crates/tidelatch/src/daemon.rs
@@ -119,7 +119,13 @@
         .spawn(accept(executor.clone(), users, events.clone(), doors.clone()))
         .detach();
     executor
-        .spawn(peers::serve(executor.clone(), siblings, events.clone()))
+        .spawn(peers::serve(
+            executor.clone(),
+            siblings,
+            events.clone(),
+            platform.siblings.len(),
+            lease,
+        ))
         .detach();
     let mut hands = Hands::new(&executor, &settings, events, division)?;
     // Every life of a process needs a number of its own; random ones do not depend on any clock.
--- a/crates/tidelatch/src/peers.rs
+++ b/crates/tidelatch/src/peers.rs
@@ -5,13 +5,14 @@
 use smol::Executor;
 use smol::channel::Sender;
 use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolExecutor};
+use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tidelatch_core::ids::{MachineId, Partition};
 use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, Want};
 use tonic::body::Body;
@@ -230,18 +231,29 @@
     }
 }
 
-/// Most connections of peers at a time.
-const PEER_CONNECTIONS: usize = 32;
+/// Connections of one peer at a time: one that is used, and those that it has given up in cuts that still
+/// hold their ends back.
+const CONNECTIONS_PER_PEER: usize = 16;
+/// Most questions at a time on one connection: a third of a thousand workers' reports may be passed on
+/// while their owner is slow.
+const STREAMS: u32 = 256;
 
-/// Serves the other controllers.
-pub async fn serve(executor: Arc<Executor<'static>>, listener: TcpListener, events: Sender<Event>) {
+/// Serves the other controllers. A connection on which nothing answers for `silence` is closed: its end
+/// may have been lost in a cut, and such ones must not take the places of new ones.
+pub async fn serve(
+    executor: Arc<Executor<'static>>,
+    listener: TcpListener,
+    events: Sender<Event>,
+    peers: usize,
+    silence: Duration,
+) {
     let open = Arc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             smol::Timer::after(std::time::Duration::from_millis(100)).await;
             continue;
         };
-        if Arc::strong_count(&open) > PEER_CONNECTIONS {
+        if Arc::strong_count(&open) > CONNECTIONS_PER_PEER * peers.max(1) {
             continue;
         }
         let _ = stream.set_nodelay(true);
@@ -252,7 +264,10 @@
             .spawn(async move {
                 let _held = held;
                 let served = hyper::server::conn::http2::Builder::new(rt)
-                    .max_concurrent_streams(64)
+                    .timer(SmolTimer::new())
+                    .keep_alive_interval(silence)
+                    .keep_alive_timeout(silence)
+                    .max_concurrent_streams(STREAMS)
                     .serve_connection(FuturesIo::new(stream), bridge)
                     .await;
                 if let Err(fault) = served {
