--- /dev/null
+++ b/crates/tidelatch-core/src/capacity/lending.rs
@@ -0,0 +1,417 @@
+//! Sharing machines out: what partitions need and have to spare, and machines that change hands.
+
+use super::{Kind, Lane, Lent, Wish, YIELDING, absorb, plan, room_for, wants};
+use crate::controller::{Controller, Digest, Idle, Level, Move, Need, PeerReply, PeerRequest, Purpose};
+use crate::ids::{ControllerId, MachineId, Partition};
+use crate::membership::Stage;
+use crate::picture::Machine;
+use crate::placement::Amounts;
+use crate::protocol::{Priority, Shape};
+use std::collections::BTreeMap;
+
+impl Controller {
+    /// What would be lost, in seconds of work, if a machine were vacated for production work; none if
+    /// something on it does not yield.
+    pub(super) fn yielding(&self, m: &Machine) -> Option<f64> {
+        if m.spot || m.held.is_empty() || !m.usable(self.now.ms, 2 * self.set.report_ms()) {
+            return None;
+        }
+        let mut loss = 0.0;
+        for h in &m.held {
+            let job = self.jobs.get(&h.task.job)?;
+            if job.spec.priority >= Priority::Prod || h.stop.is_some() {
+                return None;
+            }
+            let ran_s = h
+                .running_since
+                .map_or(0.0, |t| self.now.ms.saturating_sub(t) as f64 / 1000.0);
+            loss += if job.spec.checkpoint_s > 0.0 {
+                ran_s.min(job.spec.save_s)
+            } else {
+                ran_s
+            };
+        }
+        Some(loss)
+    }
+
+    /// A machine as the planning sees it: none for those that take no more tasks.
+    pub(super) fn lane(&self, m: &Machine) -> Option<Lane> {
+        let now = self.now.ms;
+        let t = self.types.iter().find(|t| t.name == m.model)?;
+        let up = m.usable(now, 3 * self.set.report_ms());
+        let booting = !m.up() && !m.retiring && m.moving.is_none();
+        if !up && !booting {
+            return None;
+        }
+        let mut free = [t.cpus, t.gpus, t.memory_gb];
+        free.iter_mut().zip(m.taken()).for_each(|(f, u)| *f -= u);
+        let mut busy: Vec<(f64, Amounts)> = m
+            .held
+            .iter()
+            .filter_map(|h| {
+                let job = self.jobs.get(&h.task.job)?;
+                if job.spec.shape == Shape::Service {
+                    return None;
+                }
+                let ran_s = h.running_since.map_or(0.0, |t| now.saturating_sub(t) as f64 / 1000.0);
+                // Whoever has run for longer than expected is expected to need a part of that again.
+                let left_s = (self.learned.run_s(&job.spec) - ran_s).max(0.3 * ran_s);
+                Some((if h.stop.is_some() { 0.0 } else { left_s }, h.size))
+            })
+            .collect();
+        busy.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let age_s = now.saturating_sub(m.known_since) as f64 / 1000.0;
+        let ready_s = if booting {
+            (t.boot_s - age_s).max(0.1 * t.boot_s)
+        } else {
+            0.0
+        };
+        Some(Lane {
+            model: m.model.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            free,
+            ready_s,
+            busy,
+        })
+    }
+
+    /// What this controller's partitions need and have to spare.
+    pub(super) fn own_digests(&self) -> Vec<Digest> {
+        let now = self.now.ms;
+        let acting = self.tenures.iter().filter(|(_, t)| t.stage == Stage::Active);
+        let mut digests = Vec::new();
+        for (p, _) in acting {
+            let mut lanes = Vec::new();
+            let mut idle = Vec::new();
+            let mut yielding = Vec::new();
+            let mut in_zones: BTreeMap<String, u32> = BTreeMap::new();
+            let mut demand = 0.0;
+            for (id, m) in self.machines.iter().filter(|(_, m)| m.partition == *p && !m.gone) {
+                *in_zones.entry(m.zone.clone()).or_default() += 1;
+                demand += m.held.iter().map(|h| h.size[1].max(h.size[0] / 100.0)).sum::<f64>();
+                if let Some(lane) = self.lane(m) {
+                    lanes.push(lane);
+                }
+                if let Some(loss) = self.yielding(m) {
+                    let machine = Idle {
+                        machine: id.clone(),
+                        model: m.model.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    };
+                    yielding.push((loss, machine));
+                }
+                let spare = m
+                    .idle_since
+                    .is_some_and(|t| now.saturating_sub(t) > self.set.report_ms());
+                if spare && m.usable(now, 2 * self.set.report_ms()) {
+                    idle.push(Idle {
+                        machine: id.clone(),
+                        model: m.model.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                    });
+                }
+            }
+            let mut wishes: Vec<Wish> = self
+                .cloud
+                .wishes
+                .iter()
+                .filter(|w| w.partition == *p)
+                .cloned()
+                .collect();
+            let wants = wants(&wishes, &self.set.platform.facts.zones);
+            demand += wishes
+                .iter()
+                .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
+                .sum::<f64>();
+            let refused = |kind: &Kind| self.cloud.refused.get(kind).is_some_and(|t| now < *t);
+            absorb(&mut wishes, &mut lanes, &self.types, &refused, self.guarantee_s());
+            let needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
+            yielding.sort_by(|a, b| a.0.total_cmp(&b.0));
+            digests.push(Digest {
+                partition: *p,
+                ledger: self.member.ledger,
+                demand,
+                needs,
+                wants,
+                idle,
+                yielding: yielding.into_iter().map(|(_, i)| i).take(YIELDING).collect(),
+            });
+        }
+        digests
+    }
+
+    pub(crate) fn say_hello(&mut self) {
+        let now = self.now.ms;
+        let every = 2 * self.set.report_ms() / 5;
+        let leader = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
+        let wants_grant = self.wants_grants();
+        let names: Vec<String> = self.set.platform.siblings.iter().map(|s| s.host_name.clone()).collect();
+        for name in names {
+            let to = ControllerId::new(name);
+            let peer = self.member.peers.entry(to.clone()).or_default();
+            if peer.asking || (peer.asked != 0 && now < peer.asked + every) {
+                continue;
+            }
+            peer.asking = true;
+            peer.asked = now.max(1);
+            peer.asked_grant = wants_grant;
+            let digests = if leader.as_ref() == Some(&to) && self.entitled() {
+                self.own_digests()
+            } else {
+                Vec::new()
+            };
+            let request = PeerRequest::Hello {
+                name: self.me.as_str().to_owned(),
+                entitled: self.entitled(),
+                wants_grant,
+                relies: self.relies_on(&to),
+                digests,
+            };
+            let timeout = self.set.report_ms() / 2;
+            self.ask(to.clone(), request, timeout, Purpose::Hello { to, sent: now });
+        }
+    }
+
+    pub(crate) fn on_hello(&mut self, id: u64, from: ControllerId, stands: (bool, bool, bool), digests: Vec<Digest>) {
+        let now = self.now.ms;
+        let (entitled, wants_grant, relies) = stands;
+        let granted = wants_grant && self.promise();
+        self.note_reliance(&from, relies || granted);
+        let lead = self.is_leader();
+        if let Some(peer) = self.member.peers.get_mut(&from) {
+            peer.entitled = entitled;
+            peer.heard = Some(now);
+        }
+        let mut moves = Vec::new();
+        let mut refused = Vec::new();
+        if lead {
+            for digest in digests {
+                // Only the owner speaks for a partition.
+                if self.holding(digest.partition).is_some_and(|h| h.owner == from) {
+                    self.cloud.digests.insert(digest.partition, (digest, now));
+                }
+            }
+            moves = self.cloud.moves.remove(&from).unwrap_or_default();
+            refused = self
+                .cloud
+                .refused
+                .iter()
+                .filter(|(_, t)| now < **t)
+                .map(|((model, zone, spot), _)| Need {
+                    model: model.clone(),
+                    zone: zone.clone(),
+                    spot: *spot,
+                    count: 0,
+                    urgent: false,
+                    any_zone: false,
+                })
+                .collect();
+        }
+        let entitled = self.entitled();
+        let relies = self.relies_on(&from);
+        self.out.push(crate::controller::Output::Tell {
+            id,
+            reply: PeerReply::Hello {
+                entitled,
+                granted,
+                relies,
+                moves,
+                refused,
+            },
+        });
+    }
+
+    pub(crate) fn on_moves(&mut self, from: &ControllerId, moves: Vec<Move>, refused: Vec<Need>) {
+        let leads = self.member.leader.as_ref().is_some_and(|(l, _)| l.name == *from);
+        if !leads || self.is_leader() {
+            return;
+        }
+        let until = self.now.ms + self.set.report_ms();
+        self.cloud.refused = refused
+            .into_iter()
+            .map(|n| ((n.model, n.zone, n.spot), until))
+            .collect();
+        self.carry_out(moves);
+    }
+
+    /// Hands over machines as the leader asks, if they are still empty, or still yield.
+    pub(super) fn carry_out(&mut self, moves: Vec<Move>) {
+        for mv in moves {
+            let now = self.now.ms;
+            let patience = 2 * self.set.report_ms();
+            let Some(m) = self.machines.get(&mv.machine) else {
+                continue;
+            };
+            if m.partition == mv.to || !m.usable(now, patience) || self.acting(m.partition).is_none() {
+                continue;
+            }
+            if m.clean() {
+                self.log(Level::Info, format!("{} goes to partition {}", mv.machine, mv.to));
+                self.hand_over(&mv.machine, mv.to);
+            } else if mv.vacate && self.yielding(m).is_some() {
+                self.vacate(&mv.machine, mv.to);
+            }
+        }
+    }
+
+    /// Stops what is on a machine, to hand it over once that is gone.
+    pub(super) fn vacate(&mut self, id: &MachineId, to: Partition) {
+        let now = self.now.ms;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.vacating = Some((to, now));
+        let held: Vec<_> = m.held.iter().map(|h| (h.task.clone(), h.attempt)).collect();
+        self.log(
+            Level::Info,
+            format!(
+                "{id}: stopping {} tasks: it goes to partition {to} for production work",
+                held.len()
+            ),
+        );
+        for (task, attempt) in held {
+            self.stop_held(id, &task, attempt);
+        }
+    }
+
+    /// Hands over what has been vacated; gives up what does not become empty.
+    pub(crate) fn finish_vacating(&mut self) {
+        if !self.entitled() {
+            return;
+        }
+        let now = self.now.ms;
+        let patience = 2 * self.set.report_ms();
+        let mut ready = Vec::new();
+        for (id, m) in &mut self.machines {
+            let Some((to, since)) = m.vacating else { continue };
+            if m.clean() {
+                m.vacating = None;
+                ready.push((id.clone(), to));
+            } else if now.saturating_sub(since) > patience {
+                m.vacating = None;
+            }
+        }
+        for (id, to) in ready {
+            self.log(Level::Info, format!("{id} goes to partition {to}"));
+            self.hand_over(&id, to);
+        }
+    }
+
+    /// The leader's round: lends what is idle, then rents.
+    pub(super) fn share_out(&mut self) {
+        let now = self.now.ms;
+        let recent = 2 * self.set.report_ms();
+        self.cloud.refused.retain(|_, t| now < *t);
+        // What was lent has arrived once the watch says so; until then it counts for whom it goes to.
+        let ledger = self.member.ledger;
+        let mut lent = std::mem::take(&mut self.cloud.lent);
+        lent.retain(|l| {
+            let here = self.machines.get(&l.machine.machine).map(|m| m.partition);
+            if here == Some(l.to) {
+                let from = self.cloud.fresh_from.entry(l.to).or_default();
+                *from = (*from).max(ledger);
+            }
+            here.is_some() && here != Some(l.to) && now.saturating_sub(l.at) < 2 * recent
+        });
+        self.cloud.lent = lent;
+        let fresh: Vec<Digest> = self
+            .cloud
+            .digests
+            .values()
+            .filter(|(d, at)| {
+                now.saturating_sub(*at) < recent
+                    && d.ledger >= self.cloud.fresh_from.get(&d.partition).copied().unwrap_or(0)
+            })
+            .map(|(d, _)| d.clone())
+            .collect();
+        // On its way already: for each partition, by kind.
+        let mut coming: Vec<(Partition, Idle)> = self.cloud.lent.iter().map(|l| (l.to, l.machine.clone())).collect();
+        let moving = |i: &Idle| self.cloud.lent.iter().any(|l| l.machine.machine == i.machine);
+        let offers = |list: &dyn Fn(&Digest) -> Vec<Idle>| -> Vec<(Partition, Idle)> {
+            let of = |d: &Digest| list(d).into_iter().map(|i| (d.partition, i)).collect::<Vec<_>>();
+            fresh.iter().flat_map(of).filter(|(_, i)| !moving(i)).collect()
+        };
+        let mut idle = offers(&|d| {
+            let spare = |i: &&Idle| !d.wants.iter().any(|w| w.takes(i));
+            d.idle.iter().filter(spare).cloned().collect()
+        });
+        let mut yielding = offers(&|d| d.yielding.clone());
+        let mut moves: Vec<(Partition, Idle, Partition, bool)> = Vec::new();
+        let mut wanted: BTreeMap<Kind, Vec<(Partition, bool)>> = BTreeMap::new();
+        // Shares by demand: whoever has most demand to its name is served first where kinds run out.
+        let mut order: Vec<&Digest> = fresh.iter().collect();
+        order.sort_by(|a, b| {
+            let urgent = |d: &Digest| d.wants.iter().any(|n| n.urgent);
+            urgent(b).cmp(&urgent(a)).then(b.demand.total_cmp(&a.demand))
+        });
+        // What waits gets what is idle elsewhere, even where room of its own will be free in time.
+        for d in &order {
+            for want in &d.wants {
+                let mut left = want.count;
+                let fit = |i: &Idle| {
+                    let t = self.types.iter().find(|t| t.name == i.model)?;
+                    Some(room_for(&want.size, &[t.cpus, t.gpus, t.memory_gb])).filter(|n| *n > 0)
+                };
+                while left > 0 {
+                    let at = coming
+                        .iter()
+                        .position(|(p, i)| *p == d.partition && want.takes(i) && fit(i).is_some());
+                    if let Some(at) = at {
+                        let (_, i) = coming.swap_remove(at);
+                        left = left.saturating_sub(fit(&i).unwrap_or(1));
+                        continue;
+                    }
+                    let at = idle
+                        .iter()
+                        .position(|(p, i)| *p != d.partition && want.takes(i) && fit(i).is_some());
+                    let Some(at) = at else { break };
+                    let (from, i) = idle.swap_remove(at);
+                    left = left.saturating_sub(fit(&i).unwrap_or(1));
+                    moves.push((from, i, d.partition, false));
+                }
+            }
+        }
+        let mut arriving: Vec<(Partition, Idle)> = self.cloud.lent.iter().map(|l| (l.to, l.machine.clone())).collect();
+        arriving.extend(moves.iter().map(|(_, i, to, _)| (*to, i.clone())));
+        for d in order {
+            for need in &d.needs {
+                for _ in 0..need.count {
+                    let kind = (need.model.clone(), need.zone.clone(), need.spot);
+                    // What was lent is there sooner than what would be rented.
+                    let same = |i: &Idle| {
+                        i.model == need.model && (need.any_zone || i.zone == need.zone) && (need.spot || !i.spot)
+                    };
+                    if let Some(at) = arriving.iter().position(|(to, i)| *to == d.partition && same(i)) {
+                        arriving.swap_remove(at);
+                        continue;
+                    }
+                    // Production work gets machines that others can do without, and they what is rented.
+                    let found = yielding.iter().position(|(p, i)| {
+                        *p != d.partition
+                            && i.model == need.model
+                            && (need.any_zone || i.zone == need.zone)
+                            && (need.spot || !i.spot)
+                    });
+                    if let Some(at) = found.filter(|_| need.urgent) {
+                        let (from, i) = yielding.remove(at);
+                        moves.push((from, i, d.partition, true));
+                    }
+                    wanted.entry(kind).or_default().push((d.partition, need.urgent));
+                }
+            }
+        }
+        for (from, machine, to, vacate) in moves {
+            let Some(owner) = self.holding(from).map(|h| h.owner.clone()) else {
+                continue;
+            };
+            self.cloud.moves.entry(owner).or_default().push(Move {
+                machine: machine.machine.clone(),
+                to,
+                vacate,
+            });
+            self.cloud.lent.push(Lent { machine, to, at: now });
+        }
+        self.send_rentals(wanted);
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -0,0 +1,265 @@
+//! Machines that are not heard: asking what is on them, and giving them up.
+
+use super::Machine;
+use crate::controller::{Controller, Level, Method, NOT_TRIED, Purpose, Target};
+use crate::ids::{Attempt, MachineId, Partition, TaskId};
+use crate::membership::Stage;
+use crate::picture::{Held, HeldState};
+use crate::protocol::{Orders, Report};
+use std::collections::BTreeMap;
+
+/// Answers missed one after the other that make a machine one that no answer reaches.
+const DEAF: u32 = 4;
+
+impl Controller {
+    /// Asks the machines of a partition that was taken over what is on them.
+    pub(crate) fn confirm_machines(&mut self, partition: Partition) {
+        let Some(epoch) = self.epoch().filter(|_| self.acting(partition).is_some()) else {
+            return;
+        };
+        let now = self.now.ms;
+        let every = self.set.report_ms() / 2;
+        let due: Vec<(MachineId, String, u64)> = self
+            .machines
+            .iter_mut()
+            .filter(|(_, m)| m.partition == partition && !m.confirmed && !m.confirming && !m.gone)
+            .filter(|(_, m)| m.addr.contains(':') && now >= m.confirm_at)
+            .map(|(id, m)| {
+                m.confirming = true;
+                m.confirm_at = now + every;
+                (id.clone(), m.addr.clone(), m.last.0.max(1))
+            })
+            .collect();
+        for (id, addr, session) in due {
+            let orders = Orders {
+                epoch,
+                session: Some(session),
+                commands: Vec::new(),
+            };
+            let body = serde_json::to_string(&orders).unwrap_or_default();
+            let timeout = self.set.report_ms();
+            self.call(
+                Target::Worker(addr),
+                Method::Post,
+                "/commands",
+                body,
+                timeout,
+                Purpose::Confirm { machine: id },
+            );
+        }
+    }
+
+    pub(crate) fn on_confirm(&mut self, id: MachineId, result: Option<(u16, Vec<u8>)>) {
+        let now = self.now.ms;
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.confirming = false;
+        }
+        let Some((status, body)) = result else { return };
+        let Ok(report) = serde_json::from_slice::<Report>(&body) else {
+            return;
+        };
+        let partition = self.machines.get(&id).map(|m| m.partition);
+        if report.machine != id || partition.is_none_or(|p| self.acting(p).is_none()) {
+            return;
+        }
+        self.heard_directly(&id);
+        if !self.take_report(&report, false)
+            && status == 409
+            && let Some(m) = self.machines.get_mut(&id)
+        {
+            // It is in another session: with that one named, it takes the token.
+            m.last.0 = m.last.0.max(report.session);
+            m.confirm_at = now;
+        }
+    }
+
+    /// Whether every machine that may hold older tasks of a partition is accounted for.
+    pub(super) fn note_settled(&mut self) {
+        let partitions: Vec<Partition> = self
+            .tenures
+            .iter()
+            .filter(|(_, t)| t.stage == Stage::Active && !t.settled)
+            .map(|(p, _)| *p)
+            .collect();
+        for p in partitions {
+            let open = self.unconfirmed(p);
+            if open == 0
+                && let Some(t) = self.tenures.get_mut(&p)
+            {
+                t.settled = true;
+                let ms = self.now.ms.saturating_sub(t.active_at);
+                self.log(
+                    Level::Info,
+                    format!("partition {p}: every machine is accounted for, {ms} ms after the take-over"),
+                );
+            }
+        }
+    }
+
+    /// Machines that may hold tasks which this controller does not know of.
+    pub(crate) fn unconfirmed(&self, partition: Partition) -> usize {
+        self.machines
+            .values()
+            .filter(|m| m.partition == partition && m.may_hold && !m.confirmed && !m.gone)
+            .count()
+    }
+
+    /// Looks for silent machines, and goes on asking those that are not confirmed.
+    pub(crate) fn tick_machines(&mut self) {
+        let now = self.now.ms;
+        self.note_settled();
+        let partitions: Vec<Partition> = self.tenures.keys().copied().collect();
+        for p in partitions {
+            let Some(active_at) = self.acting(p).map(|t| t.active_at) else {
+                continue;
+            };
+            self.confirm_machines(p);
+            self.probe_silent(p, active_at);
+            self.give_up_silent(p, active_at);
+        }
+        let lease = self.set.worker_lease_ms();
+        self.guests.retain(|_, g| now.saturating_sub(g.seen) < lease);
+    }
+
+    /// Asks machines whose report is overdue.
+    pub(super) fn probe_silent(&mut self, partition: Partition, active_at: u64) {
+        let now = self.now.ms;
+        let report = self.set.report_ms();
+        let due: Vec<(MachineId, String)> = self
+            .machines
+            .iter_mut()
+            .filter(|(_, m)| m.partition == partition && m.up() && !m.gone && !m.retiring && !m.probing)
+            .filter(|(_, m)| now >= m.probe_at)
+            .filter(|(_, m)| now.saturating_sub(m.heard.unwrap_or(0).max(active_at)) > report * 3 / 2)
+            .map(|(id, m)| {
+                m.probing = true;
+                m.probe_at = now + report / 4;
+                (id.clone(), m.addr.clone())
+            })
+            .collect();
+        for (id, addr) in due {
+            self.call(
+                Target::Worker(addr),
+                Method::Get,
+                "/status",
+                String::new(),
+                report / 3,
+                Purpose::Probe { machine: id, sent: now },
+            );
+        }
+    }
+
+    pub(crate) fn on_probe(&mut self, id: MachineId, sent: u64, result: Option<(u16, Vec<u8>)>) {
+        // No socket was free here: that says nothing of the machine.
+        let untried = matches!(result, Some((NOT_TRIED, _)));
+        let report = match result {
+            Some((200, body)) => serde_json::from_slice::<Report>(&body).ok(),
+            _ => None,
+        };
+        let acting = self
+            .machines
+            .get(&id)
+            .is_some_and(|m| self.acting(m.partition).is_some());
+        // A machine that does not answer has died only if others of its zone are heard at that time,
+        // with no other controller between: else the network is the likelier cause, and its worker
+        // will find another door. Two such probes rule out a cut that begins or ends just then.
+        let from = sent.saturating_sub(self.set.report_ms() / 2);
+        let zone_heard = self.machines.get(&id).is_some_and(|m| {
+            let others = self
+                .machines
+                .iter()
+                .filter(|(other, o)| **other != id && o.zone == m.zone);
+            others.filter_map(|(_, o)| o.heard_directly).any(|t| t >= from)
+        });
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        m.probing = false;
+        match report.filter(|r| r.machine == id) {
+            Some(report) if acting => {
+                self.heard_directly(&id);
+                self.take_report(&report, false);
+            }
+            None if zone_heard && !untried => m.probes_failed += 1,
+            _ => {}
+        }
+    }
+
+    pub(super) fn give_up_silent(&mut self, partition: Partition, active_at: u64) {
+        let now = self.now.ms;
+        let silent_ms = self.set.silent_ms();
+        let quiet = |m: &Machine, limit: u64| {
+            let since = m.heard.unwrap_or(m.known_since).max(active_at);
+            now.saturating_sub(since) > limit
+        };
+        let up: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.partition == partition && m.up() && !m.gone)
+            .collect();
+        let silent = up.iter().filter(|m| quiet(m, silent_ms / 2)).count();
+        // When most fall silent at once, the fault is more likely on this side of the network.
+        let limit = if silent > 1 && silent * 2 > up.len() {
+            self.set.worker_lease_ms() + silent_ms
+        } else {
+            silent_ms
+        };
+        let slow_boot = |m: &Machine| {
+            let boot = self.types.iter().find(|t| t.name == m.model).map_or(60.0, |t| t.boot_s);
+            (boot * 3.0 * 1000.0) as u64
+        };
+        let report = self.set.report_ms();
+        // Reports may arrive from a worker that no answer reaches. Its token stays old, so it would be
+        // unaccounted for without end, or it loses every start; only its deletion makes an end of that.
+        // If it is more than a few, the fault is more likely on this side.
+        let unheard = up.iter().filter(|m| m.missed >= DEAF).count();
+        let few = unheard <= 1 || unheard * 8 <= up.len();
+        let token_ms = self.set.worker_lease_ms() + silent_ms;
+        let mut lost: BTreeMap<MachineId, &str> = BTreeMap::new();
+        for (id, m) in &self.machines {
+            if m.partition != partition || m.gone || m.retiring {
+                continue;
+            }
+            let tenure = now.saturating_sub(active_at.max(m.known_since));
+            if m.up() && !m.confirmed && !m.storing && tenure > token_ms {
+                lost.insert(id.clone(), "has not taken the token");
+            } else if m.up() && m.missed >= DEAF && few {
+                lost.insert(id.clone(), "answers do not reach it");
+            } else if m.up() {
+                // After a notice the machine is as good as gone once it stops to report.
+                let noticed = m.notice && quiet(m, 2 * self.set.report_ms());
+                let dead = quiet(m, report * 12 / 5) && m.probes_failed >= 2;
+                if noticed || dead || quiet(m, limit) {
+                    lost.insert(id.clone(), "silent");
+                }
+            } else if m.heard.is_none() && quiet(m, slow_boot(m)) {
+                lost.insert(id.clone(), "never came up");
+            }
+        }
+        let cancel_ms = self.set.cancel_ms();
+        for (id, m) in self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.partition == partition && !m.retiring && !m.gone)
+        {
+            // A late start of a job that is over by then must not happen: its machine goes first.
+            // While the worker lists the attempt, in whatever state, a late copy has no effect.
+            let listed = |task: &TaskId, attempt: Attempt| {
+                let seen = |h: &Held| matches!(h.state, HeldState::Seen(_)) && h.task == *task && h.attempt == attempt;
+                m.held.iter().any(seen) || m.ended.iter().any(|(t, a, _)| t == task && *a == attempt)
+            };
+            let risky = m.pins.iter().any(|((task, attempt), pin)| {
+                !self.jobs.contains_key(&task.job)
+                    && !listed(task, *attempt)
+                    && now.saturating_sub(pin.since) > cancel_ms / 3
+            });
+            if risky {
+                lost.insert(id.clone(), "a start of a job that is over may still reach it");
+            }
+        }
+        for (id, why) in lost {
+            self.log(Level::Info, format!("{id}: {why}: giving it up"));
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.retiring = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-core/src/queue/room.rs
@@ -0,0 +1,324 @@
+//! Making room for tasks that found none: stopping others, and moving replicas for others.
+
+use super::Waiting;
+use crate::controller::{Controller, Level};
+use crate::ids::{Attempt, MachineId, Partition, TaskId};
+use crate::placement::{Amounts, JobTerms};
+use crate::protocol::{Priority, Shape};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What stopping a task of the same priority counts for, in seconds of lost work: more than any task
+/// of lower priority loses.
+const EQUAL_COST: f64 = 1e6;
+
+/// A task that might be stopped to make room.
+struct Victim {
+    task: TaskId,
+    attempt: Attempt,
+    team: usize,
+    size: Amounts,
+    /// What it takes, in its team's measure.
+    measure: f64,
+    priority: Priority,
+    /// Seconds of work lost with it.
+    lost_s: f64,
+    /// It has been chosen.
+    taken: bool,
+}
+
+/// A machine on which room could be made.
+struct Yard {
+    id: MachineId,
+    model: String,
+    zone: String,
+    spot: bool,
+    free: Amounts,
+    victims: Vec<Victim>,
+}
+
+impl Controller {
+    /// Stops work of lower priority, or work that another team runs beyond its guarantee, where that
+    /// makes room for a task that found none.
+    pub(super) fn preempt(
+        &mut self,
+        partition: Partition,
+        needy: &[usize],
+        waiting: &[Waiting],
+        jobs: &[JobTerms],
+        used: &[Amounts],
+    ) {
+        let teams = self.set.platform.facts.teams.clone();
+        let patience = 3 * self.set.report_ms();
+        let boot_s = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let guarantee = |team: usize| {
+            teams.get(team).map_or(0.0, |t| {
+                if t.gpus > 0.0 || t.gpus_max > 0.0 {
+                    t.gpus
+                } else {
+                    t.cpus
+                }
+            })
+        };
+        let mut used: Vec<f64> = used.iter().enumerate().map(|(i, u)| self.measure(i, u)).collect();
+        let mut yards: Option<Vec<Yard>> = None;
+        let mut stops: Vec<(MachineId, TaskId, Attempt)> = Vec::new();
+        let mut stuck: Vec<usize> = Vec::new();
+        // Jobs for which no room can be made: their other tasks need not be tried.
+        let mut hopeless: BTreeSet<usize> = BTreeSet::new();
+        for j in needy {
+            let (Some(w), Some(terms)) = (waiting.get(*j), jobs.get(*j)) else {
+                continue;
+            };
+            if hopeless.contains(j) {
+                continue;
+            }
+            let mine = self.measure(w.team, &terms.size);
+            let within = used.get(w.team).is_some_and(|u| u + mine <= guarantee(w.team) + 1e-6);
+            let waited_s = self.now.wall_ms.saturating_sub(w.at) as f64 / 1000.0;
+            // Where the class may wait for a machine to boot, nobody is stopped before that.
+            // The time for guaranteed work counts as well, for work that is.
+            let wait_s = match (self.wait_s(&w.id), terms.guaranteed) {
+                (wait_s, true) => wait_s.min(self.guarantee_s()),
+                (wait_s, false) => wait_s,
+            };
+            let patience_s = (wait_s - boot_s).max(0.0);
+            let urgent = w.priority >= Priority::Prod && waited_s >= patience_s;
+            let due = within && waited_s > boot_s;
+            if !urgent && !due {
+                continue;
+            }
+            let yards = yards.get_or_insert_with(|| self.yards(partition, patience));
+            let fits = |free: &Amounts| terms.size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
+            let admits = |y: &Yard| terms.admits(&y.model, &y.zone, y.spot);
+            if let Some(y) = yards.iter_mut().find(|y| fits(&y.free) && admits(y)) {
+                // Room that was made for one task counts for its team: the guarantee is not claimed twice.
+                if let Some(u) = used.get_mut(w.team) {
+                    *u += mine;
+                }
+                y.free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
+                continue;
+            }
+            let mut best: Option<(f64, usize, Vec<usize>)> = None;
+            for (at, y) in yards.iter().enumerate().filter(|(_, y)| admits(y)) {
+                let mut victims: Vec<(f64, usize)> = y
+                    .victims
+                    .iter()
+                    .enumerate()
+                    .filter(|(_, v)| !v.taken)
+                    .filter_map(|(i, v)| {
+                        let lower = v.priority < w.priority;
+                        // Higher priority would only take the room back: both would stop each other in turns.
+                        let borrowed = within
+                            && v.priority <= w.priority
+                            && v.team != w.team
+                            && used.get(v.team).is_some_and(|u| *u > guarantee(v.team));
+                        // Of one priority, stopping one for the other gains nothing for users: last choice.
+                        let lost = if lower { v.lost_s } else { v.lost_s + EQUAL_COST };
+                        (lower || borrowed).then_some((lost, i))
+                    })
+                    .collect();
+                if victims.is_empty() {
+                    continue;
+                }
+                victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+                let mut free = y.free;
+                let mut cost = 0.0;
+                let mut chosen = Vec::new();
+                for (lost, i) in victims {
+                    if fits(&free) {
+                        break;
+                    }
+                    let Some(v) = y.victims.get(i) else { continue };
+                    free.iter_mut().zip(v.size).for_each(|(f, s)| *f += s);
+                    cost += 1.0 + lost;
+                    chosen.push(i);
+                }
+                if fits(&free) && best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, at, chosen));
+                }
+            }
+            let Some((_, at, chosen)) = best else {
+                hopeless.insert(*j);
+                if terms.service && w.priority >= Priority::Prod {
+                    stuck.push(*j);
+                }
+                continue;
+            };
+            if let Some(u) = used.get_mut(w.team) {
+                *u += mine;
+            }
+            let Some(y) = yards.get_mut(at) else { continue };
+            y.free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
+            for i in chosen {
+                let Some(v) = y.victims.get_mut(i) else { continue };
+                v.taken = true;
+                y.free.iter_mut().zip(v.size).for_each(|(f, s)| *f += s);
+                if let Some(u) = used.get_mut(v.team) {
+                    *u -= v.measure;
+                }
+                stops.push((y.id.clone(), v.task.clone(), v.attempt));
+            }
+        }
+        let soon: BTreeMap<MachineId, Amounts> =
+            yards.unwrap_or_default().into_iter().map(|y| (y.id, y.free)).collect();
+        for (machine, task, attempt) in stops {
+            self.log(Level::Info, format!("{machine}: stopping {task} to make room"));
+            self.stop_held(&machine, &task, attempt);
+        }
+        self.swap_replicas(partition, &stuck, jobs, soon);
+    }
+
+    /// The machines of a partition on which room could be made, with all that could be stopped there.
+    fn yards(&self, partition: Partition, patience: u64) -> Vec<Yard> {
+        let now = self.now.ms;
+        let mut yards = Vec::new();
+        for (id, m) in &self.machines {
+            if m.partition != partition || !m.usable(now, patience) {
+                continue;
+            }
+            let Some(t) = self.types.iter().find(|t| t.name == m.model) else {
+                continue;
+            };
+            let mut free = [t.cpus, t.gpus, t.memory_gb];
+            let mut victims = Vec::new();
+            // Room that stops already under way will free counts as free.
+            for h in m.held.iter().filter(|h| h.stop.is_none()) {
+                free.iter_mut().zip(h.size).for_each(|(f, s)| *f -= s);
+                let (Some(job), Some((team, _))) = (self.jobs.get(&h.task.job), self.set.team(&h.team)) else {
+                    continue;
+                };
+                let ran_s = h.running_since.map_or(0, |t| now.saturating_sub(t)) as f64 / 1000.0;
+                let saves = job.spec.checkpoint_s > 0.0;
+                victims.push(Victim {
+                    task: h.task.clone(),
+                    attempt: h.attempt,
+                    team,
+                    size: h.size,
+                    measure: self.measure(team, &h.size),
+                    priority: job.spec.priority,
+                    lost_s: if saves { ran_s.min(job.spec.save_s) } else { ran_s },
+                    taken: false,
+                });
+            }
+            yards.push(Yard {
+                id: id.clone(),
+                model: m.model.clone(),
+                zone: m.zone.clone(),
+                spot: m.spot,
+                free,
+                victims,
+            });
+        }
+        yards
+    }
+
+    /// Moves replicas that could as well run in another zone, for replicas that could not.
+    ///
+    /// Spreading leaves the last replicas of a service only some zones, and those may be full of
+    /// services that use less of the others than they could. A few at a time, for each is away for as
+    /// long as it takes to fetch its image.
+    pub(super) fn swap_replicas(
+        &mut self,
+        partition: Partition,
+        stuck: &[usize],
+        jobs: &[JobTerms],
+        mut soon: BTreeMap<MachineId, Amounts>,
+    ) {
+        const AT_ONCE: usize = 4;
+        let now = self.now.ms;
+        let settled = self.set.worker_lease_ms();
+        let lately = self
+            .swapped
+            .get(&partition)
+            .is_some_and(|t| now.saturating_sub(*t) < 2 * self.set.report_ms());
+        if stuck.is_empty() || lately {
+            return;
+        }
+        let fits = |size: &Amounts, free: &Amounts| size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
+        // Room that lower priority would yield counts: a replica that waits gets it at once.
+        let mut could: BTreeMap<MachineId, Amounts> = BTreeMap::new();
+        for (id, free) in &soon {
+            let mut free = *free;
+            for h in self.machines.get(id).into_iter().flat_map(|m| &m.held) {
+                let yields = self
+                    .jobs
+                    .get(&h.task.job)
+                    .is_some_and(|j| j.spec.priority < Priority::Prod);
+                if yields && h.stop.is_none() {
+                    free.iter_mut().zip(h.size).for_each(|(f, s)| *f += s);
+                }
+            }
+            could.insert(id.clone(), free);
+        }
+        let mut moves: Vec<(MachineId, TaskId, Attempt)> = Vec::new();
+        for j in stuck {
+            if moves.len() >= AT_ONCE {
+                break;
+            }
+            let Some(terms) = jobs.get(*j) else { continue };
+            let mut found = None;
+            'machines: for (id, free) in &soon {
+                let Some(m) = self.machines.get(id) else { continue };
+                if !terms.admits(&m.model, &m.zone, m.spot) {
+                    continue;
+                }
+                for h in m.held.iter().filter(|h| h.stop.is_none()) {
+                    let old = h.running_since.is_some_and(|t| now.saturating_sub(t) > settled);
+                    let mut with = *free;
+                    with.iter_mut().zip(h.size).for_each(|(f, s)| *f += s);
+                    if !old || !fits(&terms.size, &with) || moves.iter().any(|(_, t, _)| t.job == h.task.job) {
+                        continue;
+                    }
+                    let Some(job) = self.jobs.get(&h.task.job) else {
+                        continue;
+                    };
+                    if job.spec.shape != Shape::Service || job.partition != partition || job.shunned.is_some() {
+                        continue;
+                    }
+                    let team = self.set.team(&job.spec.team).map_or(0, |(t, _)| t);
+                    let Some(mut other) = self.terms(&h.task.job, team, f64::MAX) else {
+                        continue;
+                    };
+                    if let Some(n) = other.in_zone.get_mut(&m.zone) {
+                        *n = n.saturating_sub(1);
+                    }
+                    other.shunned = Some(m.zone.clone());
+                    let to = could.iter().find(|(to, free)| {
+                        let there = self.machines.get(*to);
+                        fits(&h.size, free) && there.is_some_and(|t| other.admits(&t.model, &t.zone, t.spot))
+                    });
+                    if let Some((to, _)) = to {
+                        found = Some((id.clone(), h.task.clone(), h.attempt, h.size, to.clone()));
+                        break 'machines;
+                    }
+                }
+            }
+            let Some((id, task, attempt, size, to)) = found else {
+                continue;
+            };
+            if let Some(free) = soon.get_mut(&id) {
+                free.iter_mut().zip(size).for_each(|(f, s)| *f += s);
+                free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
+            }
+            if let Some(free) = could.get_mut(&to) {
+                free.iter_mut().zip(size).for_each(|(f, s)| *f -= s);
+            }
+            moves.push((id, task, attempt));
+        }
+        if moves.is_empty() {
+            return;
+        }
+        self.swapped.insert(partition, now);
+        for (machine, task, attempt) in moves {
+            self.log(
+                Level::Info,
+                format!("{machine}: {task} moves to another zone, for a replica that may not"),
+            );
+            let zone = self.machines.get(&machine).map(|m| m.zone.clone()).unwrap_or_default();
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                job.shunned = Some((zone, now + 2 * settled));
+            }
+            self.stop_held(&machine, &task, attempt);
+        }
+    }
+}
