--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -7,7 +7,6 @@
 use crate::controller::Controller;
 use crate::ids::{JobId, MachineId, Partition, TaskId};
 use crate::jobs::Job;
-use crate::picture::Machine;
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
 use crate::protocol::{JobSpec, Priority, Shape};
 use crate::settings::Objective;
@@ -35,11 +34,6 @@
 /// Boot times of the slowest type for which a new service keeps to the zones that are cheap for it.
 const CHEAP_BOOTS: f64 = 2.0;
 
-/// Part of its class's time to start for which a replica may wait for a machine that has its image.
-const HOLD_PART: f64 = 0.4;
-/// Tasks on machines with the image that are expected to end in that time, for it to wait.
-const ENOUGH_ENDS: f64 = 2.0;
-
 /// Users want even the largest jobs to begin within four minutes.
 const BEGIN_WITHIN_S: f64 = 240.0;
 /// Part of the time for starting after which a job that nothing has been started of comes first, so that
@@ -374,9 +368,6 @@
         let mut stuck: BTreeSet<usize> = BTreeSet::new();
         let mut unplaced: Vec<(usize, u32)> = Vec::new();
         let size = self.set.operator.batch_tasks as usize;
-        // By job: how many tasks on machines with its image are expected to end in a second.
-        let mut turnover: BTreeMap<JobId, f64> = BTreeMap::new();
-        let mut holds = false;
         loop {
             let batch = draw(&waiting, &mut next, &stuck, &mut claims, &jobs, size);
             if batch.is_empty() {
@@ -396,11 +387,7 @@
             for (Drawn { job, index, .. }, choice) in batch.into_iter().zip(choices) {
                 match choice.and_then(|c| ids.get(c)) {
                     Some(machine) => {
-                        if let (Some(w), Some(terms)) = (waiting.get(job), jobs.get(job)) {
-                            if self.waits_for_image(partition, w, terms, machine, &mut turnover) {
-                                holds = true;
-                                continue;
-                            }
+                        if let Some(w) = waiting.get(job) {
                             let task = TaskId {
                                 job: w.id.clone(),
                                 index,
@@ -418,9 +405,6 @@
                 break;
             }
         }
-        if holds {
-            self.want_batch();
-        }
         // Tasks of jobs that stuck wait too, even if no batch drew them; their room is limited.
         for (j, w) in waiting.iter().enumerate().filter(|(j, _)| stuck.contains(j)) {
             let from = next.get(j).copied().unwrap_or(0);
@@ -484,48 +468,6 @@
         start_within(&self.set.platform.facts.objectives, class)
     }
 
-    /// Whether a replica had better wait for a moment than start on a machine that must fetch its image
-    /// for longer than its class may wait.
-    ///
-    /// Where hundreds of machines are full of short tasks, some that have the image come free within a
-    /// second or two. The room that was found is kept meanwhile, so at worst it begins that much later.
-    fn waits_for_image(
-        &self,
-        partition: Partition,
-        w: &Waiting,
-        terms: &JobTerms,
-        machine: &MachineId,
-        turnover: &mut BTreeMap<JobId, f64>,
-    ) -> bool {
-        if !terms.service || w.priority < Priority::Prod || terms.wait_left_s <= 0.0 {
-            return false;
-        }
-        let hold_s = HOLD_PART * self.wait_s(&w.id);
-        let left_s = hold_s - self.now.wall_ms.saturating_sub(w.at) as f64 / 1000.0;
-        let has_image = |m: &Machine| m.images.iter().any(|(i, _)| *i == terms.image);
-        let Some(m) = self.machines.get(machine).filter(|m| left_s > 0.0 && !has_image(m)) else {
-            return false;
-        };
-        let fetch = self.types.iter().find(|t| t.name == m.model);
-        let fetch_s = fetch.map_or(0.0, |t| terms.image_gb / t.fetch_gb_per_s.max(1e-3));
-        if fetch_s <= terms.wait_left_s {
-            return false;
-        }
-        let ends_s = *turnover.entry(w.id.clone()).or_insert_with(|| {
-            let with_image = self
-                .machines
-                .values()
-                .filter(|m| m.partition == partition && terms.admits(&m.model, &m.zone, m.spot) && has_image(m));
-            with_image
-                .flat_map(|m| &m.held)
-                .filter_map(|h| self.jobs.get(&h.task.job))
-                .filter(|j| j.spec.shape == Shape::Array)
-                .map(|j| 1.0 / self.learned.run_s(&j.spec).max(1.0))
-                .sum()
-        });
-        ends_s * left_s >= ENOUGH_ENDS
-    }
-
     /// What a task costs an hour on the cheapest kind of machine that its job may use.
     fn cheapest(&self, spec: &JobSpec) -> f64 {
         let size = Self::size(spec);
