--- a/crates/tidelatch-core/src/queue/room.rs
+++ b/crates/tidelatch-core/src/queue/room.rs
@@ -2,7 +2,7 @@
 
 use super::Waiting;
 use crate::controller::{Controller, Level};
-use crate::ids::{Attempt, MachineId, Partition, TaskId};
+use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
 use crate::placement::{Amounts, JobTerms};
 use crate::protocol::{Priority, Shape};
 use std::collections::{BTreeMap, BTreeSet};
@@ -65,6 +65,7 @@
         let mut stuck: Vec<usize> = Vec::new();
         // Jobs for which no room can be made: their other tasks need not be tried.
         let mut hopeless: BTreeSet<usize> = BTreeSet::new();
+        let (mut looks, most) = (0, self.set.search_evaluations());
         for j in needy {
             let (Some(w), Some(terms)) = (waiting.get(*j), jobs.get(*j)) else {
                 continue;
@@ -98,6 +99,11 @@
                 y.free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
                 continue;
             }
+            if looks > most {
+                // The rest is tried with the next batch: beats and polls come first.
+                break;
+            }
+            looks += yards.len();
             let mut best: Option<(f64, usize, Vec<usize>)> = None;
             for (at, y) in yards.iter().enumerate().filter(|(_, y)| admits(y)) {
                 let mut victims: Vec<(f64, usize)> = y
@@ -159,6 +165,7 @@
                 stops.push((y.id.clone(), v.task.clone(), v.attempt));
             }
         }
+        self.evaluated += looks as u64;
         let soon: BTreeMap<MachineId, Amounts> =
             yards.unwrap_or_default().into_iter().map(|y| (y.id, y.free)).collect();
         for (machine, task, attempt) in stops {
@@ -235,11 +242,13 @@
             return;
         }
         let fits = |size: &Amounts, free: &Amounts| size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
-        // Room that lower priority would yield counts: a replica that waits gets it at once.
-        let mut could: BTreeMap<MachineId, Amounts> = BTreeMap::new();
+        // Room that lower priority would yield counts: a replica that waits gets it at once. By kind, so that
+        // what a job may not use is not looked at for each of its replicas.
+        let mut could: BTreeMap<(&str, &str, bool), Vec<(MachineId, Amounts)>> = BTreeMap::new();
         for (id, free) in &soon {
+            let Some(m) = self.machines.get(id) else { continue };
             let mut free = *free;
-            for h in self.machines.get(id).into_iter().flat_map(|m| &m.held) {
+            for h in &m.held {
                 let yields = self
                     .jobs
                     .get(&h.task.job)
@@ -248,9 +257,14 @@
                     free.iter_mut().zip(h.size).for_each(|(f, s)| *f += s);
                 }
             }
-            could.insert(id.clone(), free);
+            let kind = (m.model.as_str(), m.zone.as_str(), m.spot);
+            could.entry(kind).or_default().push((id.clone(), free));
         }
         let mut moves: Vec<(MachineId, TaskId, Attempt)> = Vec::new();
+        // Replicas of a job in a zone that could go nowhere else: room only shrinks, so the next one cannot
+        // either. With hundreds of machines, asking for each anew took longer than a controller's lease.
+        let mut rooted: BTreeSet<(&JobId, &str)> = BTreeSet::new();
+        let mut budget = self.set.search_evaluations();
         for j in stuck {
             if moves.len() >= AT_ONCE {
                 break;
@@ -258,7 +272,10 @@
             let Some(terms) = jobs.get(*j) else { continue };
             let mut found = None;
             'machines: for (id, free) in &soon {
-                let Some(m) = self.machines.get(id) else { continue };
+                budget = budget.saturating_sub(1);
+                let Some(m) = self.machines.get(id).filter(|_| budget > 0) else {
+                    continue;
+                };
                 if !terms.admits(&m.model, &m.zone, m.spot) {
                     continue;
                 }
@@ -269,12 +286,15 @@
                     if !old || !fits(&terms.size, &with) || moves.iter().any(|(_, t, _)| t.job == h.task.job) {
                         continue;
                     }
-                    let Some(job) = self.jobs.get(&h.task.job) else {
+                    let Some((name, job)) = self.jobs.get_key_value(&h.task.job) else {
                         continue;
                     };
                     if job.spec.shape != Shape::Service || job.partition != partition || job.shunned.is_some() {
                         continue;
                     }
+                    if rooted.contains(&(name, m.zone.as_str())) {
+                        continue;
+                    }
                     let team = self.set.team(&job.spec.team).map_or(0, |(t, _)| t);
                     let Some(mut other) = self.terms(&h.task.job, team, f64::MAX) else {
                         continue;
@@ -283,14 +303,18 @@
                         *n = n.saturating_sub(1);
                     }
                     other.shunned = Some(m.zone.clone());
-                    let to = could.iter().find(|(to, free)| {
-                        let there = self.machines.get(*to);
-                        fits(&h.size, free) && there.is_some_and(|t| other.admits(&t.model, &t.zone, t.spot))
-                    });
-                    if let Some((to, _)) = to {
+                    let mut to = None;
+                    for ((model, zone, spot), machines) in &could {
+                        if to.is_none() && other.admits(model, zone, *spot) {
+                            budget = budget.saturating_sub(machines.len());
+                            to = machines.iter().find(|(_, free)| fits(&h.size, free)).map(|(to, _)| to);
+                        }
+                    }
+                    if let Some(to) = to {
                         found = Some((id.clone(), h.task.clone(), h.attempt, h.size, to.clone()));
                         break 'machines;
                     }
+                    rooted.insert((name, m.zone.as_str()));
                 }
             }
             let Some((id, task, attempt, size, to)) = found else {
@@ -300,11 +324,16 @@
                 free.iter_mut().zip(size).for_each(|(f, s)| *f += s);
                 free.iter_mut().zip(terms.size).for_each(|(f, s)| *f -= s);
             }
-            if let Some(free) = could.get_mut(&to) {
+            if let Some((_, free)) = could.values_mut().flatten().find(|(other, _)| *other == to) {
                 free.iter_mut().zip(size).for_each(|(f, s)| *f -= s);
             }
             moves.push((id, task, attempt));
         }
+        self.evaluated += self.set.search_evaluations().saturating_sub(budget) as u64;
+        if budget == 0 {
+            // The rest is tried again later: beats and polls come first.
+            self.swapped.insert(partition, now);
+        }
         if moves.is_empty() {
             return;
         }
--- a/crates/tidelatch-standin/tests/scale.rs
+++ b/crates/tidelatch-standin/tests/scale.rs
@@ -110,3 +110,43 @@
     assert_eq!(services, 80);
     assert!(world.broken.is_empty(), "{:?}", world.broken);
 }
+
+/// Looks at machines within 20 s, for each replica that waits and each machine, in a deployment where half
+/// of the spread services wait for a zone that is full of replicas that could not run elsewhere either.
+fn looks_for_what_is_stuck(machines: u32) -> f64 {
+    let mut world = World::sized(
+        &Operator::default(),
+        Size {
+            teams: 3,
+            guarantee: 1000.0,
+            limit: 5000.0,
+            write_rps: 200.0,
+            value_kb: 4.0,
+        },
+    );
+    world.cloud.most = machines as usize;
+    world.cloud.most_in_zone.insert("b".into(), machines as usize / 8);
+    world.run(3000);
+    for i in 0..machines / 8 {
+        let mut body = job(i, i % 3, "standing", 8);
+        body["spread"] = true.into();
+        world.accepted(i as usize % 3, &body);
+    }
+    // Until all have run for longer than a worker's lease: before that none is moved.
+    world.run(60_000);
+    let running: usize = (0..machines / 8).map(|i| world.running(&format!("job-{i:06}"))).sum();
+    let stuck = machines as usize - running;
+    assert!(stuck * 8 > machines as usize, "{stuck} of {machines} replicas wait");
+    let before = world.evaluations();
+    world.run(20_000);
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    (world.evaluations() - before) as f64 / stuck as f64 / f64::from(machines)
+}
+
+#[test]
+fn what_is_stuck_costs_no_more_for_each_machine_in_a_larger_deployment() {
+    // Guard: a controller of 700 machines once asked, for each replica that waited and each that might make
+    // room for it, every machine that this one might go to. That took longer than its lease.
+    let (small, large) = (looks_for_what_is_stuck(64), looks_for_what_is_stuck(256));
+    assert!(large < 2.0 * small, "{small} and {large} looks");
+}
