--- a/crates/tidelatch-core/src/queue/room.rs
+++ b/crates/tidelatch-core/src/queue/room.rs
@@ -26,6 +26,9 @@
     taken: bool,
 }
 
+/// A machine, and room on it.
+type Room = (MachineId, Amounts);
+
 /// A machine on which room could be made.
 struct Yard {
     id: MachineId,
@@ -244,7 +247,7 @@
         let fits = |size: &Amounts, free: &Amounts| size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
         // Room that lower priority would yield counts: a replica that waits gets it at once. By kind, so that
         // what a job may not use is not looked at for each of its replicas.
-        let mut could: BTreeMap<(&str, &str, bool), Vec<(MachineId, Amounts)>> = BTreeMap::new();
+        let mut could: BTreeMap<(&str, &str, bool), Vec<Room>> = BTreeMap::new();
         for (id, free) in &soon {
             let Some(m) = self.machines.get(id) else { continue };
             let mut free = *free;
--- a/crates/tidelatch/src/main.rs
+++ b/crates/tidelatch/src/main.rs
@@ -61,8 +61,13 @@
             }
         },
         Command::Check(files) => match load(&files) {
-            Ok(_) => {
+            Ok(settings) => {
                 println!("the settings are in order");
+                let division = doors::Division::of(settings.platform.facts.machine_limits.sockets);
+                println!(
+                    "sockets: {} workers can report to this controller when it stands alone",
+                    division.workers
+                );
                 ExitCode::SUCCESS
             }
             Err(code) => code,
