--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -374,6 +374,7 @@
     Hosts,
     Confirm {
         machine: MachineId,
+        sent: u64,
     },
     Probe {
         machine: MachineId,
@@ -689,7 +690,7 @@
             Purpose::Book { book, askers } => self.on_book(book, askers, result),
             Purpose::Delete { machines } => self.on_delete(machines, result),
             Purpose::Hosts => self.on_hosts(result),
-            Purpose::Confirm { machine } => self.on_confirm(machine, result),
+            Purpose::Confirm { machine, sent } => self.on_confirm(machine, sent, result),
             Purpose::Probe { machine, sent } => self.on_probe(machine, sent, result),
             Purpose::Direct {
                 machine,
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -37,25 +37,26 @@
                 commands: Vec::new(),
             };
             let body = serde_json::to_string(&orders).unwrap_or_default();
-            let timeout = self.set.report_ms();
             self.call(
                 Target::Worker(addr),
                 Method::Post,
                 "/commands",
                 body,
-                timeout,
-                Purpose::Confirm { machine: id },
+                every,
+                Purpose::Confirm { machine: id, sent: now },
             );
         }
     }
 
-    pub(crate) fn on_confirm(&mut self, id: MachineId, result: Option<(u16, Vec<u8>)>) {
+    pub(crate) fn on_confirm(&mut self, id: MachineId, sent: u64, result: Option<(u16, Vec<u8>)>) {
         let now = self.now.ms;
         if let Some(m) = self.machines.get_mut(&id) {
             m.confirming = false;
         }
-        let Some((status, body)) = result else { return };
-        let Ok(report) = serde_json::from_slice::<Report>(&body) else {
+        let untried = matches!(result, Some((NOT_TRIED, _)));
+        let report = result.and_then(|(status, body)| Some((status, serde_json::from_slice::<Report>(&body).ok()?)));
+        let Some((status, report)) = report else {
+            self.note_no_answer(&id, sent, untried);
             return;
         };
         let partition = self.machines.get(&id).map(|m| m.partition);
@@ -160,17 +161,6 @@
             .machines
             .get(&id)
             .is_some_and(|m| self.acting(m.partition).is_some());
-        // A machine that does not answer has died only if others of its zone are heard at that time,
-        // with no other controller between: else the network is the likelier cause, and its worker
-        // will find another door. Two such probes rule out a cut that begins or ends just then.
-        let from = sent.saturating_sub(self.set.report_ms() / 2);
-        let zone_heard = self.machines.get(&id).is_some_and(|m| {
-            let others = self
-                .machines
-                .iter()
-                .filter(|(other, o)| **other != id && o.zone == m.zone);
-            others.filter_map(|(_, o)| o.heard_directly).any(|t| t >= from)
-        });
         let Some(m) = self.machines.get_mut(&id) else { return };
         m.probing = false;
         match report.filter(|r| r.machine == id) {
@@ -178,11 +168,38 @@
                 self.heard_directly(&id);
                 self.take_report(&report, false);
             }
-            None if zone_heard && !untried => m.probes_failed += 1,
+            None => self.note_no_answer(&id, sent, untried),
             _ => {}
         }
     }
 
+    /// A machine did not answer a direct question that was sent at some time.
+    ///
+    /// It has died only if others of its zone are heard at that time, with no other controller between:
+    /// else the network is the likelier cause, and its worker will find another door. Two such questions
+    /// rule out a cut that begins or ends just then.
+    fn note_no_answer(&mut self, id: &MachineId, sent: u64, untried: bool) {
+        let from = sent.saturating_sub(self.set.report_ms() / 2);
+        let zone_heard = self.machines.get(id).is_some_and(|m| {
+            let others = self
+                .machines
+                .iter()
+                .filter(|(other, o)| *other != id && o.zone == m.zone);
+            others.filter_map(|(_, o)| o.heard_directly).any(|t| t >= from)
+        });
+        let partition = self.machines.get(id).map(|m| m.partition);
+        let tenure = partition.and_then(|p| self.tenures.get(&p));
+        // What was asked in an earlier tenure says nothing of this one.
+        let asked_now = tenure.is_some_and(|t| sent >= t.active_at);
+        if zone_heard
+            && asked_now
+            && !untried
+            && let Some(m) = self.machines.get_mut(id)
+        {
+            m.probes_failed += 1;
+        }
+    }
+
     pub(super) fn give_up_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
         let silent_ms = self.set.silent_ms();
@@ -226,7 +243,10 @@
             } else if m.up() {
                 // After a notice the machine is as good as gone once it stops to report.
                 let noticed = m.notice && quiet(m, 2 * self.set.report_ms());
-                let dead = quiet(m, report * 12 / 5) && m.probes_failed >= 2;
+                // One that was taken over holds up the older tasks of its whole partition, and it has been
+                // asked from the first moment on.
+                let holds_up = !m.confirmed && m.may_hold;
+                let dead = quiet(m, if holds_up { report } else { report * 12 / 5 }) && m.probes_failed >= 2;
                 if noticed || dead || quiet(m, limit) {
                     lost.insert(id.clone(), "silent");
                 }
--- a/crates/tidelatch-standin/tests/troubles.rs
+++ b/crates/tidelatch-standin/tests/troubles.rs
@@ -651,3 +651,50 @@
     }
     sound(&world);
 }
+
+#[test]
+fn a_machine_that_died_before_a_take_over_holds_it_up_for_little_more_than_a_report() {
+    // Guard: until every machine is accounted for, older tasks of the whole partition wait. One that answers
+    // no direct question, twice, while others of its zone do, used to be waited for as long as one that
+    // had just reported.
+    let mut world = World::sized(
+        &Operator::default(),
+        Size {
+            teams: 3,
+            guarantee: 40.0,
+            limit: 80.0,
+            ..Size::default()
+        },
+    );
+    world.cloud.most = 60;
+    world.run(3000);
+    for i in 0..3 {
+        let mut service = job(i, i, "standing", 8);
+        service["spread"] = true.into();
+        world.accepted(i as usize, &service);
+    }
+    let all = |w: &World| (0..3).all(|i| w.running(&format!("job-{i:06}")) == 8);
+    assert!(world.run_until(40_000, all), "{}", world.trace());
+    world.run(5000);
+    let dead = world.machines_of("job-000000").first().cloned().expect("it runs");
+    if let Some(w) = world.workers.get_mut(&dead) {
+        w.hanging = true;
+    }
+    world.note(&format!("{dead} dies"));
+    let owner = world.owner_of_team(0);
+    world.crash(owner);
+    world.run(300);
+    let from = world.trace().len();
+    world.start(owner);
+    world.run(15_000);
+    let told = &world.trace()[from..];
+    let waits: Vec<u64> = told
+        .lines()
+        .filter_map(|l| l.split("accounted for, ").nth(1)?.split(' ').next()?.parse().ok())
+        .collect();
+    let longest = waits.iter().max().copied().unwrap_or(u64::MAX);
+    assert!((2500..5000).contains(&longest), "{waits:?}\n{}", world.trace());
+    assert!(world.cloud.deleted.contains(&dead), "{}", world.trace());
+    assert!(world.run_until(10_000, all), "{}", world.trace());
+    sound(&world);
+}
