Cancellations are told between controllers, so who feeds workers knows them

Cause: the state service refuses one controller alone; another confirms a cancellation; the service is down for all. The refused one goes on answering workers under its peers' promises, also those of the confirming controller's machines, and knows of the end only by its watch, which waits. If the confirming one ends meanwhile and is back at once, it promises without knowing what its last life told, and the tasks run on.

Now: greetings carry cancellations, from when they are asked for; a promise carries what its giver knows, which is taken in before it counts; a user is told only once a second controller knows, or the state service has extended the lease since; of the promises that a controller acts under one at least comes from a life that has read the store. The asked ones stop tasks at once. Records of ends carry their time, so that a new owner knows the deadlines of ends that it did not write; machines that may hold cancelled tasks are deleted by half of cancel_s. The version before neither tells nor is waited for: fields are only added.

--- a/crates/tidelatch-core/src/capacity/lending.rs
+++ b/crates/tidelatch-core/src/capacity/lending.rs
@@ -145,6 +145,11 @@
     }
 
     pub(crate) fn say_hello(&mut self) {
+        self.greet(false);
+    }
+
+    /// Greets the peers whose turn it is; with `at_once` all that lack a cancellation.
+    pub(crate) fn greet(&mut self, at_once: bool) {
         let now = self.now.ms;
         let every = 2 * self.set.report_ms() / 5;
         let leader = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
@@ -152,8 +157,10 @@
         let names: Vec<String> = self.set.platform.siblings.iter().map(|s| s.host_name.clone()).collect();
         for name in names {
             let to = ControllerId::new(name);
+            let urgent = at_once && self.lacks_cancellations(&to);
+            let (told, span, _) = self.tell_cancellations(&to);
             let peer = self.member.peers.entry(to.clone()).or_default();
-            if peer.asking || (peer.asked != 0 && now < peer.asked + every) {
+            if peer.asking || (peer.asked != 0 && now < peer.asked + every && !urgent) {
                 continue;
             }
             peer.asking = true;
@@ -170,16 +177,23 @@
                 wants_grant,
                 relies: self.relies_on(&to),
                 digests,
+                told,
             };
             let timeout = self.set.report_ms() / 2;
-            self.ask(to.clone(), request, timeout, Purpose::Hello { to, sent: now });
+            let purpose = Purpose::Hello {
+                to: to.clone(),
+                sent: now,
+                told: span,
+            };
+            self.ask(to, request, timeout, purpose);
         }
     }
 
     pub(crate) fn on_hello(&mut self, id: u64, from: ControllerId, stands: (bool, bool, bool), digests: Vec<Digest>) {
         let now = self.now.ms;
         let (entitled, wants_grant, relies) = stands;
-        let granted = wants_grant && self.promise();
+        let (told, _, whole) = self.tell_cancellations(&from);
+        let granted = wants_grant && whole && self.promise();
         self.note_reliance(&from, relies || granted);
         let lead = self.is_leader();
         if let Some(peer) = self.member.peers.get_mut(&from) {
@@ -221,6 +235,7 @@
                 relies,
                 moves,
                 refused,
+                told,
             },
         });
     }
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -1,5 +1,6 @@
 //! The state machine: inputs, outputs, and the table of calls that are under way.
 
+use crate::cancellations::{Cancellations, Told};
 use crate::capacity::{Cloud, Wish};
 use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
 use crate::jobs::{Job, Over, Purpose as JobPurpose};
@@ -190,6 +191,8 @@
         relies: bool,
         /// Its partitions.
         digests: Vec<Digest>,
+        /// Cancellations that the other may not know of.
+        told: Told,
     },
 }
 
@@ -210,6 +213,8 @@
         moves: Vec<Move>,
         /// Kinds of machine that the cloud refused lately (from the leader only).
         refused: Vec<Need>,
+        /// Cancellations that the asker may not know of.
+        told: Told,
     },
 }
 
@@ -394,6 +399,8 @@
     Hello {
         to: ControllerId,
         sent: u64,
+        /// The span of cancellations that it told of.
+        told: (u64, u64),
     },
     Relay {
         asker: Asker,
@@ -513,6 +520,7 @@
     pub(crate) poked: BTreeSet<MachineId>,
     pub(crate) commands_sent: u64,
     pub(crate) guests: BTreeMap<MachineId, Guest>,
+    pub(crate) cancellations: Cancellations,
     /// How often a machine was looked at for a task.
     pub(crate) evaluated: u64,
 }
@@ -559,6 +567,7 @@
             poked: BTreeSet::new(),
             commands_sent: 0,
             guests: BTreeMap::new(),
+            cancellations: Cancellations::default(),
             evaluated: 0,
             set,
         }
@@ -583,6 +592,7 @@
             }
         }
         self.send_direct();
+        self.send_cancellations();
         std::mem::take(&mut self.out)
     }
 
@@ -594,6 +604,7 @@
     fn tick(&mut self) {
         self.tick_membership();
         self.tick_tenures();
+        self.tick_cancellations();
         self.tick_jobs();
         // Looking through all machines with each tick would cost a controller of a thousand a good part of
         // its processor, and nothing there is due by less than this.
@@ -703,7 +714,12 @@
                 wants_grant,
                 relies,
                 digests,
-            } => self.on_hello(id, ControllerId::new(name), (entitled, wants_grant, relies), digests),
+                told,
+            } => {
+                let from = ControllerId::new(name);
+                self.take_cancellations(&from, &told);
+                self.on_hello(id, from, (entitled, wants_grant, relies), digests);
+            }
         }
     }
 
@@ -789,21 +805,28 @@
     fn on_peer_reply(&mut self, purpose: Purpose, result: Option<PeerReply>) {
         match (purpose, result) {
             (
-                Purpose::Hello { to, sent },
+                Purpose::Hello { to, sent, told },
                 Some(PeerReply::Hello {
                     entitled,
                     granted,
                     relies,
                     moves,
                     refused,
+                    told: news,
                 }),
             ) => {
                 self.note_peer(&to, true, entitled);
                 self.note_reliance(&to, relies);
+                // What a promise's giver knows is taken in before the promise counts.
+                self.take_cancellations(&to, &news);
+                self.note_taken(&to, news.life, told);
                 if granted {
-                    self.note_grant(&to, sent);
+                    self.note_grant(&to, sent, news.unread);
                 }
                 self.on_moves(&to, moves, refused);
+                if self.lacks_cancellations(&to) {
+                    self.greet(true);
+                }
             }
             (Purpose::Hello { to, .. }, _) => self.note_peer(&to, false, false),
             (Purpose::Relay { asker, report }, result) => self.on_relayed(asker, &report, result),
--- a/crates/tidelatch-core/src/gangs.rs
+++ b/crates/tidelatch-core/src/gangs.rs
@@ -99,8 +99,7 @@
     /// that says nothing is of the version before. One that joins later raises the epoch, of which every
     /// acceptance is a condition.
     pub(crate) fn all_know_gangs(&self) -> bool {
-        let level = self.set.features.level();
-        self.set.features.gangs && self.member.members.values().all(|m| m.knows >= level)
+        self.set.features.gangs && self.member.members.values().all(|m| m.knows >= 1)
     }
 
     fn muster(&self, id: &JobId, job: &Job) -> Muster {
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -46,6 +46,9 @@
     pub team: String,
     /// What each of its tasks takes: its tasks count against the team's limit even after its end.
     pub size: [f64; 3],
+    /// Time of day at which its end was written; absent: the version before wrote it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<u64>,
     /// Its description, until it is over.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub spec: Option<JobSpec>,
@@ -80,7 +83,7 @@
             size: record.size,
         })
     }
-    fn body(&self, id: &JobId) -> String {
+    pub(crate) fn body(&self, id: &JobId) -> String {
         let (status, done) = if self.done {
             ("done", self.tasks)
         } else {
@@ -385,6 +388,10 @@
             return;
         }
         if let Some(over) = Over::of(&record) {
+            if !over.done {
+                let was_open = self.jobs.contains_key(&id);
+                self.note_cancelled(&id, record.ended, was_open);
+            }
             self.job_over(&id, over);
             return;
         }
@@ -425,11 +432,10 @@
     }
 
     fn job_over(&mut self, id: &JobId, over: Over) {
-        let body = over.body(id);
         self.remember_over(id, over);
         if let Some(job) = self.jobs.remove(id) {
             for asker in job.askers {
-                self.answer(asker, Answer::new(200, body.clone()));
+                self.tell_over(asker, id);
             }
             // Whatever may still hold its tasks is told to stop them.
             for machines in job.placed.values() {
@@ -571,6 +577,7 @@
             n: spec.tasks,
             team: spec.team.clone(),
             size: Self::size(&spec),
+            ended: None,
             spec: Some(spec.clone()),
         };
         if bytes_of(&record) > self.set.value_bytes() {
@@ -625,9 +632,8 @@
             self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#));
             return;
         };
-        if let Some(over) = self.over.get(&id) {
-            let body = over.body(&id);
-            self.answer(asker, Answer::new(200, body));
+        if self.over.contains_key(&id) {
+            self.tell_over(asker, &id);
             return;
         }
         if let Some(job) = self.jobs.get(&id) {
@@ -676,9 +682,8 @@
             self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#));
             return;
         };
-        if let Some(over) = self.over.get(&id) {
-            let body = over.body(&id);
-            self.answer(asker, Answer::new(200, body));
+        if self.over.contains_key(&id) {
+            self.tell_over(asker, &id);
             return;
         }
         let Some(partition) = self.jobs.get(&id).map(|j| j.partition) else {
@@ -699,6 +704,8 @@
             }
             return;
         }
+        self.note_asked(&id);
+        self.stop_called_off(&id);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.askers.push(asker);
             if job.ending.is_none() {
@@ -722,6 +729,7 @@
             n: job.spec.tasks,
             team: job.spec.team.clone(),
             size: Self::size(&job.spec),
+            ended: self.set.features.cancellations.then_some(self.now.wall_ms),
             spec: None,
         };
         let key = format!("{JOB_PREFIX}{id}");
@@ -792,9 +800,8 @@
                 Some((404, _)) => self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#)),
                 Some((200, body)) => {
                     self.learn_read(&id, &body);
-                    if let Some(over) = self.over.get(&id) {
-                        let body = over.body(&id);
-                        self.answer(asker, Answer::new(200, body));
+                    if self.over.contains_key(&id) {
+                        self.tell_over(asker, &id);
                     } else {
                         self.answer(asker, Answer::later(503, 1, "try again"));
                     }
@@ -831,13 +838,14 @@
         };
         let answer = match state {
             None => Answer::later(503, 1, "the state service does not answer"),
-            Some(state) => match self.over.get(id) {
-                Some(over) => Answer::new(200, over.body(id)),
-                None => Answer::new(
-                    200,
-                    json!({ "uid": id, "status": state.word(), "done": 0, "running": 0 }).to_string(),
-                ),
-            },
+            Some(_) if self.over.contains_key(id) => {
+                self.tell_over(asker, id);
+                return;
+            }
+            Some(state) => Answer::new(
+                200,
+                json!({ "uid": id, "status": state.word(), "done": 0, "running": 0 }).to_string(),
+            ),
         };
         self.answer(asker, answer);
     }
@@ -861,6 +869,7 @@
                     n: spec.tasks,
                     team: spec.team.clone(),
                     size: Self::size(&spec),
+                    ended: None,
                     spec: Some(spec),
                 };
                 if let Some(spec) = &record.spec {
@@ -911,6 +920,9 @@
                     (false, _) => format!("cancelled after {age_s:.0} s"),
                 };
                 self.log(Level::Info, format!("{id} {word}"));
+                if !over.done {
+                    self.note_cancelled(&id, Some(self.now.wall_ms), true);
+                }
                 self.job_over(&id, over);
             }
             Some((409, _)) => {
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Controller`] takes an [`Input`] with the time at which it came, and returns what is to be sent,
 //! stored and answered. The daemon puts sockets and timers round it; tests put stand-ins there.
 
+mod cancellations;
 pub mod capacity;
 mod controller;
 mod gangs;
@@ -17,6 +18,7 @@
 pub mod roster;
 pub mod settings;
 
+pub use cancellations::Told;
 pub use controller::{
     Answer, Controller, Digest, Idle, Input, Level, Method, Move, NOT_SENT, NOT_TRIED, Need, Now, Output, PeerReply,
     PeerRequest, Target, Want,
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -85,6 +85,15 @@
     pub parts: Vec<Holding>,
 }
 
+/// A peer's promise not to change the membership.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Grant {
+    /// When it ends, on this clock.
+    until: u64,
+    /// Its giver has not read the store in its life.
+    unread: bool,
+}
+
 /// How a peer stands.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Peer {
@@ -121,8 +130,8 @@
     extend_failed: bool,
     /// The last call about a lease failed: the state service does not serve this controller.
     unserved: bool,
-    /// Peers' promises not to change the membership, by when each ends on this clock.
-    grants: BTreeMap<ControllerId, u64>,
+    /// Peers' promises not to change the membership.
+    grants: BTreeMap<ControllerId, Grant>,
     /// This controller's own promises: it neither takes the lead nor raises an epoch before.
     promised_until: u64,
     /// A process that has just started may have forgotten promises: it leads only once every peer
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -1,6 +1,6 @@
 //! Whether this controller may act: its lease, and the promises of its peers.
 
-use super::Peer;
+use super::{Grant, Peer};
 use crate::controller::{Controller, Level};
 use crate::ids::{ControllerId, Incarnation};
 use crate::protocol::Granted;
@@ -16,10 +16,17 @@
     }
 
     /// The time up to which every peer has promised to leave the membership as it is.
+    ///
+    /// One of them at least has to come from a life that has read the store: those that have ended since then
+    /// may have told users of cancellations that nobody else knows.
     pub(super) fn granted_until(&self) -> u64 {
         let siblings = &self.set.platform.siblings;
-        let until = |name: &str| self.member.grants.get(&ControllerId::new(name)).copied().unwrap_or(0);
-        siblings.iter().map(|s| until(&s.host_name)).min().unwrap_or(0)
+        let grant = |name: &str| self.member.grants.get(&ControllerId::new(name)).copied();
+        let grants: Option<Vec<Grant>> = siblings.iter().map(|s| grant(&s.host_name)).collect();
+        let grants = grants.unwrap_or_default();
+        let read = grants.iter().filter(|g| !g.unread).map(|g| g.until).max();
+        let all = grants.iter().map(|g| g.until).min();
+        all.zip(read).map_or(0, |(all, read)| all.min(read))
     }
 
     /// Whether the peers should be asked for promises: only they can say whether this is an outage.
@@ -42,7 +49,7 @@
     ///
     /// It counts from the sending, and only if it comes while this controller is still entitled: so
     /// there is no moment between its lease and the promises in which others could have moved on.
-    pub(crate) fn note_grant(&mut self, from: &ControllerId, sent: u64) {
+    pub(crate) fn note_grant(&mut self, from: &ControllerId, sent: u64, unread: bool) {
         if self.entitled() {
             let until = sent + self.set.entitlement_ms();
             if self.now.ms >= self.member.entitled_until.saturating_sub(self.set.lease_ms() / 4) {
@@ -51,13 +58,13 @@
                     format!("{from} promises to leave the membership as it is"),
                 );
             }
-            self.member.grants.insert(from.clone(), until);
+            self.member.grants.insert(from.clone(), Grant { until, unread });
         }
     }
 
     /// Whether this controller relies, or may come to rely, on a promise of a peer's.
     pub(crate) fn relies_on(&self, peer: &ControllerId) -> bool {
-        let given = self.member.grants.get(peer).is_some_and(|until| self.now.ms < *until);
+        let given = self.member.grants.get(peer).is_some_and(|g| self.now.ms < g.until);
         given || self.member.peers.get(peer).is_some_and(|p| p.asked_grant)
     }
 
@@ -95,6 +102,7 @@
                 self.member.permit = Some(g.permit);
                 self.member.extended_at = sent;
                 self.member.entitled_until = sent + self.set.entitlement_ms();
+                self.note_served(sent);
                 self.member.written = None;
                 self.member.was_entitled = true;
                 let inc = self.member.inc;
@@ -121,6 +129,7 @@
                     self.log(Level::Info, "lease extended again after a gap: acting again");
                 }
                 self.member.entitled_until = self.member.entitled_until.max(until);
+                self.note_served(sent);
                 if std::mem::take(&mut self.member.extend_failed) && self.member.listed {
                     // The way is open again: a watch that went out before may never answer.
                     self.watch();
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -496,13 +496,16 @@
         }
     }
 
-    /// Stops for tasks of jobs that are over: right from any entitled controller.
+    /// Stops for tasks of jobs that are over, or called off: right from any entitled controller.
     fn stops_for_over(&self, report: &Report) -> Vec<Command> {
         report
             .tasks
             .iter()
             .filter(|t| t.state != TaskState::Exited)
-            .filter(|t| TaskId::parse(&t.task).is_some_and(|id| self.over.contains_key(&id.job)))
+            .filter(|t| {
+                let called_off = |id: TaskId| self.over.contains_key(&id.job) || self.cancellations.calls_off(&id.job);
+                TaskId::parse(&t.task).is_some_and(called_off)
+            })
             .map(|t| Command::Stop {
                 task: t.task.clone(),
                 attempt: t.attempt,
--- a/crates/tidelatch-core/src/picture/commands.rs
+++ b/crates/tidelatch-core/src/picture/commands.rs
@@ -36,7 +36,8 @@
         let mut dropped = Vec::new();
         for h in &mut m.held {
             let job = self.jobs.get(&h.task.job).filter(|j| j.partition == m.partition);
-            let live = job.is_some_and(|j| !j.is_done(h.task.index));
+            // A cancellation stops tasks from when it is asked for.
+            let live = job.is_some_and(|j| !j.is_done(h.task.index)) && !self.cancellations.calls_off(&h.task.job);
             match h.state {
                 HeldState::Booked => {
                     if live && job.is_some_and(|j| j.ending.is_none()) && h.stop.is_none() {
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -223,6 +223,35 @@
         workers && (platform.area == *zone || peers.any(|s| there(&s.host_name)))
     }
 
+    /// Machines that may hold tasks of cancelled jobs for too long: their deletion is proof that these are gone.
+    ///
+    /// A machine that does what it is told ends them within little more than a report. One that hangs may go on
+    /// with them, and no lease of its worker ends meanwhile, so half of the time that a cancellation has is left
+    /// for the cloud, its limits and outages, and a change of owner. What is on a machine that was taken over
+    /// and has not answered is not known; if most of them do not answer, the network is the likelier cause, and
+    /// their workers' leases end in time by themselves unless they hang: they get until three quarters.
+    fn give_up_cancelled(&self, partition: Partition, active_at: u64, lost: &mut BTreeMap<MachineId, &str>) {
+        let now = self.now.ms;
+        let cancel_ms = self.set.cancel_ms();
+        let overdue = |since: u64, limit: u64| now.saturating_sub(since) > limit;
+        let asked_for = now.saturating_sub(active_at) > 2 * self.set.report_ms();
+        let oldest = self.oldest_cancellation(partition);
+        let here = |m: &Machine| m.partition == partition && m.up() && !m.gone;
+        let open = self.unconfirmed(partition);
+        let most = open > 1 && open * 2 > self.machines.values().filter(|m| here(m)).count();
+        let unknown_limit = if most { cancel_ms * 3 / 4 } else { cancel_ms / 2 };
+        for (id, m) in self.machines.iter().filter(|(_, m)| here(m) && !m.retiring) {
+            let holds = |h: &Held| {
+                let since = self.cancelled_since(&h.task.job);
+                h.state != HeldState::Booked && since.is_some_and(|since| overdue(since, cancel_ms / 2))
+            };
+            let unknown = m.may_hold && !m.confirmed && oldest.is_some_and(|since| overdue(since, unknown_limit));
+            if asked_for && (unknown || m.held.iter().any(holds)) {
+                lost.insert(id.clone(), "tasks of a cancelled job may still be on it");
+            }
+        }
+    }
+
     pub(super) fn give_up_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
         let silent_ms = self.set.silent_ms();
@@ -298,6 +327,7 @@
                 lost.insert(id.clone(), "a start of a job that is over may still reach it");
             }
         }
+        self.give_up_cancelled(partition, active_at, &mut lost);
         for (id, why) in lost {
             self.log(Level::Info, format!("{id}: {why}: giving it up"));
             if let Some(m) = self.machines.get_mut(&id) {
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -246,6 +246,9 @@
             if job.partition != partition || !job.startable(now.ms) || self.resting.contains_key(id) {
                 continue;
             }
+            if self.cancellations.calls_off(id) {
+                continue;
+            }
             // Tasks older than the take-over may be on a machine that has not reported; and a job
             // of an epoch not seen here yet belongs to another owner.
             if (open && job.epoch < since) || self.member.epoch.as_ref().is_none_or(|(e, _)| job.epoch > e.n) {
--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -403,22 +403,36 @@
 pub struct Features {
     /// Gangs, and the state service's coming limits.
     pub gangs: bool,
+    /// Cancellations are told between controllers.
+    pub cancellations: bool,
 }
 
 impl Features {
     /// The number by which a controller's own record says what it knows: 0 was never written.
     pub fn level(self) -> u32 {
-        u32::from(self.gangs)
+        match self {
+            Self { gangs: false, .. } => 0,
+            Self {
+                cancellations: false, ..
+            } => 1,
+            _ => 2,
+        }
     }
     /// As the version before gangs was: for tests.
     pub fn before_gangs() -> Self {
-        Self { gangs: false }
+        Self {
+            gangs: false,
+            cancellations: false,
+        }
     }
 }
 
 impl Default for Features {
     fn default() -> Self {
-        Self { gangs: true }
+        Self {
+            gangs: true,
+            cancellations: true,
+        }
     }
 }
 
--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -192,6 +192,8 @@
     pub answers: BTreeMap<u64, (u64, Answer)>,
     /// Milliseconds that a task of an array runs.
     pub run_ms: u64,
+    /// Controllers that the state service refuses alone: they get 503, and their open watches wait.
+    pub refused: BTreeSet<usize>,
     /// An array's tasks run for up to twice as long, each by its number.
     pub uneven: bool,
     nodes: Vec<Node>,
@@ -306,6 +308,7 @@
             broken: Vec::new(),
             answers: BTreeMap::new(),
             run_ms: 5000,
+            refused: BTreeSet::new(),
             uneven: false,
             nodes: Vec::new(),
             queue: BTreeMap::new(),
@@ -895,12 +898,9 @@
                 if !self.alive(node, life) {
                     return;
                 }
-                let news = if self.store.down {
-                    None
-                } else {
-                    self.store.news(&prefix, since)
-                };
-                let over = self.now >= until && !self.store.down;
+                let waits = self.store.down || self.refused.contains(&node);
+                let news = if waits { None } else { self.store.news(&prefix, since) };
+                let over = self.now >= until && !waits;
                 match news {
                     None if !over => self.push(
                         5,
@@ -1008,6 +1008,7 @@
     ) {
         let (node, life, call) = from;
         let result = match to {
+            "state" if self.refused.contains(&node) => (503, r#"{"error":"trouble"}"#.to_owned()),
             "state" => match self.store.request(self.now, method, path, body) {
                 Said::Now(status, body) => (status, body.to_string()),
                 Said::Later(prefix, since, until) => {
--- /dev/null
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -0,0 +1,256 @@
+//! Cancellations that meet an outage: whoever feeds the workers then has to know of them. The gap: the state
+//! service refuses one controller alone, another confirms cancellations, and then it is down for all for longer
+//! than a cancellation has, while workers go on reporting to the first.
+
+use tidelatch_core::settings::Features;
+use tidelatch_standin::{Fate, World, job};
+
+const CANCEL_MS: u64 = 38_000;
+
+/// What becomes of the controller that confirmed, once the outage has begun.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Confirmer {
+    Lives,
+    Freezes,
+    /// It ends, and is back within some milliseconds, knowing nothing.
+    Ends(u64),
+    EndsForGood,
+    /// So do both that are not refused: whoever is left has promises only of those who know nothing.
+    BothEnd(u64),
+}
+
+/// One spacing of the two troubles.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    /// The refusal begins so long before the outage.
+    refused_ms: u64,
+    /// The cancellations are asked for so long before the outage.
+    asked_ms: u64,
+    outage_ms: u64,
+    confirmer: Confirmer,
+    /// Workers are reached by the refused controller only, also for direct commands.
+    captive: bool,
+}
+
+/// Plays the gap: job 1 is of the refused controller's team, job 2 of the confirming one's.
+fn play(gap: Gap, features: Features) -> World {
+    let mut world = World::new();
+    for node in 0..3 {
+        world.crash(node);
+        world.version(node, features);
+        world.start(node);
+    }
+    world.run_ms = 300_000;
+    world.run(3000);
+    for team in 0..3 {
+        world.accepted(0, &job(team + 1, team, "sweep", 3));
+    }
+    let all_run = |w: &World| (1..=3).all(|j| w.running(&format!("job-00000{j}")) == 3);
+    assert!(world.run_until(40_000, all_run), "{}", world.trace());
+    let refused = world.owner_of_team(0);
+    let confirming = world.owner_of_team(1);
+    assert_ne!(refused, confirming);
+    let name = format!("berth-{refused}");
+    world.note(&format!("the state service refuses {name}"));
+    world.refused.insert(refused);
+    for w in world.workers.values_mut() {
+        w.node = refused;
+    }
+    let captive = gap.captive;
+    world.meddle(move |l| {
+        let worker = |who: &str| who.starts_with("n-");
+        let elsewhere = captive && ((worker(l.from) && l.to != name) || (worker(l.to) && l.from != name));
+        if elsewhere { Fate::Lost } else { Fate::Pass }
+    });
+    world.run(gap.refused_ms.saturating_sub(gap.asked_ms));
+    let owner = world.owner_of_team(0);
+    world.withdraw(confirming, "job-000002");
+    if owner != refused {
+        // By then the refused controller's teams are in other hands.
+        world.withdraw(owner, "job-000001");
+    }
+    world.run(gap.asked_ms);
+    world.note("the state service is down");
+    world.store.down = true;
+    world.run(20);
+    match gap.confirmer {
+        Confirmer::Lives => {}
+        Confirmer::Freezes => world.freeze(confirming),
+        Confirmer::Ends(away) => {
+            world.crash(confirming);
+            world.run(away);
+            world.start(confirming);
+        }
+        Confirmer::EndsForGood => world.crash(confirming),
+        Confirmer::BothEnd(away) => {
+            let others: Vec<usize> = (0..3).filter(|n| *n != refused).collect();
+            others.iter().for_each(|n| world.crash(*n));
+            world.run(away);
+            others.iter().for_each(|n| world.start(*n));
+        }
+    }
+    world.run(gap.outage_ms);
+    world.note("the state service is back");
+    world.store.down = false;
+    world.refused.clear();
+    world.calm();
+    if gap.confirmer == Confirmer::Freezes {
+        world.thaw(confirming);
+    }
+    if gap.confirmer == Confirmer::EndsForGood {
+        world.start(confirming);
+    }
+    world.run(CANCEL_MS);
+    for node in 0..3 {
+        world.withdraw(node, "job-000002");
+        world.poll(node, "job-000002");
+        world.poll(node, "job-000001");
+    }
+    world.run(3000);
+    world
+}
+
+fn sweep() -> Vec<Gap> {
+    let mut all = Vec::new();
+    // From a moment to well past a controller's lease, which is 7.2 s here.
+    for refused_ms in [200, 2000, 9000, 16_000] {
+        for asked_ms in [8, 150] {
+            for outage_ms in [CANCEL_MS - 1500, CANCEL_MS + 1500, 58_500] {
+                for confirmer in [
+                    Confirmer::Lives,
+                    Confirmer::Freezes,
+                    Confirmer::Ends(300),
+                    Confirmer::Ends(6000),
+                    Confirmer::EndsForGood,
+                    Confirmer::BothEnd(300),
+                ] {
+                    for captive in [true, false] {
+                        if captive || confirmer == Confirmer::Lives {
+                            all.push(Gap {
+                                refused_ms,
+                                asked_ms,
+                                outage_ms,
+                                confirmer,
+                                captive,
+                            });
+                        }
+                    }
+                }
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn cancelled_tasks_are_gone_in_time_whoever_is_refused_before_an_outage() {
+    // Guard: greetings and promises carry the ends known, and nobody is told of one that only one controller
+    // knows. Without that the controller that confirmed could end, and the refused one would feed the tasks.
+    for gap in sweep() {
+        let world = play(gap, Features::default());
+        assert!(
+            world.broken.is_empty(),
+            "{gap:?}: {:?}\n{}",
+            world.broken,
+            world.trace()
+        );
+    }
+}
+
+#[test]
+fn the_version_before_breaks_the_rule_in_the_gap() {
+    // That the sweep can tell: played by controllers that tell each other nothing, tasks stay.
+    let before = Features {
+        cancellations: false,
+        ..Features::default()
+    };
+    let broke = |gap: &Gap| play(*gap, before).broken.iter().any(|b| b.starts_with("ran_cancelled"));
+    let shows = |confirmer: Confirmer| sweep().iter().filter(|g| g.confirmer == confirmer).any(broke);
+    assert!(shows(Confirmer::Ends(300)), "the confirmer's end does not show");
+    assert!(shows(Confirmer::BothEnd(300)), "the end of both others does not show");
+}
+
+#[test]
+fn an_end_that_was_read_from_the_watch_is_told_on_before_its_reader_ends() {
+    // Guard: who answers from the watch has confirmed as well. Its writer may never learn that the change
+    // went through, and ends; the reader may end after it has answered.
+    for (reader_ends, captive) in [(false, true), (true, true), (true, false)] {
+        let mut world = World::new();
+        world.run_ms = 300_000;
+        world.run(3000);
+        for team in 0..3 {
+            world.accepted(0, &job(team + 1, team, "sweep", 3));
+        }
+        let all_run = |w: &World| (1..=3).all(|j| w.running(&format!("job-00000{j}")) == 3);
+        assert!(world.run_until(40_000, all_run), "{}", world.trace());
+        let (refused, writer) = (world.owner_of_team(0), world.owner_of_team(1));
+        let reader = 3 - refused - writer;
+        world.refused.insert(refused);
+        let (old, from) = (format!("berth-{refused}"), format!("berth-{writer}"));
+        world.workers.values_mut().for_each(|w| w.node = refused);
+        world.meddle(move |l| {
+            let worker = |who: &str| who.starts_with("n-");
+            let elsewhere = captive && ((worker(l.from) && l.to != old) || (worker(l.to) && l.from != old));
+            // The writer does not reach its peers just then, and gets no answer.
+            let end = l.from == from && l.what == "POST /txn" && l.body.contains("withdrawn");
+            if elsewhere || (l.from == from && l.what == "hello") {
+                Fate::Lost
+            } else if end {
+                Fate::AnswerLost
+            } else {
+                Fate::Pass
+            }
+        });
+        world.withdraw(writer, "job-000002");
+        world.run(10);
+        let poll = world.poll(reader, "job-000002");
+        world.run(30);
+        world.note("the state service is down");
+        world.store.down = true;
+        let ends = if reader_ends { reader } else { writer };
+        world.crash(ends);
+        world.run(300);
+        world.start(ends);
+        world.run(58_500);
+        world.store.down = false;
+        world.refused.clear();
+        world.calm();
+        world.run(10_000);
+        assert_eq!(world.said(poll), "withdrawn", "{}", world.trace());
+        assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
+    }
+}
+
+#[test]
+fn machines_that_hang_with_cancelled_tasks_are_deleted_in_time() {
+    // Guard: a worker that hangs ends nothing, and its silence is no evidence. Whoever owns its machine by then
+    // knows since when the job has been cancelled, and deletes the machine while the cloud still has time.
+    for (hanging, crash_ms) in [(1, None), (2, None), (1, Some(20)), (2, Some(20)), (2, Some(10_000))] {
+        let mut world = World::new();
+        world.run_ms = 300_000;
+        world.run(3000);
+        world.accepted(0, &job(1, 0, "sweep", 4));
+        assert!(
+            world.run_until(30_000, |w| w.running("job-000001") == 4),
+            "{}",
+            world.trace()
+        );
+        let owner = world.owner_of_team(0);
+        let machines = world.machines_of("job-000001");
+        assert_eq!(machines.len(), 2);
+        for m in machines.iter().take(hanging) {
+            world.note(&format!("{m} hangs"));
+            world.workers.get_mut(m).expect("a worker").hanging = true;
+        }
+        let cancel = world.withdraw(owner, "job-000001");
+        world.run(20);
+        assert_eq!(world.said(cancel), "withdrawn", "{}", world.trace());
+        if let Some(ms) = crash_ms {
+            world.run(ms);
+            world.crash(owner);
+        }
+        world.run(CANCEL_MS + 5000);
+        assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
+        assert!(world.cloud.deleted.contains(&machines[0]), "{}", world.trace());
+    }
+}
--- a/crates/tidelatch/src/peers.rs
+++ b/crates/tidelatch/src/peers.rs
@@ -13,8 +13,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tidelatch_core::ids::{MachineId, Partition};
-use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, Want};
+use tidelatch_core::ids::{JobId, MachineId, Partition};
+use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, Told, Want};
 use tonic::body::Body;
 use tower_service::Service;
 
@@ -114,6 +114,20 @@
     }
 }
 
+fn jobs_out(jobs: Vec<JobId>) -> Vec<String> {
+    jobs.into_iter().map(|id| id.as_str().to_owned()).collect()
+}
+
+fn told_in((life, unread): (u64, bool), cancelled: Vec<String>, asked: Vec<String>) -> Told {
+    let jobs = |ids: Vec<String>| ids.iter().filter_map(|id| JobId::parse(id)).collect();
+    Told {
+        life,
+        unread,
+        cancelled: jobs(cancelled),
+        asked: jobs(asked),
+    }
+}
+
 fn answer_out(a: Answer) -> wire::Answer {
     wire::Answer {
         status: u32::from(a.status),
@@ -188,6 +202,7 @@
             wants_grant: r.wants_grant,
             relies: r.relies,
             digests: r.digests.into_iter().map(digest_in).collect(),
+            told: told_in((r.life, r.unread), r.cancelled, r.asked),
         };
         match self.ask(request).await? {
             PeerReply::Hello {
@@ -196,6 +211,7 @@
                 relies,
                 moves,
                 refused,
+                told,
             } => Ok(tonic::Response::new(wire::HelloReply {
                 entitled,
                 granted,
@@ -209,6 +225,10 @@
                     })
                     .collect(),
                 refused: refused.into_iter().map(need_out).collect(),
+                life: told.life,
+                unread: told.unread,
+                cancelled: jobs_out(told.cancelled),
+                asked: jobs_out(told.asked),
             })),
             PeerReply::Answer(_) => Err(tonic::Status::internal("another kind of answer")),
         }
@@ -390,6 +410,7 @@
                 wants_grant,
                 relies,
                 digests,
+                told,
             } => {
                 let request = wire::HelloRequest {
                     name,
@@ -397,6 +418,10 @@
                     wants_grant,
                     relies,
                     digests: digests.into_iter().map(digest_out).collect(),
+                    life: told.life,
+                    unread: told.unread,
+                    cancelled: jobs_out(told.cancelled),
+                    asked: jobs_out(told.asked),
                 };
                 let reply = client.hello(request).await.ok()?.into_inner();
                 Some(PeerReply::Hello {
@@ -413,6 +438,7 @@
                         })
                         .collect(),
                     refused: reply.refused.into_iter().map(need_in).collect(),
+                    told: told_in((reply.life, reply.unread), reply.cancelled, reply.asked),
                 })
             }
         }
