--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -4,12 +4,15 @@
 //! The world is written from the protocol's text alone. It checks the rules as it goes: a broken one
 //! is listed in [`World::broken`]. What happens is written down in a trace that people can read.
 
+pub mod checker;
 mod cloud;
 mod gang;
 mod state;
+pub mod troubles;
 mod worker;
 mod world;
 
+pub use checker::Checker;
 pub use cloud::Cloud;
 pub use state::Store;
 pub use worker::Worker;
--- a/crates/tidelatch-standin/src/worker.rs
+++ b/crates/tidelatch-standin/src/worker.rs
@@ -44,6 +44,8 @@
 }
 
 impl Worker {
+    /// Machine type of all workers.
+    pub const MODEL: &'static str = "m2";
     /// Time to fetch an image.
     pub const FETCH_MS: u64 = 1000;
 
@@ -80,7 +82,7 @@
             })
             .collect();
         json!({
-            "berth": self.name, "addr": format!("{}:9000", self.name), "model": "m2", "yard": self.zone,
+            "berth": self.name, "addr": format!("{}:9000", self.name), "model": Self::MODEL, "yard": self.zone,
             "standby": self.spot, "shift": self.session, "tally": self.seq, "baton": self.token,
             "warningS": null, "wagons": tasks
         })
@@ -93,7 +95,12 @@
 
     /// Carries out one order; a start that begins is returned. `saves` says whether a task that is told to
     /// stop, with this grace, saves first.
-    pub fn order(&mut self, order: &Value, now: u64, saves: &mut dyn FnMut(&str, u64, f64) -> bool) -> Option<String> {
+    pub fn order(
+        &mut self,
+        order: &Value,
+        now: u64,
+        saves: &mut dyn FnMut(&str, u64, f64) -> bool,
+    ) -> Option<(String, u64)> {
         let task = order["wagon"].as_str().unwrap_or_default().to_owned();
         let key = (task.clone(), order["run"].as_u64().unwrap_or(0));
         match order["order"].as_str() {
@@ -103,14 +110,14 @@
                 }
                 let busy = self.has(&task);
                 self.tasks.insert(
-                    key,
+                    key.clone(),
                     Attempt {
                         state: if busy { "ended" } else { "pulling" },
                         why: "busy",
                         next: (!busy).then_some(now + Self::FETCH_MS),
                     },
                 );
-                (!busy).then_some(task)
+                (!busy).then_some(key)
             }
             Some("kill") => {
                 let grace_s = order["leewayS"].as_f64().unwrap_or(0.0);
--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -1,11 +1,12 @@
 //! The world: three controllers, the services round them, and a network that can be meddled with.
 
+use crate::checker::{Checker, Place, Question};
 use crate::cloud::Cloud;
 use crate::gang::{self, Gangs, Terms};
 use crate::state::{Said, Store};
 use crate::worker::Worker;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::fmt::Write as _;
 use tidelatch_core::ids::{Incarnation, Partition};
 use tidelatch_core::settings::{Features, Operator, Platform, Settings};
@@ -24,6 +25,9 @@
     Late(u64),
     /// It arrives, and so does its answer; a copy of it comes this many milliseconds late.
     Copied(u64),
+    /// It is answered with 503 and not carried out. Where the state service does so, the sender's open
+    /// watches wait as in an outage until a request of it gets through again.
+    Refused,
 }
 
 /// The size of a world.
@@ -145,6 +149,10 @@
         beat: u64,
         answered: bool,
     },
+    Withdraw {
+        node: usize,
+        job: String,
+    },
     BeatBack {
         worker: String,
         beat: u64,
@@ -159,6 +167,8 @@
     open: HashSet<u64>,
     /// While it stands still: what has come in since.
     still: Option<Vec<Input>>,
+    /// The state service answered its last request with 503, and only its.
+    refused: bool,
 }
 
 enum Asked {
@@ -205,10 +215,17 @@
     pub gangs: Gangs,
     playing: bool,
     beaten: BTreeMap<String, u64>,
-    cancelled: BTreeMap<String, u64>,
-    told: BTreeMap<String, String>,
     asked_about: BTreeMap<u64, (String, &'static str)>,
-    done: BTreeSet<String>,
+    checker: Checker,
+    /// How many of the checker's breaches are in `broken`.
+    judged: usize,
+    /// Jobs to be cancelled when their last task ends: at which controller, and how much later.
+    cancel_at_end: BTreeMap<String, (usize, u64)>,
+    /// Cancellations that were asked for when a job's last task had ended, by job.
+    pub cancelled_at_end: BTreeMap<String, u64>,
+    /// Copies of reports that wait for the next epoch, while they are kept.
+    kept: Option<VecDeque<String>>,
+    kept_epoch: u64,
     trace: String,
     size: Size,
     /// What the controllers have sent so far.
@@ -218,6 +235,8 @@
 const LEASE_MS: u64 = 18_000;
 const REPORT_MS: u64 = 2_500;
 const CANCEL_MS: u64 = 38_000;
+/// Most copies of reports that are kept for the next epoch.
+const KEPT_REPORTS: usize = 60;
 
 fn settings(index: usize, operator: &Operator, size: &Size) -> Settings {
     let siblings: Vec<Value> = (0..3)
@@ -317,14 +336,20 @@
             gangs: Gangs::default(),
             playing: false,
             beaten: BTreeMap::new(),
-            cancelled: BTreeMap::new(),
-            told: BTreeMap::new(),
             asked_about: BTreeMap::new(),
-            done: BTreeSet::new(),
+            checker: Checker::new(CANCEL_MS),
+            judged: 0,
+            cancel_at_end: BTreeMap::new(),
+            cancelled_at_end: BTreeMap::new(),
+            kept: None,
+            kept_epoch: 0,
             trace: String::new(),
             size,
             sent: Sent::default(),
         };
+        for i in 0..size.teams {
+            world.checker.limit(&team_name(i, &size), size.limit);
+        }
         for i in 0..3 {
             world.nodes.push(Node {
                 core: None,
@@ -332,6 +357,7 @@
                 settings: settings(i, operator, &size),
                 open: HashSet::new(),
                 still: None,
+                refused: false,
             });
             world.start(i);
         }
@@ -365,6 +391,7 @@
         n.life += 1;
         n.open.clear();
         n.still = None;
+        n.refused = false;
         let inc = Incarnation((node as u64 + 1) * 1_000_000 + n.life * 1000);
         n.core = Some(Controller::new(n.settings.clone(), inc, now));
         let life = n.life;
@@ -418,6 +445,8 @@
     /// Lets time pass.
     pub fn run(&mut self, ms: u64) {
         let until = self.now + ms;
+        // A test may have changed machines.
+        self.look_at_machines();
         while let Some(((at, _), _)) = self.queue.first_key_value() {
             if *at > until {
                 break;
@@ -429,9 +458,69 @@
             self.expire_leases();
             self.happen(event);
             self.check_owners();
+            self.checker.passes(self.now);
+            self.judge();
+            self.deliver_kept();
         }
         self.now = until;
         self.expire_leases();
+        self.checker.passes(self.now);
+        self.judge();
+    }
+
+    /// The protocol's checker, which has seen all that happened.
+    pub fn checker(&self) -> &Checker {
+        &self.checker
+    }
+
+    /// Milliseconds from the confirmation of a cancellation until the job's last task was gone.
+    pub fn gone_after_confirmation(&self, job: &str) -> Option<u64> {
+        self.checker.gone_after_confirmation(job)
+    }
+
+    /// Starts of a job's tasks after its user was told that it is cancelled.
+    pub fn started_after(&self, job: &str) -> u64 {
+        self.checker.started_after(job)
+    }
+
+    /// A user will cancel a job, at some controller, so many milliseconds after its last task has ended.
+    /// The request is in [`World::cancelled_at_end`] from then on.
+    pub fn cancel_at_end(&mut self, node: usize, job: &str, after: u64) {
+        self.cancel_at_end.insert(job.to_owned(), (node, after));
+    }
+
+    /// From now on copies of reports are kept, the last ones first to stay; whenever an epoch begins, all
+    /// controllers get them.
+    pub fn keep_reports(&mut self) {
+        self.kept = Some(VecDeque::new());
+        self.kept_epoch = self.epoch();
+    }
+
+    fn deliver_kept(&mut self) {
+        if self.kept.is_none() {
+            return;
+        }
+        let epoch = self.epoch();
+        if epoch <= self.kept_epoch {
+            return;
+        }
+        self.kept_epoch = epoch;
+        let bodies = self.kept.replace(VecDeque::new()).unwrap_or_default();
+        self.note(&format!("epoch {epoch}: {} reports of before come again", bodies.len()));
+        for body in bodies {
+            for node in 0..self.nodes.len() {
+                self.push(
+                    1,
+                    Event::BeatArrive {
+                        node,
+                        body: body.clone(),
+                        worker: String::new(),
+                        beat: 0,
+                        answered: false,
+                    },
+                );
+            }
+        }
     }
 
     /// Lets time pass until something holds, for at most `ms`; whether it came to hold.
@@ -455,6 +544,7 @@
     pub fn submit(&mut self, node: usize, body: &Value) -> u64 {
         let id = body["uid"].as_str().unwrap_or_default().to_owned();
         self.jobs.insert(id.clone(), body.clone());
+        self.checker.submitted(body);
         self.note(&format!("a user submits {id} to berth-{node}"));
         if body["shape"] == "group" && !self.playing {
             self.playing = true;
@@ -486,6 +576,16 @@
         let id = self.next_request;
         self.next_request += 1;
         self.asked.insert(id, Asked::User);
+        let cancels = path
+            .strip_prefix("/submissions/")
+            .and_then(|p| p.strip_suffix("/withdraw"));
+        if let Some(job) = cancels.filter(|_| method == Method::Post) {
+            self.checker.asked(self.now, job, Question::Withdraw);
+        } else if about.1 == "submit" {
+            self.checker.asked(self.now, &about.0, Question::Submit);
+        } else if about.1 == "poll" {
+            self.checker.asked(self.now, &about.0, Question::Poll);
+        }
         self.asked_about.insert(id, about);
         self.feed(
             node,
@@ -637,6 +737,7 @@
             Output::Answer { id, answer } => match self.asked.remove(&id) {
                 Some(Asked::User) => self.tell_user(node, id, answer),
                 Some(Asked::Worker { worker, beat, answered }) if answered => {
+                    self.ordered(&answer.body);
                     self.push(
                         2,
                         Event::BeatBack {
@@ -695,11 +796,28 @@
                         self.sent.changes += ops["then"].as_array().map_or(0, Vec::len) as u64;
                     }
                     Target::Cloud => self.sent.cloud_calls += 1,
-                    Target::Worker(_) => self.sent.commands += 1,
+                    Target::Worker(_) => {
+                        self.sent.commands += 1;
+                        self.ordered(&body);
+                    }
                 }
                 let fate = self.fate(&name, &to, &what, &body);
                 if let Some(n) = self.nodes.get_mut(node) {
                     n.open.insert(id);
+                    if target == Target::State {
+                        n.refused = fate == Fate::Refused;
+                    }
+                }
+                if fate == Fate::Refused {
+                    self.push(
+                        2,
+                        Event::Back {
+                            node,
+                            life,
+                            call: id,
+                            result: Some((503, json!({ "error": "trouble" }).to_string())),
+                        },
+                    );
                 }
                 self.push(
                     timeout_ms,
@@ -756,6 +874,7 @@
                     PeerRequest::Hello { .. } => "hello",
                 };
                 let fate = self.fate(&name, to.as_str(), kind, "");
+                let timeout_ms = if fate == Fate::Refused { 2 } else { timeout_ms };
                 if let Some(n) = self.nodes.get_mut(node) {
                     n.open.insert(id);
                 }
@@ -816,38 +935,99 @@
             .unwrap_or_default();
         self.note(&format!("berth-{node} answers {kind} {job}: {} {said}", answer.status));
         if kind != "health" {
-            self.check_answer(&job, answer.status, &said);
+            self.checker.answered(self.now, &job, answer.status, &said);
+            self.judge();
         }
         self.answers.insert(id, (self.now, answer));
     }
 
-    fn check_answer(&mut self, job: &str, status: u16, said: &str) {
-        let before = self.told.get(job).cloned().unwrap_or_default();
-        let final_before = before == "done" || before == "withdrawn";
-        match status {
-            404 if !before.is_empty() => self.breach(format!("forgotten: {job}")),
-            400 | 422 if !before.is_empty() => self.breach(format!("forgotten: {job} answered {status}")),
-            200 | 201 => {
-                if !self.jobs.contains_key(job) {
-                    self.breach(format!("invented: {job}"));
-                }
-                if final_before && said != before {
-                    self.breach(format!("went_back: {job} from {before} to {said}"));
-                }
-                if said == "done" {
-                    let tasks = self.jobs.get(job).and_then(|j| j["wagons"].as_u64()).unwrap_or(0);
-                    if (0..tasks).any(|i| !self.done.contains(&format!("{job}/{i}"))) {
-                        self.breach(format!("not_done: {job}"));
-                    }
-                }
-                if said == "withdrawn" {
-                    let now = self.now;
-                    self.cancelled.entry(job.to_owned()).or_insert(now);
+    /// Writes down what the checker has found since it was last asked.
+    fn judge(&mut self) {
+        let new = self.checker.breaches().get(self.judged..).unwrap_or_default().to_vec();
+        self.judged += new.len();
+        for text in new {
+            self.breach(text);
+        }
+    }
+
+    /// A controller sends orders to a worker: the checker counts the starts among them.
+    fn ordered(&mut self, body: &str) {
+        if !body.contains("\"start\"") {
+            return;
+        }
+        let body: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let orders = body["orders"].as_array().into_iter().flatten();
+        for order in orders.filter(|o| o["order"] == "start") {
+            self.checker
+                .ordered(self.now, order["wagon"].as_str().unwrap_or_default());
+        }
+    }
+
+    /// A task has completed; its user may have waited for that to cancel the job.
+    fn completed(&mut self, task: &str) {
+        self.checker.task_done(task);
+        let job = task.split('/').next().unwrap_or_default().to_owned();
+        if self.cancel_at_end.contains_key(&job)
+            && self.checker.all_done(&job)
+            && let Some((node, after)) = self.cancel_at_end.remove(&job)
+        {
+            self.push(after, Event::Withdraw { node, job });
+        }
+    }
+
+    /// The checker is told what has changed on all machines.
+    fn look_at_machines(&mut self) {
+        let known = self.checker.machines().map(str::to_owned);
+        let names: BTreeSet<String> = known.chain(self.workers.keys().cloned()).collect();
+        for name in names {
+            self.look_at(&name, &[]);
+        }
+    }
+
+    /// The checker is told what has changed on a machine: what has ended, what has just been started there,
+    /// in whatever state it is by now, and what has got its image.
+    fn look_at(&mut self, name: &str, started: &[(String, u64)]) {
+        let now = self.now;
+        let Some(w) = self.workers.get(name) else {
+            self.checker.machine_gone(now, name);
+            self.judge();
+            return;
+        };
+        let place = Place {
+            model: Worker::MODEL.to_owned(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+        };
+        let lives = |key: &(String, u64)| w.tasks.get(key).is_some_and(|a| a.state != "ended");
+        let known: BTreeMap<(String, u64), bool> = self
+            .checker
+            .on_machine(name)
+            .map(|(task, attempt, image)| ((task.to_owned(), attempt), image))
+            .collect();
+        for (task, attempt) in known.keys().filter(|k| !lives(k)) {
+            self.checker.ended(now, name, task, *attempt);
+        }
+        self.checker.machine(name, place);
+        for (task, attempt) in started {
+            self.checker.started(now, name, task, *attempt);
+        }
+        for (key, a) in &w.tasks {
+            let (task, attempt) = key;
+            let image = known.get(key);
+            if a.state == "ended" {
+                if started.contains(key) {
+                    self.checker.ended(now, name, task, *attempt);
                 }
-                self.told.insert(job.to_owned(), said.to_owned());
+                continue;
+            }
+            if image.is_none() && !started.contains(key) {
+                self.checker.started(now, name, task, *attempt);
+            }
+            if a.state != "pulling" && image != Some(&true) {
+                self.checker.has_image(now, name, task, *attempt);
             }
-            _ => {}
         }
+        self.judge();
     }
 
     fn breach(&mut self, text: String) {
@@ -895,12 +1075,9 @@
                 if !self.alive(node, life) {
                     return;
                 }
-                let news = if self.store.down {
-                    None
-                } else {
-                    self.store.news(&prefix, since)
-                };
-                let over = self.now >= until && !self.store.down;
+                let waits = self.store.down || self.nodes.get(node).is_some_and(|n| n.refused);
+                let news = if waits { None } else { self.store.news(&prefix, since) };
+                let over = self.now >= until && !waits;
                 match news {
                     None if !over => self.push(
                         5,
@@ -965,10 +1142,15 @@
                 let node = self.workers.len() % 3;
                 let worker = Worker::new(&name, &zone, spot, node, self.now);
                 self.workers.insert(name.clone(), worker);
+                self.look_at(&name, &[]);
                 self.push(1, Event::Work(name));
             }
             Event::Work(name) => self.work(&name),
             Event::Gangs => self.play_gangs(),
+            Event::Withdraw { node, job } => {
+                let request = self.withdraw(node, &job);
+                self.cancelled_at_end.insert(job, request);
+            }
             Event::BeatArrive {
                 node,
                 body,
@@ -1038,6 +1220,7 @@
                     .collect();
                 for w in gone {
                     self.workers.remove(&w);
+                    self.look_at(&w, &[]);
                 }
                 (status, body.to_string())
             }
@@ -1082,9 +1265,7 @@
             started.extend(w.order(order, now, &mut saves));
         }
         let report = w.report().to_string();
-        for task in started {
-            self.started(machine, &task);
-        }
+        self.started(machine, &started);
         Some((200, report))
     }
 
@@ -1131,7 +1312,10 @@
                 }
             }
         }
-        self.done.extend(finished);
+        self.look_at(name, &[]);
+        for task in finished {
+            self.completed(&task);
+        }
         let due = self
             .workers
             .get(name)
@@ -1139,7 +1323,6 @@
         if due {
             self.beat(name);
         }
-        self.check_cancelled();
         self.push(REPORT_MS, Event::Work(name.to_owned()));
     }
 
@@ -1155,6 +1338,7 @@
             }
         }
         self.note(&format!("{machine} was told to stop all"));
+        self.look_at(machine, &[]);
     }
 
     /// Lets all gangs go on; a worker whose tasks have changed reports at once.
@@ -1178,7 +1362,12 @@
             };
             self.gangs.go_on(&key, terms, &mut self.workers, now);
         }
-        self.done.extend(std::mem::take(&mut self.gangs.done));
+        for name in self.gangs.changed.clone() {
+            self.look_at(&name, &[]);
+        }
+        for task in std::mem::take(&mut self.gangs.done) {
+            self.completed(&task);
+        }
         for text in std::mem::take(&mut self.gangs.news) {
             self.note(&text);
         }
@@ -1196,7 +1385,6 @@
                 self.gangs.changed.insert(name);
             }
         }
-        self.check_cancelled();
         self.push(100, Event::Gangs);
     }
 
@@ -1208,6 +1396,12 @@
         let to = format!("berth-{node}");
         let fate = self.fate(name, &to, "POST /agent/beat", &body);
         self.sent.beats += 1;
+        if let Some(kept) = &mut self.kept {
+            kept.push_back(body.clone());
+            while kept.len() > KEPT_REPORTS {
+                kept.pop_front();
+            }
+        }
         let up = self.nodes.get(node).is_some_and(|n| n.core.is_some());
         if let Fate::Copied(late) = fate {
             self.push(
@@ -1233,8 +1427,8 @@
                 },
             );
         }
-        // A refused connection shows at once; a silent one after 4 s.
-        let patience = if up { 4000 } else { 2 };
+        // A refused connection shows at once, and so does a 503; silence after 4 s.
+        let patience = if up && fate != Fate::Refused { 4000 } else { 2 };
         self.push(
             patience,
             Event::BeatBack {
@@ -1277,9 +1471,7 @@
             }
             _ => w.node = (w.node + 1) % 3,
         }
-        for task in started {
-            self.started(name, &task);
-        }
+        self.started(name, &started);
     }
 
     /// No two controllers may act for a partition at a time.
@@ -1292,61 +1484,12 @@
         }
     }
 
-    /// A task has started on a machine: the rules are checked.
-    fn started(&mut self, machine: &str, task: &str) {
-        self.note(&format!("{machine} starts {task}"));
-        let elsewhere = self
-            .workers
-            .values()
-            .any(|w| w.name != machine && w.has(task) && self.cloud.machines.contains_key(&w.name));
-        if elsewhere {
-            self.breach(format!("ran_twice: {task}"));
-        }
-        let job = task.split('/').next().unwrap_or_default().to_owned();
-        if self.jobs.get(&job).is_some_and(|j| j["together"] == true) {
-            let zone = self.workers.get(machine).map(|w| w.zone.clone()).unwrap_or_default();
-            let others = self.machines_of(&job);
-            if others
-                .iter()
-                .any(|m| self.workers.get(m).is_some_and(|w| w.zone != zone))
-            {
-                self.breach(format!(
-                    "wrong_place: {task} starts in {zone}, others of it are elsewhere"
-                ));
-            }
-        }
-        if self.cancelled.get(&job).is_some_and(|t| self.now > t + CANCEL_MS) {
-            self.breach(format!("ran_cancelled: {task} starts"));
-        }
-        let team = self.jobs.get(&job).map(|j| j["crew"].clone()).unwrap_or_default();
-        let used = self
-            .workers
-            .values()
-            .flat_map(|w| w.tasks.iter())
-            .filter(|(_, a)| a.state != "ended")
-            .filter(|((t, _), _)| {
-                t.split('/')
-                    .next()
-                    .and_then(|j| self.jobs.get(j))
-                    .is_some_and(|j| j["crew"] == team && j["accelerators"].as_f64() > Some(0.0))
-            })
-            .count();
-        if used as f64 > self.size.limit {
-            self.breach(format!("quota: {team} uses {used}"));
-        }
-    }
-
-    fn check_cancelled(&mut self) {
-        let late: Vec<String> = self
-            .cancelled
-            .iter()
-            .filter(|(_, t)| self.now > **t + CANCEL_MS)
-            .map(|(j, _)| j.clone())
-            .filter(|j| !self.machines_of(j).is_empty())
-            .collect();
-        for j in late {
-            self.breach(format!("ran_cancelled: {j} is still on a machine"));
+    /// Tasks have started on a machine: the rules are checked.
+    fn started(&mut self, machine: &str, started: &[(String, u64)]) {
+        for (task, _) in started {
+            self.note(&format!("{machine} starts {task}"));
         }
+        self.look_at(machine, started);
     }
 }
 
@@ -1366,6 +1509,6 @@
     match fate {
         Fate::Pass | Fate::AnswerLost | Fate::Copied(_) => Some(2),
         Fate::Late(ms) => Some(ms),
-        Fate::Lost => None,
+        Fate::Lost | Fate::Refused => None,
     }
 }
