--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -489,8 +489,8 @@
         self.cancel_at_end.insert(job.to_owned(), (node, after));
     }
 
-    /// From now on copies of reports are kept, the last ones first to stay; whenever an epoch begins, all
-    /// controllers get them.
+    /// From now on copies of the last reports are kept. Whenever an epoch begins, every controller gets those
+    /// that were kept before it, and new ones are kept.
     pub fn keep_reports(&mut self) {
         self.kept = Some(VecDeque::new());
         self.kept_epoch = self.epoch();
