--- a/crates/tidelatch-standin/src/checker.rs
+++ b/crates/tidelatch-standin/src/checker.rs
@@ -76,6 +76,7 @@
     silences: BTreeMap<String, Silence>,
     asked: u64,
     answered: u64,
+    start_orders: u64,
     done: BTreeSet<String>,
     places: BTreeMap<String, Place>,
     /// Attempts that are on machines, with whether they have their image.
@@ -115,6 +116,11 @@
         self.confirmations.get(job).map_or(0, |c| c.ordered)
     }
 
+    /// Orders to start a task that controllers have sent, for all jobs.
+    pub fn start_orders(&self) -> u64 {
+        self.start_orders
+    }
+
     /// Milliseconds from the confirmation of a cancellation until the job's last task was gone; none while
     /// one is on a machine, and for a job that is not cancelled.
     pub fn gone_after_confirmation(&self, job: &str) -> Option<u64> {
@@ -257,6 +263,7 @@
     /// A controller sends an order to start a task.
     pub fn ordered(&mut self, now: u64, task: &str) {
         self.passes(now);
+        self.start_orders += 1;
         if let Some(c) = self.confirmations.get_mut(job_of(task)) {
             c.ordered += 1;
         }
--- a/crates/tidelatch-standin/tests/checker.rs
+++ b/crates/tidelatch-standin/tests/checker.rs
@@ -267,7 +267,7 @@
 
     // Ordered by a controller after the confirmation.
     c.ordered(200_000, "job-000001/1");
-    assert_eq!(c.ordered_after(&j), 1);
+    assert_eq!((c.ordered_after(&j), c.start_orders()), (1, 1));
 
     // It starts and is gone at once, too late.
     c.started(200_000, "a2", "job-000001/1", 2);
--- a/crates/tidelatch-standin/tests/meddlers.rs
+++ b/crates/tidelatch-standin/tests/meddlers.rs
@@ -361,3 +361,53 @@
     assert!(ms.is_some_and(|ms| ms > 0 && ms < 20_000), "{ms:?}\n{}", world.trace());
     sound(&world);
 }
+
+#[test]
+fn the_world_tells_the_checker_when_tasks_end_with_their_machines_lease() {
+    // Within one long run, in which nobody looks at the machines but the world itself.
+    let mut world = with_service();
+    let cut = world.machines_of("job-000001").first().cloned().expect("it runs");
+    world.note(&format!("nothing comes from {cut}, and nothing reaches it"));
+    let machine = cut.clone();
+    world.meddle(move |l| {
+        if l.from == machine || l.to == machine {
+            Fate::Lost
+        } else {
+            Fate::Pass
+        }
+    });
+    assert_eq!(cancel(&mut world, "job-000001"), "withdrawn");
+    world.cloud.down = true;
+    world.run(60_000);
+    // The lease, the report before which the last answer came, and the report after which it is noticed.
+    let ms = world.gone_after_confirmation("job-000001");
+    assert!(
+        ms.is_some_and(|ms| (12_000..24_000).contains(&ms)),
+        "{ms:?}\n{}",
+        world.trace()
+    );
+    sound(&world);
+}
+
+#[test]
+fn the_world_tells_the_checker_of_orders_to_start() {
+    let mut world = World::new();
+    world.run(3000);
+    assert_eq!(world.checker().start_orders(), 0);
+    // With the answers to reports, and, to a machine that has room, directly.
+    world.accepted(0, &job(1, 0, "standing", 1));
+    let up = world.run_until(30_000, |w| w.running("job-000001") == 1);
+    assert!(up, "{}", world.trace());
+    let with_answers = world.checker().start_orders();
+    assert!(with_answers > 0, "{}", world.trace());
+    let direct = world.sent.commands;
+    world.accepted(0, &job(2, 0, "standing", 1));
+    let up = world.run_until(4000, |w| w.running("job-000002") == 1);
+    assert!(up, "{}", world.trace());
+    assert!(world.sent.commands > direct, "{}", world.trace());
+    assert!(world.checker().start_orders() > with_answers, "{}", world.trace());
+    assert_eq!(cancel(&mut world, "job-000002"), "withdrawn");
+    world.run(40_000);
+    assert_eq!(world.checker().ordered_after("job-000002"), 0, "{}", world.trace());
+    sound(&world);
+}
