--- a/crates/tidelatch-standin/tests/cancellations.rs
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -64,7 +64,6 @@
     assert_ne!(refused, confirming);
     let name = format!("berth-{refused}");
     world.note(&format!("the state service refuses {name}"));
-    world.refused.insert(refused);
     for w in world.workers.values_mut() {
         w.node = refused;
     }
@@ -80,7 +79,13 @@
             Greetings::LostToAll => true,
         };
         let greeting = l.what == "hello" && lost.get() && unheard;
-        if elsewhere || greeting { Fate::Lost } else { Fate::Pass }
+        if elsewhere || greeting {
+            Fate::Lost
+        } else if l.from == name && l.to == "state" {
+            Fate::Refused
+        } else {
+            Fate::Pass
+        }
     });
     world.run(gap.refused_ms.saturating_sub(gap.asked_ms));
     silent.set(true);
@@ -114,7 +119,6 @@
     world.run(gap.outage_ms);
     world.note("the state service is back");
     world.store.down = false;
-    world.refused.clear();
     world.calm();
     if gap.confirmer == Confirmer::Freezes {
         world.thaw(confirming);
@@ -211,7 +215,6 @@
         assert!(world.run_until(40_000, all_run), "{}", world.trace());
         let (refused, writer) = (world.owner_of_team(0), world.owner_of_team(1));
         let reader = 3 - refused - writer;
-        world.refused.insert(refused);
         let (old, from) = (format!("berth-{refused}"), format!("berth-{writer}"));
         world.workers.values_mut().for_each(|w| w.node = refused);
         world.meddle(move |l| {
@@ -223,6 +226,8 @@
                 Fate::Lost
             } else if end {
                 Fate::AnswerLost
+            } else if l.from == old && l.to == "state" {
+                Fate::Refused
             } else {
                 Fate::Pass
             }
@@ -239,7 +244,6 @@
         world.start(ends);
         world.run(58_500);
         world.store.down = false;
-        world.refused.clear();
         world.calm();
         world.run(10_000);
         assert_eq!(world.said(poll), "withdrawn", "{}", world.trace());
