A report under an older token is no sign of life; urgent greetings carry no digests

A copy of a report of before a take-over made its machine count as heard and cleared its missed questions, so a dead machine could hold up a partition. Beats under an older token no longer do; answers to questions still do. What is learned from the watch goes with the next greeting, unless a user asks about it: the writer has told of it.

--- a/crates/tidelatch-core/src/cancellations.rs
+++ b/crates/tidelatch-core/src/cancellations.rs
@@ -161,9 +161,12 @@
             return;
         }
         let since = self.now.ms.saturating_sub(age);
-        if self.cancellations.learn(id, since, true, false) {
-            self.cancellations.urgent = true;
-        }
+        self.cancellations.learn(id, since, true, false);
+    }
+
+    /// The others are to know of what is new before their next greeting is due.
+    pub(crate) fn tell_at_once(&mut self) {
+        self.cancellations.urgent = true;
     }
 
     /// Since when a job's user may have been told that it is cancelled; none: it is not, as far as is known.
--- a/crates/tidelatch-core/src/capacity/lending.rs
+++ b/crates/tidelatch-core/src/capacity/lending.rs
@@ -160,13 +160,17 @@
             let urgent = at_once && self.lacks_cancellations(&to);
             let (told, span, _) = self.tell_cancellations(&to);
             let peer = self.member.peers.entry(to.clone()).or_default();
-            if peer.asking || (peer.asked != 0 && now < peer.asked + every && !urgent) {
+            let due = peer.asked == 0 || now >= peer.asked + every;
+            if peer.asking || !(due || urgent) {
                 continue;
             }
             peer.asking = true;
-            peer.asked = now.max(1);
+            if due {
+                peer.asked = now.max(1);
+            }
             peer.asked_grant = wants_grant;
-            let digests = if leader.as_ref() == Some(&to) && self.entitled() {
+            // Digests cost a look at every machine: one that goes out of its turn does without.
+            let digests = if due && leader.as_ref() == Some(&to) && self.entitled() {
                 self.own_digests()
             } else {
                 Vec::new()
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -922,6 +922,7 @@
                 self.log(Level::Info, format!("{id} {word}"));
                 if !over.done {
                     self.note_cancelled(&id, Some(self.now.wall_ms), true);
+                    self.tell_at_once();
                 }
                 self.job_over(&id, over);
             }
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -559,12 +559,14 @@
         if key <= m.last || m.gone {
             return false;
         }
-        m.heard = Some(now);
-        m.probes_failed = 0;
-        let Some(tenure) = self.tenures.get(&m.partition) else {
-            return false;
-        };
-        if report.epoch < tenure.since {
+        let tenure = self.tenures.get(&m.partition);
+        let current = tenure.is_some_and(|tenure| report.epoch >= tenure.since);
+        // A beat under an older token may be a late copy, which is no sign of life; an answer is none.
+        if current || !is_beat {
+            m.heard = Some(now);
+            m.probes_failed = 0;
+        }
+        if !current {
             return false;
         }
         let newer_session = report.session > m.last.0 && m.last.0 > 0;
