Room under a team's limit is kept for its production work that found no machine or no room

The places that came free were on spot machines, which it may not use; its team's arrays retook them in the same batch, and for what has no room under the limit nothing is rented. Now one task's room is kept for it, until it is placed. Test: a_team_at_its_limit_keeps_room_for_its_production_work, which failed before.

--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -6,6 +6,7 @@
 use crate::jobs::{Job, Over, Purpose as JobPurpose};
 use crate::membership::{Membership, Tenure};
 use crate::picture::{Guest, Machine};
+use crate::placement::Amounts;
 use crate::protocol::{JobSpec, MachineType, Rental};
 use crate::queue::Learned;
 use crate::roster::{Book, RackRecord, Roster};
@@ -507,6 +508,8 @@
     pub(crate) learned: Learned,
     /// Jobs that a slice of the search left out, with what they would need, until when.
     pub(crate) resting: BTreeMap<JobId, (Option<Wish>, u64)>,
+    /// By team, room under its limit that is kept for one task of production work that found no machine.
+    pub(crate) kept_room: BTreeMap<usize, Amounts>,
     /// Jobs within their teams' guarantees, as of the last batch.
     pub(crate) guaranteed: BTreeSet<JobId>,
     /// When all machines are next looked at.
@@ -558,6 +561,7 @@
             batch_due: None,
             learned: Learned::default(),
             resting: BTreeMap::new(),
+            kept_room: BTreeMap::new(),
             guaranteed: BTreeSet::new(),
             machines_due: 0,
             flush_due: 0,
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -240,6 +240,7 @@
             .map(|(i, t)| (t.name.clone(), i))
             .collect();
         let mut waiting = Vec::new();
+        let mut without_room: BTreeMap<usize, Amounts> = BTreeMap::new();
         let learned = &self.learned;
         let objectives = &self.set.platform.facts.objectives;
         for (id, job) in &mut self.jobs {
@@ -266,6 +267,9 @@
                 .map(|(s, l)| ((l + 1e-6) / s).max(0.0) as usize)
                 .min()
                 .unwrap_or(usize::MAX);
+            if most == 0 && job.spec.priority >= Priority::Prod && job.waiting_count() > 0 {
+                without_room.entry(team).or_insert(size);
+            }
             // A gang enters a batch whole, or not at all.
             let gang = job.spec.shape == Shape::Gang;
             let tasks = job.waiting(if gang { most } else { most.min(200) });
@@ -322,9 +326,45 @@
                 .then(b.urgency.total_cmp(&a.urgency))
                 .then(a.at.cmp(&b.at))
         });
+        self.keep_room(&mut waiting, room, &without_room);
+        let partitions = self.set.partitions() as usize;
+        self.kept_room
+            .retain(|team, _| team % partitions != partition.0 as usize);
+        // What has no room now is to have the next place.
+        self.kept_room.extend(without_room);
         waiting
     }
 
+    /// What comes free under a team's limit is kept for its production work that found no machine or no room.
+    ///
+    /// Without that its own lower work takes each place that comes free, on machines that the other may not
+    /// use, and nothing is rented for what has no room under the limit: it would wait for as long as that
+    /// work lasts.
+    fn keep_room(&mut self, waiting: &mut Vec<Waiting>, room: &[Amounts], without_room: &BTreeMap<usize, Amounts>) {
+        let mut left: BTreeMap<usize, Amounts> = BTreeMap::new();
+        for (team, kept) in without_room.iter().chain(&self.kept_room) {
+            if let Some(room) = room.get(*team) {
+                let less = |i: usize| room.get(i).copied().unwrap_or(0.0) - kept.get(i).copied().unwrap_or(0.0);
+                left.insert(*team, [less(0), less(1), f64::MAX]);
+            }
+        }
+        for w in waiting.iter_mut().filter(|w| w.priority < Priority::Prod) {
+            let Some(left) = left.get_mut(&w.team) else { continue };
+            let Some(job) = self.jobs.get(&w.id) else { continue };
+            let size = Self::size(&job.spec);
+            let fit = size.iter().zip(left.iter()).filter(|(s, _)| **s > 0.0);
+            let fit = fit.map(|(s, l)| ((l + 1e-6) / s).max(0.0) as usize).min();
+            let fit = fit.unwrap_or(usize::MAX);
+            if job.spec.shape == Shape::Gang && fit < w.tasks.len() {
+                w.tasks.clear();
+            }
+            w.tasks.truncate(fit);
+            let taken = w.tasks.len() as f64;
+            left.iter_mut().zip(size).for_each(|(l, s)| *l -= s * taken);
+        }
+        waiting.retain(|w| !w.tasks.is_empty());
+    }
+
     fn place_partition(&mut self, partition: Partition, budget: &mut usize) -> Vec<Wish> {
         let teams = self.set.platform.facts.teams.clone();
         let used = self.used_by_teams();
@@ -433,6 +473,11 @@
             let from = next.get(j).copied().unwrap_or(0);
             unplaced.extend(w.tasks.iter().skip(from).map(|i| (j, *i)));
         }
+        for (j, w) in waiting.iter().enumerate().filter(|(j, _)| stuck.contains(j)) {
+            if let Some(terms) = jobs.get(j).filter(|_| w.priority >= Priority::Prod) {
+                self.kept_room.entry(w.team).or_insert(terms.size);
+            }
+        }
         let mut wishes: BTreeMap<usize, Wish> = BTreeMap::new();
         let mut needy: Vec<usize> = Vec::new();
         for (j, _) in &unplaced {
--- a/crates/tidelatch-standin/tests/meetings.rs
+++ b/crates/tidelatch-standin/tests/meetings.rs
@@ -412,3 +412,31 @@
     }
     sound(&world);
 }
+
+#[test]
+fn a_team_at_its_limit_keeps_room_for_its_production_work() {
+    // Guard: each place that the array frees was retaken by the array, on machines that the service may not
+    // use; and nothing was rented for what had no room under the limit.
+    let mut world = World::new();
+    world.run(3000);
+    let mut array = job(1, 0, "sweep", 400);
+    array["yard"] = "a".into();
+    world.accepted(0, &array);
+    assert!(
+        world.run_until(40_000, |w| w.running("job-000001") == 4),
+        "{}",
+        world.trace()
+    );
+    let mut service = job(2, 0, "standing", 2);
+    service["yard"] = "b".into();
+    world.accepted(0, &service);
+    assert!(
+        world.run_until(40_000, |w| w.running("job-000002") == 2),
+        "{}",
+        world.trace()
+    );
+    assert!(!is_over(&world, "job-000001"), "{}", world.trace());
+    world.run(20_000);
+    assert_eq!(world.running("job-000002"), 2, "{}", world.trace());
+    sound(&world);
+}
