--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -491,6 +491,13 @@
     pub(crate) now: Now,
     pub(crate) out: Vec<Output>,
     next_call: u64,
+    /// When the last input came.
+    stepped: u64,
+    /// Calls below this number were sent before this controller last stood still: what they brought has lain in
+    /// its buffers, and others may have told users of newer things meanwhile.
+    stale_below: u64,
+    /// The reply that is looked at is one of those.
+    pub(crate) stale: bool,
     pending: BTreeMap<u64, Purpose>,
     pub(crate) member: Membership,
     pub(crate) tenures: BTreeMap<Partition, Tenure>,
@@ -542,6 +549,9 @@
             now,
             out: Vec::new(),
             next_call: 1,
+            stepped: now.ms,
+            stale_below: 0,
+            stale: false,
             pending: BTreeMap::new(),
             member: Membership::new(incarnation, now.ms + set.lease_ms()),
             tenures: BTreeMap::new(),
@@ -579,7 +589,15 @@
 
     /// Takes one input and returns what is to be done.
     pub fn step(&mut self, now: Now, input: Input) -> Vec<Output> {
+        if now.ms.saturating_sub(self.stepped) > self.set.report_ms() / 4 {
+            self.stale_below = self.next_call;
+        }
+        self.stepped = now.ms;
         self.now = now;
+        self.stale = match &input {
+            Input::Reply { call, .. } | Input::PeerReply { call, .. } => *call < self.stale_below,
+            _ => false,
+        };
         match input {
             Input::Tick => self.tick(),
             Input::Request { id, method, path, body } => self.on_request(id, method, &path, &body),
@@ -835,7 +853,9 @@
             (Purpose::Hello { to, .. }, _) => self.note_peer(&to, false, false),
             (Purpose::Relay { asker, report }, result) => self.on_relayed(asker, &report, result),
             (Purpose::ForwardStatus { asker, job }, result) => match result {
-                Some(PeerReply::Answer(answer)) if answer.status == 200 => self.answer(asker, answer),
+                // The job's end may have come by the watch since its owner answered.
+                _ if self.over.contains_key(&job) => self.tell_over(asker, &job),
+                Some(PeerReply::Answer(answer)) if answer.status == 200 && !self.stale => self.answer(asker, answer),
                 _ => self.read_status(asker, job),
             },
             (Purpose::ForwardWithdraw { asker }, result) => {
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -788,6 +788,25 @@
                 at,
                 tries,
             } => self.on_accepted(asker, id, *spec, (epoch, at), tries, result),
+            // By the time at which a read comes back, this controller may know more: it may have accepted the job,
+            // or read its end. What lay in its buffers while it stood still is asked anew.
+            Purpose::Known { asker, id, .. } | Purpose::Status { asker, id } if self.knows(&id) => {
+                self.on_status(asker, id.as_str(), true);
+            }
+            Purpose::WithdrawRead { asker, id } if self.knows(&id) || self.stale => {
+                self.on_withdraw(asker, id.as_str(), true);
+            }
+            Purpose::Known { asker, id, absent } if self.stale => self.known(asker, id, absent),
+            Purpose::Status { asker, id } if self.stale => self.read_status(asker, id),
+            // A 404 is from before the watch told of the job.
+            Purpose::Known { asker, id, .. } | Purpose::Status { asker, id }
+                if matches!(result, Some((404, _))) && self.jobs.contains_key(&id) =>
+            {
+                self.on_status(asker, id.as_str(), true);
+            }
+            Purpose::WithdrawRead { asker, id } if matches!(result, Some((404, _))) && self.jobs.contains_key(&id) => {
+                self.on_withdraw(asker, id.as_str(), true);
+            }
             Purpose::Known { asker, id, absent } => match result {
                 Some((404, _)) => self.answer(asker, absent),
                 result => self.answer_read(asker, &id, result),
@@ -818,6 +837,13 @@
         }
     }
 
+    /// Whether this controller can answer for a job without the read that has just come back: its end is known,
+    /// or it is this controller's own and was not when the read was sent.
+    fn knows(&self, id: &JobId) -> bool {
+        let own = |j: &Job| j.ending.is_none() && self.acting(j.partition).is_some();
+        self.over.contains_key(id) || self.jobs.get(id).is_some_and(own)
+    }
+
     fn learn_read(&mut self, id: &JobId, body: &[u8]) -> Option<Stored> {
         let item: Item = serde_json::from_slice(body).ok()?;
         match serde_json::from_value::<JobRecord>(item.value.clone()) {
@@ -880,6 +906,11 @@
                     self.log(Level::Debug, text);
                 }
                 self.learn_job(id.clone(), record, Stamp(stamp));
+                if self.over.contains_key(&id) || self.stale {
+                    // Others may have told of its end since.
+                    self.on_status(asker, id.as_str(), true);
+                    return;
+                }
                 let body = json!({ "uid": id, "status": "queued" }).to_string();
                 self.answer(asker, Answer::new(201, body));
             }
