--- a/crates/tidelatch-standin/tests/meetings_of_two.rs
+++ b/crates/tidelatch-standin/tests/meetings_of_two.rs
@@ -3,11 +3,11 @@
 
 use serde_json::{Value, json};
 use tidelatch_core::Method;
+use tidelatch_core::settings::Operator;
 use tidelatch_standin::troubles::{self, Meddler};
-use tidelatch_standin::{Fate, World, job};
+use tidelatch_standin::{Fate, Size, Worker, World, job};
 
 const CANCEL_MS: u64 = 38_000;
-const LEASE_MS: u64 = 18_000;
 
 fn sound(world: &World, case: impl std::fmt::Debug) {
     assert!(
@@ -515,7 +515,7 @@
                     Fate::Pass
                 }
             });
-            let mut ask = |world: &mut World, ms: u64| {
+            let ask = |world: &mut World, ms: u64| {
                 let until = world.now + ms;
                 let mut i = 0;
                 while world.now < until {
@@ -546,3 +546,546 @@
         }
     }
 }
+
+#[test]
+fn jobs_bound_to_one_zone_that_lose_machines_go_on_there_or_move_whole() {
+    // Guard: a job whose tasks belong together counts those that may still be on a lost machine, and a machine's
+    // zone is looked at for each start.
+    for how in ["hang", "taken", "cut"] {
+        for share in [1, 2, 8] {
+            for (room, change) in [(true, false), (false, false), (true, true), (false, true)] {
+                let case = (how, share, room, change);
+                let mut array = job(1, 0, "sweep", 4);
+                array["together"] = json!(true);
+                let mut bound = job(2, 1, "sweep", 4);
+                bound["yard"] = json!("b");
+                let mut service = job(3, 2, "standing", 4);
+                service["together"] = json!(true);
+                let mut world = with_jobs(60_000, &[array, bound, service]);
+                let lost: Vec<String> = (1..=3)
+                    .flat_map(|j| world.machines_of(&format!("job-00000{j}")).into_iter().take(share))
+                    .collect();
+                if !room {
+                    // Nothing more is to be had where they are.
+                    let zone = world.workers[&lost[0]].zone.clone();
+                    world.cloud.most_in_zone.insert(zone, 0);
+                }
+                world.note(&format!("{how}: {lost:?}"));
+                for name in &lost {
+                    match how {
+                        "hang" => world.workers.get_mut(name).expect("a worker").hanging = true,
+                        "taken" => {
+                            world.workers.remove(name);
+                            world.cloud.machines.remove(name);
+                        }
+                        _ => {}
+                    }
+                }
+                if how == "cut" {
+                    world.meddle(unreached(&lost));
+                }
+                if change {
+                    let ends = leader(&world).expect("a leader");
+                    world.crash(ends);
+                    world.run(300);
+                    world.start(ends);
+                }
+                world.run(45_000);
+                world.calm();
+                for name in &lost {
+                    if let Some(w) = world.workers.get_mut(name) {
+                        w.hanging = false;
+                    }
+                }
+                world.cloud.most_in_zone.clear();
+                let over = |w: &World| ["job-000001", "job-000002"].iter().all(|id| stored(w, id) == "done");
+                let well = |w: &World| over(w) && w.running("job-000003") == 4;
+                assert!(world.run_until(200_000, well), "{case:?}\n{}", world.trace());
+                sound(&world, case);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_with_a_controller_does_not_keep_cancelled_tasks() {
+    // Guard: the controller inside answers reports no longer than its entitlement lasts, so that the leases
+    // inside end; outside nothing of it is started anew before they must have.
+    for inside in 0..3 {
+        for (cut_ms, asked) in [(12_000, 0), (25_000, 0), (25_000, 9000), (60_000, 0), (60_000, 9000)] {
+            let case = (inside, cut_ms, asked);
+            let mut there = job(1, 0, "sweep", 4);
+            there["yard"] = json!("b");
+            let mut service = job(2, 1, "standing", 4);
+            service["spread"] = json!(true);
+            let mut stays = job(3, 2, "sweep", 4);
+            stays["yard"] = json!("b");
+            let mut world = with_jobs(90_000, &[there, service, stays]);
+            let zone: Vec<String> = world
+                .workers
+                .values_mut()
+                .filter(|w| w.zone == "b")
+                .map(|w| {
+                    w.node = inside;
+                    w.name.clone()
+                })
+                .chain([format!("berth-{inside}")])
+                .collect();
+            assert!(zone.len() > 4, "{zone:?}");
+            world.note(&format!("cut off: {zone:?}"));
+            world.cloud.most_in_zone.insert("b".into(), 0);
+            world.meddle(move |l| {
+                let within = |who: &str| zone.iter().any(|z| z == who);
+                if within(l.from) == within(l.to) {
+                    Fate::Pass
+                } else {
+                    Fate::Lost
+                }
+            });
+            let outside = [(inside + 1) % 3, (inside + 2) % 3];
+            world.run(asked);
+            assert_eq!(cancel(&mut world, &outside, "job-000001"), "withdrawn", "{case:?}");
+            world.run(cut_ms);
+            world.calm();
+            world.cloud.most_in_zone.clear();
+            world.run(CANCEL_MS + 2000);
+            gone_in_time(&world, "job-000001", case);
+            let well = |w: &World| stored(w, "job-000003") == "done" && w.running("job-000002") == 4;
+            assert!(world.run_until(150_000, well), "{case:?}\n{}", world.trace());
+            assert_eq!(said_everywhere(&mut world, "job-000001"), ["withdrawn"; 3], "{case:?}");
+            sound(&world, case);
+        }
+    }
+}
+
+#[test]
+fn tasks_that_end_far_apart_across_a_change_of_leader_are_all_counted() {
+    // Guard: what has completed is stored before the worker is told to forget it, and a new owner reads that
+    // and the workers' reports before it calls a job done.
+    for tasks in [2, 3] {
+        for both in [false, true] {
+            // From the end of the first task on.
+            for after in [0, 2, 4, 8, 50, 400, 900, 1500, 6000] {
+                let case = (tasks, both, after);
+                let one_at_a_time = Size {
+                    guarantee: 1.0,
+                    limit: 1.0,
+                    ..Size::default()
+                };
+                let mut world = World::sized(&Operator::default(), one_at_a_time);
+                world.run_ms = 12_000;
+                world.run(3000);
+                world.accepted(0, &job(1, 0, "sweep", tasks));
+                world.accepted(1, &job(2, 1, "sweep", tasks));
+                let began = |w: &World| w.running("job-000001") == 1;
+                assert!(world.run_until(30_000, began), "{case:?}\n{}", world.trace());
+                while world.running("job-000001") == 1 {
+                    world.run(1);
+                }
+                world.run(after);
+                let owner = world.owner_of_team(0);
+                let ends = if both {
+                    vec![owner, (owner + 1) % 3]
+                } else {
+                    vec![owner]
+                };
+                ends.iter().for_each(|n| world.crash(*n));
+                world.run(400);
+                ends.iter().for_each(|n| world.start(*n));
+                let mut node = 0;
+                let over = |w: &World| ["job-000001", "job-000002"].iter().all(|id| stored(w, id) == "done");
+                let until = world.now + 120_000;
+                while world.now < until && !over(&world) {
+                    world.poll(node % 3, "job-000001");
+                    world.poll((node + 1) % 3, "job-000002");
+                    world.run(700);
+                    node += 1;
+                }
+                assert!(over(&world), "{case:?}\n{}", world.trace());
+                assert_eq!(said_everywhere(&mut world, "job-000001"), ["done"; 3], "{case:?}");
+                sound(&world, case);
+            }
+        }
+    }
+}
+
+#[test]
+fn controllers_that_hand_over_and_back_all_end_and_return_one_by_one_forget_nothing() {
+    // Guard: all that was told is in the store, lives are told apart, and one controller alone serves all.
+    for away in [30, 400, 900, 5000] {
+        for first in 0..3 {
+            for others in [300, 25_000] {
+                let case = (away, first, others);
+                let jobs = [job(1, 0, "standing", 2), job(2, 1, "sweep", 4), job(3, 2, "sweep", 4)];
+                let mut world = with_jobs(60_000, &jobs);
+                // Over and back.
+                for node in [world.owner_of_team(0), world.owner_of_team(1)] {
+                    world.crash(node);
+                    world.run(away);
+                    world.start(node);
+                    world.run(away);
+                }
+                world.withdraw(first, "job-000003");
+                world.submit((first + 1) % 3, &job(4, 0, "sweep", 2));
+                world.run(4);
+                (0..3).for_each(|n| world.crash(n));
+                world.run(away);
+                world.start(first);
+                world.run(others);
+                if others > 20_000 {
+                    let polls = ["job-000001", "job-000002", "job-000003"].map(|id| world.poll(first, id));
+                    world.run(2000);
+                    let answered = polls.iter().all(|p| world.status(*p) == 200);
+                    assert!(answered, "{case:?}\n{}", world.trace());
+                }
+                (0..3).filter(|n| *n != first).for_each(|n| world.start(n));
+                cancel(&mut world, &[0, 1, 2], "job-000003");
+                world.run(CANCEL_MS + 2000);
+                gone_in_time(&world, "job-000003", case);
+                let well = |w: &World| stored(w, "job-000002") == "done" && w.running("job-000001") == 2;
+                assert!(world.run_until(150_000, well), "{case:?}\n{}", world.trace());
+                let ids = ["job-000001", "job-000002", "job-000003"];
+                assert!(world.unanswered(75_000, &ids).is_empty(), "{case:?}");
+                sound(&world, case);
+            }
+        }
+    }
+}
+
+#[test]
+fn all_controllers_are_away_for_longer_than_a_lease_and_cancelled_jobs_stay_so() {
+    // Guard: what was told as cancelled is stored, and the workers' own leases end the rest; whoever comes back
+    // starts nothing of older epochs before every machine is accounted for.
+    for away in [15_000, 17_900, 18_600, 26_000, 70_000] {
+        for told in [3, 6, 20, 1500] {
+            let case = (away, told);
+            let jobs = [job(1, 0, "standing", 4), job(2, 1, "sweep", 4), job(3, 2, "sweep", 4)];
+            let mut world = with_jobs(40_000, &jobs);
+            let asked = world.withdraw(world.owner_of_team(1), "job-000002");
+            world.run(told);
+            let confirmed = world.said(asked) == "withdrawn";
+            (0..3).for_each(|n| world.crash(n));
+            world.run(away);
+            (0..3).for_each(|n| world.start(n));
+            world.run(6000);
+            let before = stored(&world, "job-000002");
+            assert!(!confirmed || before == "withdrawn", "{case:?}\n{}", world.trace());
+            cancel(&mut world, &[0, 1, 2], "job-000002");
+            world.run(CANCEL_MS);
+            gone_in_time(&world, "job-000002", case);
+            let well = |w: &World| stored(w, "job-000003") == "done" && w.running("job-000001") == 4;
+            assert!(world.run_until(120_000, well), "{case:?}\n{}", world.trace());
+            sound(&world, case);
+        }
+    }
+}
+
+/// Bodies that no job can have, each with what is changed of a right one.
+fn odd_bodies(id: u32) -> Vec<Value> {
+    let fields = [
+        ("crew", json!("nobody")),
+        ("crew", json!(7)),
+        ("crew", Value::Null),
+        ("wagons", json!(0)),
+        ("wagons", json!(100_001)),
+        ("wagons", json!(-1)),
+        ("wagons", json!("4")),
+        ("shape", json!("circle")),
+        ("precedence", json!(["low"])),
+        ("vcpus", json!(1000.0)),
+        ("vcpus", json!(-8.0)),
+        ("accelerators", json!(3.0)),
+        ("ramGb", json!("much")),
+        ("models", json!(["m9"])),
+        ("models", json!("m2")),
+        ("yard", json!("z")),
+        ("yard", json!({ "a": 1 })),
+        ("together", json!("yes")),
+        ("sizeGb", json!(-1.0)),
+        ("runtimeS", Value::Null),
+        ("stowS", json!([])),
+        ("dueS", json!("soon")),
+    ];
+    let mut all: Vec<Value> = fields
+        .into_iter()
+        .map(|(field, value)| {
+            let mut body = job(id, 0, "sweep", 2);
+            body[field] = value;
+            body
+        })
+        .collect();
+    for field in [
+        "consist",
+        "crew",
+        "shape",
+        "precedence",
+        "wagons",
+        "vcpus",
+        "accelerators",
+        "ramGb",
+        "stock",
+        "sizeGb",
+        "together",
+        "spread",
+        "standby",
+        "runtimeS",
+        "waypointS",
+        "stowS",
+    ] {
+        let mut body = job(id, 0, "sweep", 2);
+        body.as_object_mut().expect("an object").remove(field);
+        all.push(body);
+    }
+    // A service that is more than its team's limit.
+    all.push(job(id, 0, "standing", 5));
+    all
+}
+
+/// Sends a body as it is, and returns the answer's status.
+fn send(world: &mut World, node: usize, body: &str, id: &str) -> u16 {
+    let asked = world.user(node, Method::Post, "/submissions", body, (id.to_owned(), "submit"));
+    world.run(30);
+    world.status(asked)
+}
+
+#[test]
+fn jobs_that_cannot_run_or_lack_a_field_are_refused_unless_their_id_was_accepted() {
+    // Guard: a submission is refused for good only after a read of the store has found no job of its id.
+    let mut world = World::new();
+    world.run(4000);
+    let accepted = job(1, 0, "sweep", 2);
+    let service = job(2, 1, "standing", 1);
+    world.accepted(0, &accepted);
+    world.accepted(0, &service);
+    let odd_of_accepted = odd_bodies(1);
+    for (i, body) in odd_bodies(900).iter().enumerate() {
+        for node in [0, 1, 2, i % 3] {
+            let status = send(&mut world, node, &body.to_string(), "job-000900");
+            assert!(matches!(status, 400 | 422), "{status} to {body}\n{}", world.trace());
+        }
+        let status = send(&mut world, i % 3, &odd_of_accepted[i].to_string(), "job-000001");
+        assert_eq!(status, 200, "{}\n{}", odd_of_accepted[i], world.trace());
+    }
+    assert!(world.store.get("t/j/job-000900").is_none(), "{}", world.trace());
+    let done = |w: &World| stored(w, "job-000001") == "done";
+    assert!(world.run_until(60_000, done), "{}", world.trace());
+    // After its end, right after a controller's start, and while the state service is out.
+    for (i, body) in odd_of_accepted.iter().enumerate() {
+        let node = i % 3;
+        world.store.down = i % 4 == 3;
+        if i % 5 == 4 {
+            world.crash(node);
+            world.run(20);
+            world.start(node);
+        }
+        for wait in [1, 5, 40] {
+            world.run(wait);
+            let status = send(&mut world, node, &body.to_string(), "job-000001");
+            assert!(matches!(status, 0 | 200 | 503), "{status} to {body}\n{}", world.trace());
+            let unfit = json!({ "uid": "job-000002" }).to_string();
+            let status = send(&mut world, node, &unfit, "job-000002");
+            assert!(matches!(status, 0 | 200 | 503), "{status}\n{}", world.trace());
+        }
+    }
+    world.store.down = false;
+    world.run(20_000);
+    for node in 0..3 {
+        let late = [world.withdraw(node, "job-000001"), world.poll(node, "job-000001")];
+        let unknown = [world.withdraw(node, "job-000900"), world.poll(node, "job-000900")];
+        world.run(200);
+        for asked in late {
+            assert_eq!((world.status(asked), world.said(asked).as_str()), (200, "done"));
+        }
+        for asked in unknown {
+            assert_eq!(world.status(asked), 404, "{}", world.trace());
+        }
+    }
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000002") == 1),
+        "{}",
+        world.trace()
+    );
+    sound(&world, "");
+}
+
+#[test]
+fn what_is_no_request_at_all_ends_no_controller() {
+    // Guard: nothing that comes from outside is taken for granted; whatever is not in form is refused.
+    let mut world = World::new();
+    world.run(4000);
+    world.accepted(0, &job(1, 0, "standing", 1));
+    let mut long = job(900, 0, "sweep", 1);
+    long["consist"] = json!("x".repeat(70_000));
+    let bodies = [
+        String::new(),
+        "null".into(),
+        "[]".into(),
+        "17".into(),
+        "\"job-000900\"".into(),
+        "{".into(),
+        "{}".into(),
+        "{\"uid\":null}".into(),
+        "{\"uid\":17}".into(),
+        "{\"uid\":\"\"}".into(),
+        "{\"uid\":\"job-000900/../../x y\"}".into(),
+        format!("{{\"uid\":\"{}\"}}", "j".repeat(500)),
+        "{\"uid\":\"job-000900\",\"wagons\":1e999}".into(),
+        "{\"uid\":\"job-000900\",\"wagons\":99999999999999999999999}".into(),
+        "[".repeat(60_000),
+        "{\"a\":".repeat(20_000),
+        "x".repeat(1_000_000),
+        "\u{0}\u{1}\u{fffd}".into(),
+        long.to_string(),
+    ];
+    // Those that are in form may be answered as those of any machine that nobody knows.
+    let most = u64::MAX;
+    let wild = json!({ "berth": "n-9", "addr": "n-9:1", "model": "m2", "yard": "a", "standby": false,
+        "shift": most, "tally": most, "baton": most,
+        "wagons": [{ "wagon": "//", "run": 0, "status": "odd" }] });
+    let empty = json!({ "berth": "", "addr": "", "model": "", "yard": "", "standby": true,
+        "shift": 0, "tally": 0, "baton": 0, "wagons": [] });
+    let (wild, empty) = (wild.to_string(), empty.to_string());
+    let beats = [
+        (r#"{"berth":"n-000001"}"#, false),
+        (r#"{"berth":17,"wagons":{}}"#, false),
+        (&empty, true),
+        (&wild, true),
+    ];
+    for node in 0..3 {
+        for body in &bodies {
+            let status = send(&mut world, node, body, "job-000900");
+            assert!(matches!(status, 400 | 422), "{status} to {body:.80}");
+        }
+        for (body, formed) in bodies.iter().map(|b| (b.as_str(), false)).chain(beats) {
+            let asked = world.user(node, Method::Post, "/agent/beat", body, ("beat".into(), "health"));
+            world.run(30);
+            let status = world.status(asked);
+            assert!(formed || status != 200, "{status} to {body:.80}");
+        }
+        for path in [
+            "/submissions/",
+            "/submissions//withdraw",
+            "/submissions/%00",
+            "/",
+            "",
+            "/store/x",
+        ] {
+            for method in [Method::Get, Method::Post, Method::Delete] {
+                let asked = world.user(node, method, path, "", ("odd".into(), "health"));
+                world.run(30);
+                let status = world.status(asked);
+                assert!((400..500).contains(&status), "{status} to {path}");
+            }
+        }
+    }
+    world.run(10_000);
+    assert!(
+        world.unanswered(20_000, &["job-000001"]).is_empty(),
+        "{}",
+        world.trace()
+    );
+    assert_eq!(world.running("job-000001"), 1, "{}", world.trace());
+    sound(&world, "");
+}
+
+#[test]
+fn once_troubles_are_over_no_job_waits_where_there_is_room_and_none_is_unanswered() {
+    // Guard: whatever a trouble leaves behind (a machine in doubt, a reservation, a job that rests) is looked at
+    // again in time.
+    for seed in 0..8u64 {
+        let jobs: Vec<Value> = (0..12)
+            .map(|i| {
+                let mut body = job(i + 1, i % 3, if i < 3 { "standing" } else { "sweep" }, 1 + i % 4);
+                body["together"] = json!(i == 7);
+                body
+            })
+            .collect();
+        let mut world = World::new();
+        world.run_ms = 9000;
+        world.cloud.most = 8;
+        world.run(3000);
+        for (i, body) in jobs.iter().enumerate() {
+            world.accepted(i % 3, body);
+        }
+        world.run(6000);
+        let busy: Vec<String> = world.workers.keys().cloned().collect();
+        let from = world.now;
+        let mut troubles = vec![
+            troubles::late_writes(seed, 0.1),
+            troubles::late_copies(seed, 0.2),
+            troubles::lost_answers(seed + 100, 0.1),
+        ];
+        for (i, m) in busy.iter().enumerate() {
+            match (seed + i as u64) % 5 {
+                0 => troubles.push(troubles::mute(m)),
+                1 => troubles.push(troubles::deaf(m)),
+                2 => troubles.push(unreached(std::slice::from_ref(m))),
+                _ => {}
+            }
+        }
+        let node = seed as usize % 3;
+        troubles.push(troubles::during(from + 20_000..from + 40_000, troubles::cut_off(node)));
+        world.meddle(troubles::during(from..from + 60_000, troubles::all(troubles)));
+        world.run(10_000);
+        world.crash((node + 1) % 3);
+        world.run(500);
+        world.start((node + 1) % 3);
+        world.run(52_000);
+        world.calm();
+        // How long each job has waited though it need not.
+        let mut since = vec![None; jobs.len()];
+        let over = world.now + 200_000;
+        let mut at = 0;
+        let mut polls = vec![Vec::new(); jobs.len()];
+        while world.now < over {
+            for (i, body) in jobs.iter().enumerate() {
+                let id = uid(body);
+                if at % 6 == 0 {
+                    let asked = world.poll((at / 6 + i) % 3, id);
+                    polls[i].push((world.now, asked));
+                }
+                let used: usize = jobs
+                    .iter()
+                    .filter(|j| j["crew"] == body["crew"])
+                    .map(|j| on(&world, uid(j)))
+                    .sum();
+                let waits = on(&world, id) == 0 && !world.checker().all_done(id);
+                let room = world.workers.values().any(|w| !w.hanging && tasks_on(w) < 2);
+                if waits && room && used < 4 {
+                    let began: u64 = *since[i].get_or_insert(world.now);
+                    assert!(world.now - began < 90_000, "{seed}: {id} waits\n{}", world.trace());
+                } else {
+                    since[i] = None;
+                }
+            }
+            world.run(500);
+            at += 1;
+        }
+        for (i, asked) in polls.iter().enumerate() {
+            let mut last = asked[0].0;
+            for (at, _) in asked.iter().filter(|(_, r)| world.status(*r) == 200) {
+                assert!(at - last < 75_000, "{seed}: {}\n{}", uid(&jobs[i]), world.trace());
+                last = *at;
+            }
+            assert!(over - last < 75_000, "{seed}: {}\n{}", uid(&jobs[i]), world.trace());
+        }
+        for body in &jobs[3..] {
+            assert_eq!(stored(&world, uid(body)), "done", "{seed}\n{}", world.trace());
+        }
+        sound(&world, seed);
+    }
+}
+
+/// Tasks on a machine, in whatever state but ended.
+fn tasks_on(worker: &Worker) -> usize {
+    worker.tasks.values().filter(|a| a.state != "ended").count()
+}
+
+/// Tasks of a job that are on machines.
+fn on(world: &World, id: &str) -> usize {
+    let prefix = format!("{id}/");
+    let tasks = world.workers.values().flat_map(|w| &w.tasks);
+    tasks
+        .filter(|((task, _), a)| task.starts_with(&prefix) && a.state != "ended")
+        .count()
+}
