Meetings of two troubles: late answers, and one that is red for a known fault

A job may wait beside room on a machine that another partition uses: machines are handed on only when empty. An answer that lay in buffers for less than a quarter of a report's time is passed on: it cannot be told from one on a slow network, so the test of a standstill begins at 1 s.

--- a/crates/tidelatch-standin/tests/meetings_of_two.rs
+++ b/crates/tidelatch-standin/tests/meetings_of_two.rs
@@ -1128,3 +1128,152 @@
         .filter(|((task, _), a)| task.starts_with(&prefix) && a.state != "ended")
         .count()
 }
+
+#[test]
+fn a_late_read_that_found_no_job_is_not_told_once_the_job_is_known() {
+    // Guard: by the time at which a read
+    // comes back, this very controller may have accepted the job, and told its user.
+    for late in [20, 150, 900] {
+        for question in ["poll", "withdraw", "odd"] {
+            let case = (late, question);
+            let mut world = World::new();
+            world.run(4000);
+            let node = world.owner_of_team(0);
+            world.meddle(move |l| {
+                if l.what.starts_with("GET /store/t/j/") {
+                    Fate::AnswerLate(late)
+                } else {
+                    Fate::Pass
+                }
+            });
+            let body = job(1, 0, "sweep", 1);
+            match question {
+                "poll" => world.poll(node, "job-000001"),
+                "withdraw" => world.withdraw(node, "job-000001"),
+                _ => {
+                    let odd = json!({ "uid": "job-000001" }).to_string();
+                    let about = ("job-000001".to_owned(), "submit");
+                    world.user(node, Method::Post, "/submissions", &odd, about)
+                }
+            };
+            // The same user's submission, or its repetition, on another connection.
+            world.run(3);
+            let accepted = world.submit(node, &body);
+            world.run(1500);
+            assert_eq!(world.status(accepted), 201, "{case:?}\n{}", world.trace());
+            sound(&world, case);
+        }
+    }
+}
+
+#[test]
+fn a_late_answer_of_a_jobs_owner_is_not_passed_on_once_its_end_is_known() {
+    // Guard: by the time at which the owner's answer
+    // arrives, this controller may have read the job's end from the watch, and told users of it.
+    for late in [3, 5, 20, 100, 300, 450] {
+        for submits in [false, true] {
+            for node in 1..3 {
+                for ends in [false, true] {
+                    let case = (late, submits, node, ends);
+                    let body = job(1, 0, "sweep", 2);
+                    let mut world = with_jobs(if ends { 4000 } else { 300_000 }, std::slice::from_ref(&body));
+                    let asks = (world.owner_of_team(0) + node) % 3;
+                    let mut answers = 0;
+                    world.meddle(move |l| {
+                        answers += u64::from(l.what == "forward");
+                        // The first question's answer is late; the others' are not.
+                        if l.what == "forward" && answers % 2 == 1 {
+                            Fate::AnswerLate(late)
+                        } else {
+                            Fate::Pass
+                        }
+                    });
+                    if ends {
+                        // Asked every few milliseconds round the end of its last task.
+                        while !world.checker().all_done("job-000001") {
+                            world.run(1);
+                        }
+                    }
+                    let first = if submits {
+                        world.submit(asks, &body)
+                    } else {
+                        world.poll(asks, "job-000001")
+                    };
+                    if !ends {
+                        world.withdraw(asks, "job-000001");
+                    }
+                    for _ in 0..60 {
+                        world.poll(asks, "job-000001");
+                        world.run(10);
+                    }
+                    assert!(matches!(world.status(first), 200 | 503), "{case:?}\n{}", world.trace());
+                    sound(&world, case);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_lay_in_the_buffers_of_a_controller_that_stood_still_is_not_passed_on() {
+    // Guard: an answer of another controller, or of the state service, is as old as it is. What is
+    // lay in the buffers while this controller stood still tells nothing. Less than a quarter of a report cannot be
+    // told from a slow network or a busy processor.
+    for still_ms in [1000, 1900, 4000] {
+        for cancel_first in [true, false] {
+            for node in 1..3 {
+                let case = (still_ms, node, cancel_first);
+                let mut world = with_jobs(300_000, &[job(1, 0, "sweep", 2)]);
+                let owner = world.owner_of_team(0);
+                let asks = (owner + node) % 3;
+                if cancel_first {
+                    world.poll(asks, "job-000001");
+                } else {
+                    world.submit(asks, &job(1, 0, "sweep", 2));
+                }
+                world.run(1);
+                // The question has been passed on; its answer comes while nobody reads it.
+                world.freeze(asks);
+                world.run(20);
+                let told = world.withdraw(owner, "job-000001");
+                world.run(50);
+                assert_eq!(world.said(told), "withdrawn", "{case:?}\n{}", world.trace());
+                world.run(still_ms);
+                world.thaw(asks);
+                world.run(2000);
+                sound(&world, case);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_job_does_not_wait_while_there_is_room_on_a_machine_that_another_team_uses() {
+    // The page: "no job is left waiting for 90 s while a machine that fits has room and its team is under its
+    // limit". The cloud has no more machines, and each of two teams has one task on a machine with room for two.
+    for shape in ["standing", "sweep"] {
+        for change in [false, true] {
+            let case = (shape, change);
+            let mut world = World::new();
+            world.run_ms = 600_000;
+            world.cloud.most = 2;
+            world.run(3000);
+            world.accepted(0, &job(1, 0, shape, 1));
+            let first = world.run_until(30_000, |w| w.running("job-000001") == 1);
+            assert!(first, "{case:?}\n{}", world.trace());
+            world.accepted(0, &job(2, 1, shape, 1));
+            let second = world.run_until(30_000, |w| w.running("job-000002") == 1);
+            assert!(second, "{case:?}\n{}", world.trace());
+            if change {
+                let owner = world.owner_of_team(2);
+                world.crash(owner);
+                world.run(300);
+                world.start(owner);
+            }
+            world.accepted(0, &job(3, 2, shape, 1));
+            let third = world.run_until(90_000, |w| w.running("job-000003") == 1);
+            assert!(third, "{case:?}\n{}", world.trace());
+            sound(&world, case);
+        }
+    }
+}
