Whoever answers a report stops what is called off before passing it on

The controller that the worker reported to knew of the cancellation, but relayed the report to an owner that was not ready; the machine heard nothing after that.

--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -396,6 +396,9 @@
         }
         let Some(partition) = self.machines.get(&report.machine).map(|m| m.partition) else {
             self.cloud.note_stranger(&report, epoch, self.now.ms);
+            if self.stop_called_off_at_once(asker, &report, epoch) {
+                return;
+            }
             let to = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
             match to {
                 Some(to) if direct && to != self.me && self.reachable(&to) => self.redirect(asker, &to),
@@ -409,7 +412,11 @@
         }
         let owner = self.holding(partition).map(|h| h.owner.clone());
         match owner {
-            Some(owner) if owner != self.me && direct => self.foreign_beat(asker, report, &owner, body),
+            Some(owner) if owner != self.me && direct => {
+                if !self.stop_called_off_at_once(asker, &report, epoch) {
+                    self.foreign_beat(asker, report, &owner, body);
+                }
+            }
             Some(owner) if owner != self.me => {
                 // A relay that came to the wrong door: the sender knows no newer owner.
                 let _ = owner;
@@ -496,6 +503,17 @@
         }
     }
 
+    /// Answers a report of a machine that is not this controller's at once, if it lists tasks that are to be stopped:
+    /// its owner may not be ready, or not know, and this answer may be the last that reaches the worker.
+    fn stop_called_off_at_once(&mut self, asker: Asker, report: &Report, epoch: Epoch) -> bool {
+        let stops = self.stops_for_over(report);
+        let any = !stops.is_empty();
+        if any {
+            self.answer_orders(asker, epoch, stops);
+        }
+        any
+    }
+
     /// Stops for tasks of jobs that are over, or called off: right from any entitled controller.
     fn stops_for_over(&self, report: &Report) -> Vec<Command> {
         report
--- a/crates/tidelatch-standin/tests/cancellations.rs
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -299,3 +299,39 @@
         assert!(world.cloud.deleted.contains(&machines[0]), "{}", world.trace());
     }
 }
+
+#[test]
+fn a_worker_that_reports_elsewhere_is_told_to_stop_before_its_report_is_passed_on() {
+    // Guard: whoever answers a report stops what is cancelled. Its owner may be slow, or not ready, and the
+    // machine may hear nothing after this one answer. Found by drawn days: a direct start that was carried out
+    // late, after the end of its owner.
+    let mut world = World::new();
+    world.run_ms = 300_000;
+    world.run(3000);
+    world.accepted(0, &job(1, 0, "sweep", 1));
+    let runs = world.run_until(30_000, |w| w.running("job-000001") == 1);
+    assert!(runs, "{}", world.trace());
+    let owner = world.owner_of_team(0);
+    let elsewhere = (owner + 1) % 3;
+    let machine = world.machines_of("job-000001").first().cloned().expect("it runs");
+    world.workers.get_mut(&machine).expect("a worker").node = elsewhere;
+    let answered = Rc::new(Cell::new(0));
+    let (name, count) = (machine.clone(), answered.clone());
+    // Reports passed on are lost, and so are direct commands; one report of the machine is answered.
+    world.meddle(move |l| {
+        if l.what == "relay" || (l.to == name && l.what.starts_with("POST /commands")) {
+            return Fate::Lost;
+        }
+        if l.from == name {
+            count.set(count.get() + 1);
+            return if count.get() > 1 { Fate::AnswerLost } else { Fate::Pass };
+        }
+        Fate::Pass
+    });
+    let cancel = world.withdraw(owner, "job-000001");
+    world.run(20);
+    assert_eq!(world.said(cancel), "withdrawn", "{}", world.trace());
+    let gone = world.run_until(4000, |w| w.machines_of("job-000001").is_empty());
+    assert!(gone, "{} answered\n{}", answered.get(), world.trace());
+    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
+}
