Stand-in: the world in modules with one job each

A call's controller, life and number travel as one value, and so do a request to a service and a report.

--- /dev/null
+++ b/crates/tidelatch-standin/src/world/calls.rs
@@ -0,0 +1,152 @@
+//! Calls of the controllers to the state service, the cloud and the workers.
+
+use super::World;
+use super::event::{Caller, Event, ServiceRequest, Watch};
+use super::network::Fate;
+use crate::cloud::Cloud;
+use crate::state::Said;
+use serde_json::{Value, json};
+use tidelatch_core::{Input, Method, Target};
+
+/// Milliseconds between two looks of an open watch.
+const WATCH_MS: u64 = 5;
+
+impl World {
+    /// A call as it goes over the network.
+    pub(super) fn service_request(target: &Target, method: Method, path: String, body: String) -> ServiceRequest {
+        let to = match target {
+            Target::State => "state".to_owned(),
+            Target::Cloud => "cloud".to_owned(),
+            Target::Worker(address) => address.split(':').next().unwrap_or_default().to_owned(),
+        };
+        let method = match method {
+            Method::Get => "GET",
+            Method::Post => "POST",
+            Method::Delete => "DELETE",
+        };
+        ServiceRequest { to, method, path, body }
+    }
+
+    /// A controller makes a call.
+    pub(super) fn call(&mut self, from: Caller, target: &Target, request: ServiceRequest, timeout_ms: u64) {
+        self.count_call(target, &request.body);
+        let what = format!("{} {}", request.method, request.path);
+        let fate = self.fate(&format!("berth-{}", from.node), &request.to, &what, &request.body);
+        if let Some(n) = self.nodes.get_mut(from.node) {
+            n.open.insert(from.call);
+            if *target == Target::State {
+                n.refused = fate == Fate::Refused;
+            }
+        }
+        if fate == Fate::Refused {
+            let result = Some((503, json!({ "error": "trouble" }).to_string()));
+            self.push(2, Event::Back { to: from, result });
+        }
+        self.push(timeout_ms, Event::Back { to: from, result: None });
+        if let Fate::Copied(late) = fate {
+            let copy = Event::Arrive {
+                from,
+                request: request.clone(),
+                answered: None,
+            };
+            self.push(late, copy);
+        }
+        if let Some(after) = fate.request_delay() {
+            let answered = fate.answer_delay();
+            self.push(
+                after,
+                Event::Arrive {
+                    from,
+                    request,
+                    answered,
+                },
+            );
+        }
+    }
+
+    fn count_call(&mut self, target: &Target, body: &str) {
+        match target {
+            Target::State => {
+                self.sent.state_requests += 1;
+                self.sent.state_bytes += body.len() as u64;
+                let transaction = serde_json::from_str::<Value>(body).unwrap_or(Value::Null);
+                self.sent.changes += transaction["then"].as_array().map_or(0, Vec::len) as u64;
+            }
+            Target::Cloud => self.sent.cloud_calls += 1,
+            Target::Worker(_) => {
+                self.sent.commands += 1;
+                self.ordered(body);
+            }
+        }
+    }
+
+    /// A call has come to its receiver.
+    pub(super) fn arrive(&mut self, from: Caller, request: &ServiceRequest, answered: Option<u64>) {
+        let result = match request.to.as_str() {
+            "state" => match self
+                .store
+                .request(self.now, request.method, &request.path, &request.body)
+            {
+                Said::Now(status, body) => Some((status, body.to_string())),
+                Said::Later(prefix, since, until) => {
+                    let watch = Watch { prefix, since, until };
+                    self.push(1, Event::Watch { from, watch });
+                    None
+                }
+            },
+            "cloud" => Some(self.arrive_at_cloud(request)),
+            machine => self.direct(machine, &request.path, &request.body),
+        };
+        if let (Some(result), Some(after)) = (result, answered) {
+            let result = Some(result);
+            self.push(after, Event::Back { to: from, result });
+        }
+    }
+
+    fn arrive_at_cloud(&mut self, request: &ServiceRequest) -> (u16, String) {
+        let (status, body, rented) = self.cloud.request(request.method, &request.path, &request.body);
+        for name in rented {
+            self.push(Cloud::BOOT_MS, Event::Boot(name));
+        }
+        let gone: Vec<String> = self
+            .workers
+            .keys()
+            .filter(|w| !self.cloud.machines.contains_key(*w))
+            .cloned()
+            .collect();
+        for worker in gone {
+            self.workers.remove(&worker);
+            self.look_at(&worker, &[]);
+        }
+        (status, body.to_string())
+    }
+
+    /// The result of a call, or the end of the time for it, has come to the controller.
+    pub(super) fn back(&mut self, to: Caller, result: Option<(u16, String)>) {
+        if self.ends_call(to) {
+            let result = result.map(|(status, body)| (status, body.into_bytes()));
+            self.feed(to.node, Input::Reply { call: to.call, result });
+        }
+    }
+
+    /// An open watch looks whether there is news, and waits on if there is none.
+    pub(super) fn watch(&mut self, from: Caller, watch: Watch) {
+        if !self.alive(from.node, from.life) {
+            return;
+        }
+        let waits = self.store.down || self.nodes.get(from.node).is_some_and(|n| n.refused);
+        let news = if waits {
+            None
+        } else {
+            self.store.news(&watch.prefix, watch.since)
+        };
+        let over = self.now >= watch.until && !waits;
+        if news.is_none() && !over {
+            self.push(WATCH_MS, Event::Watch { from, watch });
+            return;
+        }
+        let news = news.unwrap_or_else(|| json!({ "ledger": self.store.revision(), "news": [] }));
+        let result = Some((200, news.to_string()));
+        self.push(2, Event::Back { to: from, result });
+    }
+}
--- /dev/null
+++ b/crates/tidelatch-standin/src/world/deployment.rs
@@ -0,0 +1,100 @@
+//! The deployment that a world simulates: its size, its settings and the jobs that users submit.
+
+use crate::gang::{PEER_MS, SAVE_MS, WAIT_MS};
+use serde_json::{Value, json};
+use tidelatch_core::settings::{Features, Operator, Platform, Settings};
+
+/// The size of a world.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Teams.
+    pub teams: u32,
+    /// Accelerators guaranteed to each.
+    pub guarantee: f64,
+    /// Most accelerators of each.
+    pub limit: f64,
+    /// Changes a second that the state service takes.
+    pub write_rps: f64,
+    /// Largest value that it takes, in KiB.
+    pub value_kb: f64,
+    /// Limits that it will have: changes a second, KiB in a value, changes in a transaction.
+    pub next: Option<(f64, f64, u32)>,
+    /// Bytes of each team's name, at least.
+    pub long_names: usize,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            teams: 3,
+            guarantee: 2.0,
+            limit: 4.0,
+            write_rps: 60.0,
+            value_kb: 32.0,
+            next: None,
+            long_names: 0,
+        }
+    }
+}
+
+/// The settings of one of the three controllers.
+pub(super) fn settings(index: usize, operator: &Operator, size: &Size) -> Settings {
+    let siblings: Vec<Value> = (0..3)
+        .filter(|i| *i != index)
+        .map(|i| json!({ "host_name": format!("berth-{i}"), "area": "a", "address": format!("10.0.0.{}:8081", i + 1) }))
+        .collect();
+    let teams: Vec<Value> = (0..size.teams)
+        .map(|i| json!({ "name": team_name(i, size), "gpus": size.guarantee, "gpus_max": size.limit }))
+        .collect();
+    let platform = json!({
+        "host_name": format!("berth-{index}"), "area": "a",
+        "api_addr": format!("10.0.0.{}:8080", index + 1), "peer_listen": format!("10.0.0.{}:8081", index + 1),
+        "siblings": siblings, "outside": { "cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379" },
+        "facts": {
+            "nodes": 3, "zones": ["a", "b"], "skew_ms": 25.0, "teams": teams,
+            "workers": { "report_s": 2.5, "lease_s": 18.0, "cancel_s": 38.0,
+                "gang_wait_s": WAIT_MS as f64 / 1000.0, "gang_peer_s": PEER_MS as f64 / 1000.0 },
+            "state": { "rps": 250.0, "write_rps": size.write_rps, "value_kb": size.value_kb, "txn_ops": 16,
+                "next": size.next.map(|(rps, kb, ops)| json!({ "write_rps": rps, "value_kb": kb, "txn_ops": ops })) },
+            "cloud": { "rps": 4.0, "list_lag_s": 8.0 },
+            "machine_limits": { "cores": 0.1, "ram_mb": 100.0, "sockets": 1000 }
+        }
+    });
+    let platform: Platform = serde_json::from_value(platform).expect("the stand-in's own settings are in form");
+    assert!(platform.faults().is_empty(), "the stand-in's own settings are in order");
+    Settings {
+        platform,
+        operator: operator.clone(),
+        features: Features::default(),
+    }
+}
+
+/// The name of a team, as long as the size asks for.
+pub(super) fn team_name(i: u32, size: &Size) -> String {
+    let name = format!("team-{i}");
+    format!("{name:x<width$}", width = size.long_names)
+}
+
+/// A submission: a gang of tasks in one zone that need processors only, six to a machine, with a checkpoint
+/// every two seconds.
+pub fn gang(id: u32, team: u32, tasks: u32) -> Value {
+    let mut job = job(id, team, "group", tasks);
+    job["accelerators"] = json!(0.0);
+    job["vcpus"] = json!(4.0);
+    job["ramGb"] = json!(10.0);
+    job["together"] = json!(true);
+    job["waypointS"] = json!(2.0);
+    job["stowS"] = json!(SAVE_MS as f64 / 1000.0);
+    job
+}
+
+/// A submission: an array or a service of tasks with one accelerator each.
+pub fn job(id: u32, team: u32, shape: &str, tasks: u32) -> Value {
+    json!({
+        "uid": format!("job-{id:06}"), "consist": "c", "crew": format!("team-{team}"), "shape": shape,
+        "precedence": if shape == "standing" { "prod" } else { "normal" }, "wagons": tasks,
+        "vcpus": 8.0, "accelerators": 1.0, "ramGb": 40.0, "stock": "img", "sizeGb": 1.0, "models": null,
+        "yard": null, "together": false, "spread": false, "standby": false, "runtimeS": 5.0,
+        "waypointS": 0.0, "stowS": 0.0, "dueS": null
+    })
+}
--- /dev/null
+++ b/crates/tidelatch-standin/src/world/gangs.rs
@@ -0,0 +1,79 @@
+//! Gangs on the workers: they go on together, whichever machines they are on.
+
+use super::World;
+use super::event::Event;
+use crate::gang::{Gangs, Terms};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Milliseconds between two steps of all gangs.
+pub(super) const GANG_STEP_MS: u64 = 100;
+/// Least milliseconds between two reports that a worker sends because a gang has changed.
+const CHANGE_REPORT_MS: u64 = 500;
+
+impl World {
+    /// Lets all gangs go on; a worker whose tasks have changed reports at once.
+    pub(super) fn play_gangs(&mut self) {
+        for key in self.gangs_on_machines() {
+            let Some(job) = self.jobs.get(&key.0) else { continue };
+            let terms = Terms {
+                tasks: job["wagons"].as_u64().unwrap_or(0) as usize,
+                run_ms: self.run_ms,
+                checkpoint_ms: (job["waypointS"].as_f64().unwrap_or(0.0) * 1000.0) as u64,
+            };
+            self.gangs.go_on(&key, terms, &mut self.workers, self.now);
+        }
+        for name in self.gangs.changed.clone() {
+            self.look_at(&name, &[]);
+        }
+        for task in std::mem::take(&mut self.gangs.done) {
+            self.completed(&task);
+        }
+        for text in std::mem::take(&mut self.gangs.news) {
+            self.note(&text);
+        }
+        self.report_changed_gangs();
+        self.push(GANG_STEP_MS, Event::Gangs);
+    }
+
+    /// The gangs that have tasks on machines, by job and attempt.
+    fn gangs_on_machines(&self) -> BTreeSet<(String, u64)> {
+        let mut keys = BTreeSet::new();
+        for w in self.workers.values() {
+            for ((task, attempt), _) in w.tasks.iter().filter(|(_, a)| a.state != "ended") {
+                let job = task.split('/').next().unwrap_or_default();
+                if self.jobs.get(job).is_some_and(|j| j["shape"] == "group") {
+                    keys.insert((job.to_owned(), *attempt));
+                }
+            }
+        }
+        keys
+    }
+
+    /// Workers on which a gang has changed report, unless they did so a moment ago.
+    fn report_changed_gangs(&mut self) {
+        let now = self.now;
+        let changed = std::mem::take(&mut self.gangs.changed);
+        for name in changed {
+            let lately = self.beaten.get(&name).is_some_and(|t| now < t + CHANGE_REPORT_MS);
+            let free = self
+                .workers
+                .get(&name)
+                .is_some_and(|w| !w.hanging && w.waiting.is_none());
+            if free && !lately {
+                self.beaten.insert(name.clone(), now);
+                self.beat(&name);
+            } else if self.workers.contains_key(&name) {
+                self.gangs.changed.insert(name);
+            }
+        }
+    }
+}
+
+/// A task was told to stop: only a gang's that runs saves first.
+pub(super) fn told(gangs: &mut Gangs, jobs: &BTreeMap<String, Value>, stop: (&str, u64, f64), now: u64) -> bool {
+    let (task, attempt, grace_s) = stop;
+    let job = task.split('/').next().unwrap_or_default();
+    let gang = jobs.get(job).is_some_and(|j| j["shape"] == "group");
+    gang && gangs.told(job, attempt, task, grace_s, now)
+}
--- /dev/null
+++ b/crates/tidelatch-standin/src/world/rules.rs
@@ -0,0 +1,120 @@
+//! What the checker of the protocol's rules is told, and what it finds.
+
+use super::World;
+use super::event::Event;
+use crate::checker::{Checker, Place};
+use crate::worker::Worker;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+impl World {
+    /// The protocol's checker, which has seen all that happened.
+    pub fn checker(&self) -> &Checker {
+        &self.checker
+    }
+
+    /// Milliseconds from the confirmation of a cancellation until the job's last task was gone.
+    pub fn gone_after_confirmation(&self, job: &str) -> Option<u64> {
+        self.checker.gone_after_confirmation(job)
+    }
+
+    /// Starts of a job's tasks after its user was told that it is cancelled.
+    pub fn started_after(&self, job: &str) -> u64 {
+        self.checker.started_after(job)
+    }
+
+    /// Writes down what the checker has found since it was last asked.
+    pub(super) fn judge(&mut self) {
+        let new = self.checker.breaches().get(self.judged..).unwrap_or_default().to_vec();
+        self.judged += new.len();
+        for text in new {
+            self.breach(text);
+        }
+    }
+
+    /// A controller sends orders to a worker: the checker counts the starts among them.
+    pub(super) fn ordered(&mut self, body: &str) {
+        if !body.contains("\"start\"") {
+            return;
+        }
+        let body: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let orders = body["orders"].as_array().into_iter().flatten();
+        for order in orders.filter(|o| o["order"] == "start") {
+            self.checker
+                .ordered(self.now, order["wagon"].as_str().unwrap_or_default());
+        }
+    }
+
+    /// A task has completed; its user may have waited for that to cancel the job.
+    pub(super) fn completed(&mut self, task: &str) {
+        self.checker.task_done(task);
+        let job = task.split('/').next().unwrap_or_default().to_owned();
+        if self.cancel_at_end.contains_key(&job)
+            && self.checker.all_done(&job)
+            && let Some((node, after)) = self.cancel_at_end.remove(&job)
+        {
+            self.push(after, Event::Withdraw { node, job });
+        }
+    }
+
+    /// The checker is told what has changed on all machines.
+    pub(super) fn look_at_machines(&mut self) {
+        let known = self.checker.machines().map(str::to_owned);
+        let names: BTreeSet<String> = known.chain(self.workers.keys().cloned()).collect();
+        for name in names {
+            self.look_at(&name, &[]);
+        }
+    }
+
+    /// The checker is told what has changed on a machine: what has ended, what has just been started there,
+    /// in whatever state it is by now, and what has got its image.
+    pub(super) fn look_at(&mut self, name: &str, started: &[(String, u64)]) {
+        let now = self.now;
+        let Some(w) = self.workers.get(name) else {
+            self.checker.machine_gone(now, name);
+            self.judge();
+            return;
+        };
+        let place = Place {
+            model: Worker::MODEL.to_owned(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+        };
+        let lives = |key: &(String, u64)| w.tasks.get(key).is_some_and(|a| a.state != "ended");
+        let known: BTreeMap<(String, u64), bool> = self
+            .checker
+            .on_machine(name)
+            .map(|(task, attempt, image)| ((task.to_owned(), attempt), image))
+            .collect();
+        for (task, attempt) in known.keys().filter(|k| !lives(k)) {
+            self.checker.ended(now, name, task, *attempt);
+        }
+        self.checker.machine(name, place);
+        for (task, attempt) in started {
+            self.checker.started(now, name, task, *attempt);
+        }
+        for (key, a) in &w.tasks {
+            let (task, attempt) = key;
+            let image = known.get(key);
+            if a.state == "ended" {
+                if started.contains(key) {
+                    self.checker.ended(now, name, task, *attempt);
+                }
+                continue;
+            }
+            if image.is_none() && !started.contains(key) {
+                self.checker.started(now, name, task, *attempt);
+            }
+            if a.state != "pulling" && image != Some(&true) {
+                self.checker.has_image(now, name, task, *attempt);
+            }
+        }
+        self.judge();
+    }
+
+    /// A rule is broken.
+    pub(super) fn breach(&mut self, text: String) {
+        self.note(&format!("RULE BROKEN: {text}"));
+        self.broken.push(text);
+    }
+}
