--- a/crates/tidelatch/src/doors.rs
+++ b/crates/tidelatch/src/admission.rs
@@ -13,7 +13,7 @@
 
 /// How a controller's sockets are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Division {
+pub struct SocketBudget {
     /// Connections of all who come in.
     pub incoming: usize,
     /// Connections of workers among them.
@@ -22,7 +22,7 @@
     pub commands: usize,
 }
 
-impl Division {
+impl SocketBudget {
     /// Divides so many sockets.
     pub fn of(sockets: u32) -> Self {
         let sockets = sockets as usize;
@@ -39,7 +39,7 @@
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Doing {
+enum Activity {
     /// It waits for the next request.
     Idle,
     /// A request is being read.
@@ -49,80 +49,80 @@
 }
 
 #[derive(Debug)]
-struct Entry {
+struct ConnectionState {
     worker: bool,
-    doing: Doing,
+    activity: Activity,
     since: Instant,
-    close: Sender<()>,
+    evict: Sender<()>,
 }
 
 /// All connections that came in.
 #[derive(Debug)]
-pub struct Doors {
-    open: Mutex<(u64, BTreeMap<u64, Entry>)>,
-    division: Division,
-    report: Duration,
-    lease: Duration,
+pub struct Admission {
+    open: Mutex<(u64, BTreeMap<u64, ConnectionState>)>,
+    budget: SocketBudget,
+    report_interval: Duration,
+    lease_duration: Duration,
 }
 
-impl Doors {
+impl Admission {
     /// None is open yet.
-    pub fn new(division: Division, report: Duration, lease: Duration) -> Arc<Self> {
+    pub fn new(budget: SocketBudget, report_interval: Duration, lease_duration: Duration) -> Arc<Self> {
         Arc::new(Self {
             open: Mutex::default(),
-            division,
-            report,
-            lease,
+            budget,
+            report_interval,
+            lease_duration,
         })
     }
 
-    fn lock(&self) -> MutexGuard<'_, (u64, BTreeMap<u64, Entry>)> {
+    fn lock(&self) -> MutexGuard<'_, (u64, BTreeMap<u64, ConnectionState>)> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Lets a connection in, if need be in the place of an idle one; none if there is no place.
-    pub fn enter(self: &Arc<Self>, now: Instant) -> Option<Door> {
+    pub fn admit(self: &Arc<Self>, now: Instant) -> Option<AdmittedConnection> {
         let mut open = self.lock();
-        if open.1.len() >= self.division.incoming {
-            let silent = 2 * self.report;
-            let place = |e: &Entry| match (e.doing, e.worker) {
-                (Doing::Idle, true) if now.saturating_duration_since(e.since) > silent => Some(0),
-                (Doing::Idle, false) => Some(1),
+        if open.1.len() >= self.budget.incoming {
+            let silent = 2 * self.report_interval;
+            let place = |e: &ConnectionState| match (e.activity, e.worker) {
+                (Activity::Idle, true) if now.saturating_duration_since(e.since) > silent => Some(0),
+                (Activity::Idle, false) => Some(1),
                 _ => None,
             };
             let found = open.1.iter().filter_map(|(id, e)| Some((place(e)?, e.since, *id)));
             let (_, _, victim) = found.min()?;
             if let Some(entry) = open.1.remove(&victim) {
-                let _ = entry.close.try_send(());
+                let _ = entry.evict.try_send(());
             }
         }
-        let (close, closed) = smol::channel::bounded(1);
+        let (evict, evicted) = smol::channel::bounded(1);
         open.0 += 1;
         let id = open.0;
-        let entry = Entry {
+        let entry = ConnectionState {
             worker: false,
-            doing: Doing::Idle,
+            activity: Activity::Idle,
             since: now,
-            close,
+            evict,
         };
         open.1.insert(id, entry);
-        let doors = self.clone();
-        Some(Door { id, doors, closed })
+        let admission = self.clone();
+        Some(AdmittedConnection { id, admission, evicted })
     }
 
     /// Closes what has been idle for too long, and what does not finish a request. A worker that has not
     /// reported for a lease's time has gone elsewhere, or has ended.
-    pub fn sweep(&self, now: Instant) {
+    pub fn close_stale(&self, now: Instant) {
         let mut open = self.lock();
         open.1.retain(|_, e| {
-            let most = match (e.doing, e.worker) {
-                (Doing::Answering, _) => return true,
-                (Doing::Idle, false) => 4 * self.lease,
-                (Doing::Idle, true) | (Doing::Reading, _) => self.lease,
+            let most = match (e.activity, e.worker) {
+                (Activity::Answering, _) => return true,
+                (Activity::Idle, false) => 4 * self.lease_duration,
+                (Activity::Idle, true) | (Activity::Reading, _) => self.lease_duration,
             };
             let keep = now.saturating_duration_since(e.since) <= most;
             if !keep {
-                let _ = e.close.try_send(());
+                let _ = e.evict.try_send(());
             }
             keep
         });
@@ -131,44 +131,44 @@
 
 /// A connection's place.
 #[derive(Debug)]
-pub struct Door {
+pub struct AdmittedConnection {
     id: u64,
-    doors: Arc<Doors>,
-    closed: Receiver<()>,
+    admission: Arc<Admission>,
+    evicted: Receiver<()>,
 }
 
-impl Door {
+impl AdmittedConnection {
     /// Ends when the connection is to be closed.
-    pub async fn closed(&self) {
+    pub async fn wait_for_eviction(&self) {
         // Nothing else is ever sent.
-        let _ = self.closed.recv().await;
+        let _ = self.evicted.recv().await;
     }
 
-    fn now(&self, doing: Doing) {
-        if let Some(e) = self.doors.lock().1.get_mut(&self.id) {
-            e.doing = doing;
+    fn set_activity(&self, activity: Activity) {
+        if let Some(e) = self.admission.lock().1.get_mut(&self.id) {
+            e.activity = activity;
             e.since = Instant::now();
         }
     }
 
     /// It waits for a request.
-    pub fn idle(&self) {
-        self.now(Doing::Idle);
+    pub fn set_idle(&self) {
+        self.set_activity(Activity::Idle);
     }
 
     /// A request has begun.
-    pub fn reading(&self) {
-        self.now(Doing::Reading);
+    pub fn set_reading(&self) {
+        self.set_activity(Activity::Reading);
     }
 
     /// A request is complete. False: it is a worker's, and workers have all the places that they may.
-    pub fn answering(&self, worker: bool) -> bool {
-        self.now(Doing::Answering);
-        let mut open = self.doors.lock();
+    pub fn set_answering(&self, worker: bool) -> bool {
+        self.set_activity(Activity::Answering);
+        let mut open = self.admission.lock();
         if !worker || open.1.get(&self.id).is_none_or(|e| e.worker) {
             return true;
         }
-        let full = open.1.values().filter(|e| e.worker).count() >= self.doors.division.workers;
+        let full = open.1.values().filter(|e| e.worker).count() >= self.admission.budget.workers;
         if !full && let Some(e) = open.1.get_mut(&self.id) {
             e.worker = true;
         }
@@ -176,9 +176,9 @@
     }
 }
 
-impl Drop for Door {
+impl Drop for AdmittedConnection {
     fn drop(&mut self) {
-        self.doors.lock().1.remove(&self.id);
+        self.admission.lock().1.remove(&self.id);
     }
 }
 
@@ -188,17 +188,17 @@
 
     const REPORT: Duration = Duration::from_secs(5);
 
-    fn doors(incoming: usize, workers: usize) -> Arc<Doors> {
-        let division = Division {
+    fn admission(incoming: usize, workers: usize) -> Arc<Admission> {
+        let budget = SocketBudget {
             incoming,
             workers,
             commands: 2,
         };
-        Doors::new(division, REPORT, 5 * REPORT)
+        Admission::new(budget, REPORT, 5 * REPORT)
     }
 
-    fn is_closed(door: &Door) -> bool {
-        door.closed.try_recv().is_ok()
+    fn is_evicted(connection: &AdmittedConnection) -> bool {
+        connection.evicted.try_recv().is_ok()
     }
 
     #[test]
@@ -206,7 +206,7 @@
         // Guard: half of the sockets used to be for those who come in. With two of three controllers
         // away that was less than there were workers, and leases ran out.
         for (sockets, workers) in [(3490, 1848), (3588, 2131), (1800, 960)] {
-            let d = Division::of(sockets);
+            let d = SocketBudget::of(sockets);
             assert!(d.workers >= workers, "{d:?} for {workers} workers");
             assert!(d.incoming - d.workers >= 150, "{d:?}");
             assert!(d.incoming + d.commands + 64 <= sockets as usize, "{d:?}");
@@ -215,50 +215,50 @@
 
     #[test]
     fn what_is_idle_gives_way_and_workers_that_report_do_not() {
-        let doors = doors(3, 2);
+        let admission = admission(3, 2);
         let now = Instant::now();
-        let enter = |at: Instant| doors.enter(at);
-        let worker = enter(now).expect("a place");
-        assert!(worker.answering(true));
-        worker.idle();
-        let user = enter(now).expect("a place");
-        let busy = enter(now).expect("a place");
-        busy.reading();
+        let admit = |at: Instant| admission.admit(at);
+        let worker = admit(now).expect("a place");
+        assert!(worker.set_answering(true));
+        worker.set_idle();
+        let user = admit(now).expect("a place");
+        let busy = admit(now).expect("a place");
+        busy.set_reading();
         // Full: the idle user goes, neither the worker nor who is in a request.
-        let second = enter(now + REPORT).expect("the idle user's place");
-        assert!(is_closed(&user) && !is_closed(&worker) && !is_closed(&busy));
-        second.reading();
+        let second = admit(now + REPORT).expect("the idle user's place");
+        assert!(is_evicted(&user) && !is_evicted(&worker) && !is_evicted(&busy));
+        second.set_reading();
         // Guard: a refusal, and not a live worker's place, for both would come back in turns.
-        assert!(enter(now + REPORT).is_none());
+        assert!(admit(now + REPORT).is_none());
         // A machine that has fallen silent goes first.
-        assert!(enter(now + 3 * REPORT).is_some());
-        assert!(is_closed(&worker));
+        assert!(admit(now + 3 * REPORT).is_some());
+        assert!(is_evicted(&worker));
     }
 
     #[test]
     fn workers_leave_places_to_users_and_health_checks() {
-        let doors = doors(8, 2);
+        let admission = admission(8, 2);
         let now = Instant::now();
-        let all: Vec<Door> = (0..3).filter_map(|_| doors.enter(now)).collect();
-        let taken: Vec<bool> = all.iter().map(|d| d.answering(true)).collect();
+        let all: Vec<AdmittedConnection> = (0..3).filter_map(|_| admission.admit(now)).collect();
+        let taken: Vec<bool> = all.iter().map(|d| d.set_answering(true)).collect();
         assert_eq!(taken, [true, true, false]);
         // Who already has a worker's place keeps it, and a place that is left can be taken again.
-        assert!(all[0].answering(true));
+        assert!(all[0].set_answering(true));
         drop(all);
-        assert!(doors.enter(now).is_some_and(|d| d.answering(true)));
+        assert!(admission.admit(now).is_some_and(|d| d.set_answering(true)));
     }
 
     #[test]
     fn connections_of_silent_machines_and_unfinished_requests_are_swept() {
-        let doors = doors(8, 8);
+        let admission = admission(8, 8);
         let now = Instant::now();
-        let all: Vec<Door> = (0..4).filter_map(|_| doors.enter(now)).collect();
-        all[0].answering(true);
-        all[0].idle();
-        all[1].reading();
-        all[2].answering(false);
-        doors.sweep(now + 6 * REPORT);
-        let closed: Vec<bool> = all.iter().map(is_closed).collect();
-        assert_eq!(closed, [true, true, false, false]);
+        let all: Vec<AdmittedConnection> = (0..4).filter_map(|_| admission.admit(now)).collect();
+        all[0].set_answering(true);
+        all[0].set_idle();
+        all[1].set_reading();
+        all[2].set_answering(false);
+        admission.close_stale(now + 6 * REPORT);
+        let evicted: Vec<bool> = all.iter().map(is_evicted).collect();
+        assert_eq!(evicted, [true, true, false, false]);
     }
 }
--- a/crates/tidelatch/src/daemon.rs
+++ b/crates/tidelatch/src/daemon.rs
@@ -1,8 +1,8 @@
 //! Sockets and timers round the core. One thread does all the work.
 
-use crate::doors::{Division, Door, Doors};
-use crate::http::{self, Client, Connection, Fault};
-use crate::peers::{self, Peers};
+use crate::admission::{Admission, AdmittedConnection, SocketBudget};
+use crate::http::{self, Client, Connection, HttpError};
+use crate::peers::{self, PeerClients};
 use smol::channel::{Receiver, Sender};
 use smol::future::FutureExt;
 use smol::net::TcpListener;
@@ -20,7 +20,7 @@
 
 /// What keeps the daemon from running.
 #[derive(Debug, thiserror::Error)]
-pub enum Stop {
+pub enum StartError {
     /// An address cannot be listened on.
     #[error("cannot listen on {address}: {source}")]
     Listen {
@@ -82,25 +82,25 @@
     }
 }
 
-fn address(text: &str) -> Result<SocketAddr, Stop> {
-    text.parse().map_err(|_| Stop::Address(text.to_owned()))
+fn address(text: &str) -> Result<SocketAddr, StartError> {
+    text.parse().map_err(|_| StartError::Address(text.to_owned()))
 }
 
-async fn listen(text: &str) -> Result<TcpListener, Stop> {
+async fn listen(text: &str) -> Result<TcpListener, StartError> {
     let to = address(text)?;
-    TcpListener::bind(to).await.map_err(|source| Stop::Listen {
+    TcpListener::bind(to).await.map_err(|source| StartError::Listen {
         address: text.to_owned(),
         source,
     })
 }
 
 /// Runs a controller until the process ends.
-pub fn run(settings: Settings) -> Result<(), Stop> {
+pub fn run(settings: Settings) -> Result<(), StartError> {
     let executor = Arc::new(Executor::new());
     smol::block_on(executor.clone().run(serve(executor.clone(), settings)))
 }
 
-async fn serve(executor: Arc<Executor<'static>>, settings: Settings) -> Result<(), Stop> {
+async fn serve(executor: Arc<Executor<'static>>, settings: Settings) -> Result<(), StartError> {
     let platform = &settings.platform;
     let users = listen(&platform.api_addr).await?;
     let siblings = listen(&platform.peer_listen).await?;
@@ -111,12 +111,12 @@
         env!("CARGO_PKG_VERSION"),
         platform.api_addr
     );
-    let division = Division::of(platform.facts.machine_limits.sockets);
+    let budget = SocketBudget::of(platform.facts.machine_limits.sockets);
     let workers = &platform.facts.workers;
     let [report, lease] = [workers.report_s, workers.lease_s].map(|s| Duration::from_secs_f64(s.max(0.5)));
-    let doors = Doors::new(division, report, lease);
+    let admission = Admission::new(budget, report, lease);
     executor
-        .spawn(accept(executor.clone(), users, events.clone(), doors.clone()))
+        .spawn(accept(executor.clone(), users, events.clone(), admission.clone()))
         .detach();
     executor
         .spawn(peers::serve(
@@ -127,58 +127,58 @@
             lease,
         ))
         .detach();
-    let mut hands = Hands::new(&executor, &settings, events, division)?;
+    let mut dispatcher = Dispatcher::new(&executor, &settings, events, budget)?;
     // Every life of a process needs a number of its own; random ones do not depend on any clock.
     let incarnation = Incarnation(fastrand::u64(1..1 << 40) << 12);
     let clock = Clock(Instant::now());
     let core = Controller::new(settings, incarnation, clock.now());
-    drive(core, clock, inbox, &mut hands, &doors).await;
+    run_event_loop(core, clock, inbox, &mut dispatcher, &admission).await;
     Ok(())
 }
 
 /// Time between two ticks of the core.
-const TICK: Duration = Duration::from_millis(100);
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What has come in and waits for the core, by how soon it is needed.
 #[derive(Default)]
 struct Inbox {
     /// Health checks, and the ends of calls: leases, watches and peers' promises hang on them.
-    first: VecDeque<Event>,
+    urgent: VecDeque<Event>,
     /// Reports and users' requests, each with the time of its coming, in turns.
     reports: VecDeque<(Instant, Event)>,
     users: VecDeque<(Instant, Event)>,
-    turn: bool,
+    reports_first: bool,
 }
 
 impl Inbox {
-    fn put(&mut self, event: Event, now: Instant) {
+    fn push(&mut self, event: Event, now: Instant) {
         match &event {
-            Event::Request { path, .. } if path == REPORT => self.reports.push_back((now, event)),
+            Event::Request { path, .. } if path == REPORT_PATH => self.reports.push_back((now, event)),
             Event::Request { path, .. } if path != "/up" => self.users.push_back((now, event)),
             Event::Peer {
                 request: PeerRequest::Relay { .. },
                 ..
             } => self.reports.push_back((now, event)),
-            _ => self.first.push_back(event),
+            _ => self.urgent.push_back(event),
         }
     }
 
     /// The next event, and whether its sender waits for an answer no longer.
-    fn take(&mut self, now: Instant) -> Option<(Event, bool)> {
-        if let Some(event) = self.first.pop_front() {
+    fn pop(&mut self, now: Instant) -> Option<(Event, bool)> {
+        if let Some(event) = self.urgent.pop_front() {
             return Some((event, false));
         }
-        self.turn = !self.turn;
-        let (one, other) = if self.turn {
+        self.reports_first = !self.reports_first;
+        let (preferred, other) = if self.reports_first {
             (&mut self.reports, &mut self.users)
         } else {
             (&mut self.users, &mut self.reports)
         };
-        let (at, event) = one.pop_front().or_else(|| other.pop_front())?;
+        let (at, event) = preferred.pop_front().or_else(|| other.pop_front())?;
         let waited = now.saturating_duration_since(at);
         let late = match &event {
             Event::Request { method, .. } if *method == Method::Get => waited > POLL_PATIENCE,
-            Event::Request { path, .. } if path == REPORT => waited > REPORT_PATIENCE,
+            Event::Request { path, .. } if path == REPORT_PATH => waited > REPORT_PATIENCE,
             Event::Request { .. } => waited > SUBMIT_PATIENCE,
             _ => waited > REPORT_PATIENCE,
         };
@@ -187,47 +187,53 @@
 }
 
 /// Path of workers' reports.
-const REPORT: &str = "/agent/beat";
+const REPORT_PATH: &str = "/agent/beat";
 /// PROTOCOL's patience of those who ask: a poll, a report, a submission. What has waited for longer is
 /// refused without being looked at, so that time goes to those who still wait.
 const POLL_PATIENCE: Duration = Duration::from_secs(2);
 const REPORT_PATIENCE: Duration = Duration::from_secs(4);
 const SUBMIT_PATIENCE: Duration = Duration::from_secs(5);
 
-async fn drive(mut core: Controller, clock: Clock, inbox: Receiver<Event>, hands: &mut Hands, doors: &Doors) {
+async fn run_event_loop(
+    mut core: Controller,
+    clock: Clock,
+    inbox: Receiver<Event>,
+    dispatcher: &mut Dispatcher,
+    admission: &Admission,
+) {
     let mut waiting = Inbox::default();
     let mut next_tick = Instant::now();
-    let mut reap_at = next_tick + Client::REAP;
+    let mut next_idle_check = next_tick + Client::IDLE_CHECK_INTERVAL;
     // One timer for all ticks: to make one anew for each event costs system calls.
     let mut timer = Timer::at(next_tick);
     loop {
         let now = Instant::now();
         while let Ok(event) = inbox.try_recv() {
-            waiting.put(event, now);
+            waiting.push(event, now);
         }
         // Under a flood of events time passes all the same.
         if now >= next_tick {
-            next_tick = now + TICK;
+            next_tick = now + TICK_INTERVAL;
             timer.set_at(next_tick);
-            if now >= reap_at {
-                reap_at = now + Client::REAP;
-                hands.client.reap();
-                doors.sweep(now);
+            if now >= next_idle_check {
+                next_idle_check = now + Client::IDLE_CHECK_INTERVAL;
+                dispatcher.client.close_idle();
+                admission.close_stale(now);
             }
-            hands.end_overdue(now);
+            dispatcher.expire_calls(now);
             for output in core.step(clock.now(), Input::Tick) {
-                hands.carry_out(output);
+                dispatcher.carry_out(output);
             }
         }
-        match waiting.take(now) {
+        match waiting.pop(now) {
             Some((event, false)) => {
-                let input = hands.input(event);
+                let input = dispatcher.input(event);
                 for output in core.step(clock.now(), input) {
-                    hands.carry_out(output);
+                    dispatcher.carry_out(output);
                 }
                 smol::future::yield_now().await;
             }
-            Some((event, true)) => refuse(event),
+            Some((event, true)) => reject_expired(event),
             None => {
                 let event = async { inbox.recv().await.ok() }
                     .or(async {
@@ -236,7 +242,7 @@
                     })
                     .await;
                 if let Some(event) = event {
-                    waiting.put(event, Instant::now());
+                    waiting.push(event, Instant::now());
                 }
             }
         }
@@ -244,7 +250,7 @@
 }
 
 /// Answers who has given up by now, with no other work.
-fn refuse(event: Event) {
+fn reject_expired(event: Event) {
     let answer = Answer::later(503, 1, "overloaded");
     // Whoever asked may have gone away.
     match event {
@@ -255,67 +261,67 @@
 }
 
 impl Client {
-    const REAP: Duration = Duration::from_secs(2);
+    const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 }
 
 /// Calls that are under way, and when each has no answer. They are looked at with each tick: a timer for
 /// each call costs system calls.
 #[derive(Default)]
-struct Overdue {
+struct CallDeadlines {
     by_time: BTreeMap<(Instant, u64), Sender<()>>,
-    of: HashMap<u64, Instant>,
+    by_call: HashMap<u64, Instant>,
 }
 
-impl Overdue {
-    /// What tells a call that its time is over.
-    fn add(&mut self, call: u64, ms: u64) -> Receiver<()> {
-        let at = Instant::now() + Duration::from_millis(ms);
-        let (over, told) = smol::channel::bounded(1);
-        self.by_time.insert((at, call), over);
-        self.of.insert(call, at);
-        told
+impl CallDeadlines {
+    /// Begins the time limit of a call; the receiver gets a message once it is over.
+    fn start(&mut self, call: u64, timeout_ms: u64) -> Receiver<()> {
+        let at = Instant::now() + Duration::from_millis(timeout_ms);
+        let (expired, expiry) = smol::channel::bounded(1);
+        self.by_time.insert((at, call), expired);
+        self.by_call.insert(call, at);
+        expiry
     }
 
-    fn end(&mut self, call: u64) {
-        if let Some(at) = self.of.remove(&call) {
+    fn finish(&mut self, call: u64) {
+        if let Some(at) = self.by_call.remove(&call) {
             self.by_time.remove(&(at, call));
         }
     }
 
-    fn tell(&mut self, now: Instant) {
-        while let Some(((at, call), over)) = self.by_time.pop_first() {
+    fn expire(&mut self, now: Instant) {
+        while let Some(((at, call), expired)) = self.by_time.pop_first() {
             if at > now {
-                self.by_time.insert((at, call), over);
+                self.by_time.insert((at, call), expired);
                 return;
             }
-            self.of.remove(&call);
-            let _ = over.try_send(());
+            self.by_call.remove(&call);
+            let _ = expired.try_send(());
         }
     }
 }
 
 /// Carries out what the core wants.
-struct Hands {
+struct Dispatcher {
     executor: Arc<Executor<'static>>,
     client: Client,
-    peers: Peers,
+    peers: PeerClients,
     state: SocketAddr,
     cloud: SocketAddr,
     siblings: HashMap<ControllerId, SocketAddr>,
     events: Sender<Event>,
-    next: u64,
-    overdue: Overdue,
+    next_request: u64,
+    deadlines: CallDeadlines,
     requests: HashMap<u64, Sender<Answer>>,
-    questions: HashMap<u64, Sender<PeerReply>>,
+    peer_requests: HashMap<u64, Sender<PeerReply>>,
 }
 
-impl Hands {
+impl Dispatcher {
     fn new(
         executor: &Arc<Executor<'static>>,
         settings: &Settings,
         events: Sender<Event>,
-        division: Division,
-    ) -> Result<Self, Stop> {
+        budget: SocketBudget,
+    ) -> Result<Self, StartError> {
         let platform = &settings.platform;
         let mut siblings = HashMap::new();
         for s in &platform.siblings {
@@ -323,22 +329,22 @@
         }
         Ok(Self {
             executor: executor.clone(),
-            client: Client::new(division.commands),
-            peers: Peers::new(executor.clone()),
+            client: Client::new(budget.commands),
+            peers: PeerClients::new(executor.clone()),
             state: address(&platform.outside.state)?,
             cloud: address(&platform.outside.cloud)?,
             siblings,
             events,
-            next: 1,
-            overdue: Overdue::default(),
+            next_request: 1,
+            deadlines: CallDeadlines::default(),
             requests: HashMap::new(),
-            questions: HashMap::new(),
+            peer_requests: HashMap::new(),
         })
     }
 
     fn input(&mut self, event: Event) -> Input {
-        let id = self.next;
-        self.next += 1;
+        let id = self.next_request;
+        self.next_request += 1;
         match event {
             Event::Request {
                 method,
@@ -350,23 +356,23 @@
                 Input::Request { id, method, path, body }
             }
             Event::Peer { request, reply } => {
-                self.questions.insert(id, reply);
+                self.peer_requests.insert(id, reply);
                 Input::PeerRequest { id, request }
             }
             Event::Reply { call, result } => {
-                self.overdue.end(call);
+                self.deadlines.finish(call);
                 Input::Reply { call, result }
             }
             Event::PeerReply { call, result } => {
-                self.overdue.end(call);
+                self.deadlines.finish(call);
                 Input::PeerReply { call, result }
             }
         }
     }
 
     /// Ends the calls whose time is over.
-    fn end_overdue(&mut self, now: Instant) {
-        self.overdue.tell(now);
+    fn expire_calls(&mut self, now: Instant) {
+        self.deadlines.expire(now);
     }
 
     fn carry_out(&mut self, output: Output) {
@@ -378,7 +384,7 @@
                 }
             }
             Output::Tell { id, reply } => {
-                if let Some(to) = self.questions.remove(&id) {
+                if let Some(to) = self.peer_requests.remove(&id) {
                     let _ = to.try_send(reply);
                 }
             }
@@ -402,7 +408,7 @@
                 };
                 let worker = matches!(target, Target::Worker(_));
                 let (client, events) = (self.client.clone(), self.events.clone());
-                let over = self.overdue.add(id, timeout_ms);
+                let expiry = self.deadlines.start(id, timeout_ms);
                 self.executor
                     .spawn(async move {
                         let stage = AtomicU8::new(http::WAITING);
@@ -410,13 +416,13 @@
                             let to = to?;
                             match client.call(to, worker, method, &path, &body, &stage).await {
                                 Ok(answer) => Some(answer),
-                                Err(fault) => {
-                                    tracing::debug!("{to}{path}: {fault}");
+                                Err(error) => {
+                                    tracing::debug!("{to}{path}: {error}");
                                     None
                                 }
                             }
                         };
-                        let result = called.or(given_up(over)).await;
+                        let result = called.or(timed_out(expiry)).await;
                         let unsent = || match stage.load(Ordering::Relaxed) {
                             http::WAITING => Some((NOT_TRIED, Vec::new())),
                             http::CONNECTING => Some((NOT_SENT, Vec::new())),
@@ -435,14 +441,14 @@
             } => {
                 let to = self.siblings.get(&to).copied();
                 let (peers, events) = (self.peers.clone(), self.events.clone());
-                let over = self.overdue.add(id, timeout_ms);
+                let expiry = self.deadlines.start(id, timeout_ms);
                 self.executor
                     .spawn(async move {
                         let result = match to {
                             Some(to) => {
-                                let result = peers.ask(to, request).or(given_up(over)).await;
+                                let result = peers.ask(to, request).or(timed_out(expiry)).await;
                                 if result.is_none() {
-                                    peers.forget(to);
+                                    peers.disconnect(to);
                                 }
                                 result
                             }
@@ -456,20 +462,25 @@
     }
 }
 
-async fn given_up<T>(over: Receiver<()>) -> Option<T> {
+async fn timed_out<T>(expiry: Receiver<()>) -> Option<T> {
     // Nothing is sent but the end of its time.
-    let _ = over.recv().await;
+    let _ = expiry.recv().await;
     None
 }
 
-async fn accept(executor: Arc<Executor<'static>>, listener: TcpListener, events: Sender<Event>, doors: Arc<Doors>) {
+async fn accept(
+    executor: Arc<Executor<'static>>,
+    listener: TcpListener,
+    events: Sender<Event>,
+    admission: Arc<Admission>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of sockets, most likely: some will close soon.
-            Timer::after(TICK).await;
+            Timer::after(TICK_INTERVAL).await;
             continue;
         };
-        let Some(door) = doors.enter(Instant::now()) else {
+        let Some(admitted) = admission.admit(Instant::now()) else {
             drop(stream);
             continue;
         };
@@ -477,12 +488,14 @@
         executor
             .spawn(async move {
                 let ended = async {
-                    door.closed().await;
+                    admitted.wait_for_eviction().await;
                     Ok(())
                 };
-                let served = converse(Connection::new(stream), events, &door).or(ended).await;
-                if let Err(fault) = served {
-                    tracing::debug!("a connection ended: {fault}");
+                let served = serve_connection(Connection::new(stream), events, &admitted)
+                    .or(ended)
+                    .await;
+                if let Err(error) = served {
+                    tracing::debug!("a connection ended: {error}");
                 }
             })
             .detach();
@@ -490,32 +503,36 @@
 }
 
 /// Serves one connection, request after request.
-async fn converse(mut connection: Connection, events: Sender<Event>, door: &Door) -> Result<(), Fault> {
+async fn serve_connection(
+    mut connection: Connection,
+    events: Sender<Event>,
+    admitted: &AdmittedConnection,
+) -> Result<(), HttpError> {
     loop {
-        door.idle();
-        match connection.wait().await {
-            Err(Fault::Closed) => return Ok(()),
+        admitted.set_idle();
+        match connection.wait_for_request().await {
+            Err(HttpError::Closed) => return Ok(()),
             other => other?,
         }
-        door.reading();
-        let request = match connection.request().await {
+        admitted.set_reading();
+        let request = match connection.read_request().await {
             Ok(request) => request,
-            Err(fault) => {
-                let status = match fault {
-                    Fault::Malformed => 400,
-                    Fault::BodyTooLarge => 413,
-                    Fault::HeadTooLarge => 431,
-                    Fault::Closed | Fault::Io(_) => return Err(fault),
+            Err(error) => {
+                let status = match error {
+                    HttpError::Malformed => 400,
+                    HttpError::BodyTooLarge => 413,
+                    HttpError::HeadTooLarge => 431,
+                    HttpError::Closed | HttpError::Io(_) => return Err(error),
                 };
                 connection
-                    .respond(status, None, br#"{"error":"malformed or too large"}"#, false)
+                    .write_response(status, None, br#"{"error":"malformed or too large"}"#, false)
                     .await?;
                 return Ok(());
             }
         };
-        if !door.answering(request.path == REPORT) {
+        if !admitted.set_answering(request.path == REPORT_PATH) {
             let full = br#"{"error":"too many workers report here"}"#;
-            connection.respond(503, Some(1), full, false).await?;
+            connection.write_response(503, Some(1), full, false).await?;
             return Ok(());
         }
         let method = match request.method.as_str() {
@@ -524,7 +541,7 @@
             "DELETE" => Method::Delete,
             _ => {
                 connection
-                    .respond(405, None, br#"{"error":"method not allowed"}"#, request.keep_alive)
+                    .write_response(405, None, br#"{"error":"method not allowed"}"#, request.keep_alive)
                     .await?;
                 continue;
             }
@@ -541,7 +558,7 @@
         }
         let Ok(answer) = answer.recv().await else { return Ok(()) };
         connection
-            .respond(
+            .write_response(
                 answer.status,
                 answer.retry_after_s,
                 answer.body.as_bytes(),
@@ -584,15 +601,15 @@
         let mut inbox = Inbox::default();
         let then = Instant::now();
         let (poll, polled) = request(Method::Get, "/submissions/job-000001");
-        inbox.put(poll, then);
+        inbox.push(poll, then);
         for _ in 0..2 {
-            inbox.put(request(Method::Post, REPORT).0, then);
+            inbox.push(request(Method::Post, REPORT_PATH).0, then);
         }
-        inbox.put(request(Method::Post, "/submissions").0, then);
-        inbox.put(request(Method::Get, "/up").0, then);
-        inbox.put(Event::Reply { call: 1, result: None }, then);
+        inbox.push(request(Method::Post, "/submissions").0, then);
+        inbox.push(request(Method::Get, "/up").0, then);
+        inbox.push(Event::Reply { call: 1, result: None }, then);
         let now = then + Duration::from_secs(3);
-        let taken: Vec<(Event, bool)> = std::iter::from_fn(|| inbox.take(now)).collect();
+        let taken: Vec<(Event, bool)> = std::iter::from_fn(|| inbox.pop(now)).collect();
         let order: Vec<(&str, bool)> = taken.iter().map(|(e, late)| (path(e), *late)).collect();
         // After 3 s a poll is late, a report and a submission are not; reports and users take turns.
         assert_eq!(
@@ -600,15 +617,15 @@
             [
                 ("/up", false),
                 ("reply", false),
-                (REPORT, false),
+                (REPORT_PATH, false),
                 ("/submissions/job-000001", true),
-                (REPORT, false),
+                (REPORT_PATH, false),
                 ("/submissions", false),
             ]
         );
         for (event, late) in taken {
             if late {
-                refuse(event);
+                reject_expired(event);
             }
         }
         let answer = polled.try_recv().expect("an answer at once");
@@ -617,14 +634,18 @@
 
     #[test]
     fn calls_end_when_their_time_is_over_and_not_before() {
-        let mut overdue = Overdue::default();
+        let mut deadlines = CallDeadlines::default();
         let now = Instant::now();
-        let (short, long, ended) = (overdue.add(1, 500), overdue.add(2, 5000), overdue.add(3, 500));
-        overdue.end(3);
-        overdue.tell(now + Duration::from_secs(2));
+        let (short, long, ended) = (
+            deadlines.start(1, 500),
+            deadlines.start(2, 5000),
+            deadlines.start(3, 500),
+        );
+        deadlines.finish(3);
+        deadlines.expire(now + Duration::from_secs(2));
         assert!(short.try_recv().is_ok());
         assert!(long.try_recv().is_err() && !long.is_closed());
         assert!(ended.try_recv().is_err());
-        assert_eq!(overdue.of.len(), 1);
+        assert_eq!(deadlines.by_call.len(), 1);
     }
 }
--- a/crates/tidelatch/src/http.rs
+++ b/crates/tidelatch/src/http.rs
@@ -20,7 +20,7 @@
 
 /// What went wrong with a message.
 #[derive(Debug, thiserror::Error)]
-pub enum Fault {
+pub enum HttpError {
     /// The connection failed or ended within a message.
     #[error("connection: {0}")]
     Io(#[from] std::io::Error),
@@ -72,7 +72,7 @@
         }
     }
 
-    async fn fill(&mut self) -> Result<usize, Fault> {
+    async fn read_more(&mut self) -> Result<usize, HttpError> {
         let mut chunk = [0u8; 4096];
         let n = self.stream.read(&mut chunk).await?;
         self.buffer.extend_from_slice(chunk.get(..n).unwrap_or_default());
@@ -80,20 +80,20 @@
     }
 
     /// Waits until the first byte of a message is there.
-    pub async fn wait(&mut self) -> Result<(), Fault> {
-        if self.buffer.is_empty() && self.fill().await? == 0 {
-            return Err(Fault::Closed);
+    pub async fn wait_for_request(&mut self) -> Result<(), HttpError> {
+        if self.buffer.is_empty() && self.read_more().await? == 0 {
+            return Err(HttpError::Closed);
         }
         Ok(())
     }
 
     /// Reads a request.
-    pub async fn request(&mut self) -> Result<Request, Fault> {
+    pub async fn read_request(&mut self) -> Result<Request, HttpError> {
         loop {
             let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut parsed = httparse::Request::new(&mut headers);
             match parsed.parse(&self.buffer) {
-                Ok(httparse::Status::Complete(head)) if head > HEAD_LIMIT => return Err(Fault::HeadTooLarge),
+                Ok(httparse::Status::Complete(head)) if head > HEAD_LIMIT => return Err(HttpError::HeadTooLarge),
                 Ok(httparse::Status::Complete(head)) => {
                     let method = parsed.method.unwrap_or_default().to_owned();
                     let path = parsed.path.unwrap_or_default().to_owned();
@@ -112,7 +112,7 @@
                         Length::UntilClose => Length::Fixed(0),
                         other => other,
                     };
-                    let body = self.body(length, BODY_LIMIT).await?;
+                    let body = self.read_body(length, BODY_LIMIT).await?;
                     return Ok(Request {
                         method,
                         path,
@@ -120,20 +120,20 @@
                         keep_alive,
                     });
                 }
-                Ok(httparse::Status::Partial) if self.buffer.len() > HEAD_LIMIT => return Err(Fault::HeadTooLarge),
+                Ok(httparse::Status::Partial) if self.buffer.len() > HEAD_LIMIT => return Err(HttpError::HeadTooLarge),
                 Ok(httparse::Status::Partial) => {
-                    if self.fill().await? == 0 {
-                        return Err(Fault::Closed);
+                    if self.read_more().await? == 0 {
+                        return Err(HttpError::Closed);
                     }
                 }
-                Err(httparse::Error::TooManyHeaders) => return Err(Fault::HeadTooLarge),
-                Err(_) => return Err(Fault::Malformed),
+                Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
+                Err(_) => return Err(HttpError::Malformed),
             }
         }
     }
 
     /// Reads a response: status, body, and whether the connection may be used again.
-    async fn response(&mut self) -> Result<(u16, Vec<u8>, bool), Fault> {
+    async fn read_response(&mut self) -> Result<(u16, Vec<u8>, bool), HttpError> {
         loop {
             let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut parsed = httparse::Response::new(&mut headers);
@@ -155,36 +155,36 @@
                         length
                     };
                     keep_alive &= !matches!(length, Length::UntilClose);
-                    let body = self.body(length, RESPONSE_LIMIT).await?;
+                    let body = self.read_body(length, RESPONSE_LIMIT).await?;
                     return Ok((status, body, keep_alive));
                 }
-                Ok(httparse::Status::Partial) if self.buffer.len() > HEAD_LIMIT => return Err(Fault::HeadTooLarge),
+                Ok(httparse::Status::Partial) if self.buffer.len() > HEAD_LIMIT => return Err(HttpError::HeadTooLarge),
                 Ok(httparse::Status::Partial) => {
-                    if self.fill().await? == 0 {
-                        return Err(Fault::Closed);
+                    if self.read_more().await? == 0 {
+                        return Err(HttpError::Closed);
                     }
                 }
-                Err(_) => return Err(Fault::Malformed),
+                Err(_) => return Err(HttpError::Malformed),
             }
         }
     }
 
-    async fn body(&mut self, length: Length, limit: usize) -> Result<Vec<u8>, Fault> {
+    async fn read_body(&mut self, length: Length, limit: usize) -> Result<Vec<u8>, HttpError> {
         match length {
-            Length::Fixed(n) if n > limit => Err(Fault::BodyTooLarge),
+            Length::Fixed(n) if n > limit => Err(HttpError::BodyTooLarge),
             Length::Fixed(n) => {
                 while self.buffer.len() < n {
-                    if self.fill().await? == 0 {
-                        return Err(Fault::Closed);
+                    if self.read_more().await? == 0 {
+                        return Err(HttpError::Closed);
                     }
                 }
                 let rest = self.buffer.split_off(n);
                 Ok(std::mem::replace(&mut self.buffer, rest))
             }
             Length::UntilClose => {
-                while self.fill().await? > 0 {
+                while self.read_more().await? > 0 {
                     if self.buffer.len() > limit {
-                        return Err(Fault::BodyTooLarge);
+                        return Err(HttpError::BodyTooLarge);
                     }
                 }
                 Ok(std::mem::take(&mut self.buffer))
@@ -194,9 +194,9 @@
                 loop {
                     match httparse::parse_chunk_size(&self.buffer) {
                         Ok(httparse::Status::Complete((head, size))) => {
-                            let size = usize::try_from(size).map_err(|_| Fault::BodyTooLarge)?;
+                            let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLarge)?;
                             if size > limit || body.len() + size > limit {
-                                return Err(Fault::BodyTooLarge);
+                                return Err(HttpError::BodyTooLarge);
                             }
                             self.buffer.drain(..head);
                             if size == 0 {
@@ -208,30 +208,30 @@
                                             return Ok(body);
                                         }
                                     } else if self.buffer.len() > HEAD_LIMIT {
-                                        return Err(Fault::HeadTooLarge);
-                                    } else if self.fill().await? == 0 {
-                                        return Err(Fault::Closed);
+                                        return Err(HttpError::HeadTooLarge);
+                                    } else if self.read_more().await? == 0 {
+                                        return Err(HttpError::Closed);
                                     }
                                 }
                             }
                             while self.buffer.len() < size + 2 {
-                                if self.fill().await? == 0 {
-                                    return Err(Fault::Closed);
+                                if self.read_more().await? == 0 {
+                                    return Err(HttpError::Closed);
                                 }
                             }
                             body.extend(self.buffer.drain(..size));
                             if self.buffer.get(..2) != Some(b"\r\n") {
-                                return Err(Fault::Malformed);
+                                return Err(HttpError::Malformed);
                             }
                             self.buffer.drain(..2);
                         }
-                        Ok(httparse::Status::Partial) if self.buffer.len() > 1024 => return Err(Fault::Malformed),
+                        Ok(httparse::Status::Partial) if self.buffer.len() > 1024 => return Err(HttpError::Malformed),
                         Ok(httparse::Status::Partial) => {
-                            if self.fill().await? == 0 {
-                                return Err(Fault::Closed);
+                            if self.read_more().await? == 0 {
+                                return Err(HttpError::Closed);
                             }
                         }
-                        Err(_) => return Err(Fault::Malformed),
+                        Err(_) => return Err(HttpError::Malformed),
                     }
                 }
             }
@@ -239,13 +239,13 @@
     }
 
     /// Writes a response.
-    pub async fn respond(
+    pub async fn write_response(
         &mut self,
         status: u16,
         retry_after_s: Option<u32>,
         body: &[u8],
         keep_alive: bool,
-    ) -> Result<(), Fault> {
+    ) -> Result<(), HttpError> {
         let mut message = format!(
             "HTTP/1.1 {status} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
             reason(status),
@@ -265,28 +265,28 @@
     }
 }
 
-fn body_length(headers: &[httparse::Header<'_>]) -> Result<(Length, Option<bool>), Fault> {
+fn body_length(headers: &[httparse::Header<'_>]) -> Result<(Length, Option<bool>), HttpError> {
     let mut length = Length::UntilClose;
     let mut close = None;
     for h in headers {
-        let value = std::str::from_utf8(h.value).map_err(|_| Fault::Malformed)?.trim();
+        let value = std::str::from_utf8(h.value).map_err(|_| HttpError::Malformed)?.trim();
         if h.name.eq_ignore_ascii_case("content-length") {
-            let n = value.parse().map_err(|_| Fault::Malformed)?;
+            let n = value.parse().map_err(|_| HttpError::Malformed)?;
             match length {
-                Length::Fixed(before) if before != n => return Err(Fault::Malformed),
+                Length::Fixed(before) if before != n => return Err(HttpError::Malformed),
                 Length::Chunked => {}
                 _ => length = Length::Fixed(n),
             }
         } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
             if !value.eq_ignore_ascii_case("chunked") {
-                return Err(Fault::Malformed);
+                return Err(HttpError::Malformed);
             }
             length = Length::Chunked;
         } else if h.name.eq_ignore_ascii_case("connection") {
-            for word in value.split(',').map(str::trim) {
-                if word.eq_ignore_ascii_case("close") {
+            for option in value.split(',').map(str::trim) {
+                if option.eq_ignore_ascii_case("close") {
                     close = Some(true);
-                } else if word.eq_ignore_ascii_case("keep-alive") {
+                } else if option.eq_ignore_ascii_case("keep-alive") {
                     close = Some(false);
                 }
             }
@@ -321,68 +321,69 @@
 pub const SENT: u8 = 2;
 
 /// A connection that was opened, and its place among those to workers.
-struct Opened {
+struct PooledConnection {
     connection: Connection,
-    place: Option<SemaphoreGuardArc>,
+    permit: Option<SemaphoreGuardArc>,
 }
 
 /// An idle connection, and since when it is idle.
-type Kept = (Opened, Instant);
+type IdleConnection = (PooledConnection, Instant);
 
 /// A client that keeps a few connections to each address.
 #[derive(Clone)]
 pub struct Client {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Kept>>>>,
-    places: Arc<Semaphore>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    worker_permits: Arc<Semaphore>,
 }
 
 impl Client {
     /// Connections that have lain idle for longer are not used again.
-    const IDLE: Duration = Duration::from_secs(20);
+    const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
     /// Most idle connections to one address.
-    const KEPT: usize = 4;
+    const IDLE_PER_ADDRESS: usize = 4;
 
     /// A client that has at most so many connections to workers, idle ones included.
     pub fn new(most: usize) -> Self {
         Self {
             idle: Arc::default(),
-            places: Arc::new(Semaphore::new(most)),
+            worker_permits: Arc::new(Semaphore::new(most)),
         }
     }
 
-    fn pooled(&self, to: SocketAddr) -> Option<Opened> {
+    fn take_idle(&self, to: SocketAddr) -> Option<PooledConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.get_mut(&to)?;
         while let Some((connection, since)) = kept.pop() {
-            if since.elapsed() < Self::IDLE {
+            if since.elapsed() < Self::IDLE_TIMEOUT {
                 return Some(connection);
             }
         }
         None
     }
 
-    fn keep(&self, to: SocketAddr, connection: Opened) {
+    fn return_idle(&self, to: SocketAddr, connection: PooledConnection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.entry(to).or_default();
-        kept.retain(|(_, since)| since.elapsed() < Self::IDLE);
-        if kept.len() < Self::KEPT {
+        kept.retain(|(_, since)| since.elapsed() < Self::IDLE_TIMEOUT);
+        if kept.len() < Self::IDLE_PER_ADDRESS {
             kept.push((connection, Instant::now()));
         }
     }
 
     /// Closes idle connections.
-    pub fn reap(&self) {
+    pub fn close_idle(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for kept in idle.values_mut() {
-            kept.retain(|(_, since)| since.elapsed() < Self::IDLE);
+            kept.retain(|(_, since)| since.elapsed() < Self::IDLE_TIMEOUT);
         }
         idle.retain(|_, kept| !kept.is_empty());
     }
 
     /// Closes the connection to a worker that has lain idle for longest.
-    fn close_oldest(&self) {
+    fn close_oldest_worker_connection(&self) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let counted = |kept: &Vec<Kept>| kept.iter().filter(|(o, _)| o.place.is_some()).map(|(_, t)| *t).min();
+        let counted =
+            |kept: &Vec<IdleConnection>| kept.iter().filter(|(o, _)| o.permit.is_some()).map(|(_, t)| *t).min();
         let oldest = idle.iter().filter_map(|(to, kept)| Some((counted(kept)?, *to))).min();
         if let Some((since, to)) = oldest
             && let Some(kept) = idle.get_mut(&to)
@@ -393,15 +394,15 @@
 
     /// A place for a connection to a worker: an idle one's, or the next that becomes free. Whoever waits
     /// has sent nothing.
-    async fn place(&self) -> SemaphoreGuardArc {
-        if let Some(place) = self.places.try_acquire_arc() {
-            return place;
+    async fn worker_permit(&self) -> SemaphoreGuardArc {
+        if let Some(permit) = self.worker_permits.try_acquire_arc() {
+            return permit;
         }
-        self.close_oldest();
-        self.places.acquire_arc().await
+        self.close_oldest_worker_connection();
+        self.worker_permits.acquire_arc().await
     }
 
-    /// Makes a call. A fault says nothing of whether it was carried out, unless `stage` says that it has
+    /// Makes a call. An error says nothing of whether it was carried out, unless `stage` says that it has
     /// not come so far.
     pub async fn call(
         &self,
@@ -411,25 +412,25 @@
         path: &str,
         body: &str,
         stage: &AtomicU8,
-    ) -> Result<(u16, Vec<u8>), Fault> {
-        let mut opened = match self.pooled(to) {
+    ) -> Result<(u16, Vec<u8>), HttpError> {
+        let mut opened = match self.take_idle(to) {
             Some(opened) => opened,
             None => {
-                let place = if worker { Some(self.place().await) } else { None };
+                let permit = if worker { Some(self.worker_permit().await) } else { None };
                 stage.store(CONNECTING, Ordering::Relaxed);
-                Opened {
+                PooledConnection {
                     connection: Connection::new(TcpStream::connect(to).await?),
-                    place,
+                    permit,
                 }
             }
         };
         let connection = &mut opened.connection;
-        let word = match method {
+        let method_name = match method {
             Method::Get => "GET",
             Method::Post => "POST",
             Method::Delete => "DELETE",
         };
-        let mut message = format!("{word} {path} HTTP/1.1\r\nHost: {to}\r\n");
+        let mut message = format!("{method_name} {path} HTTP/1.1\r\nHost: {to}\r\n");
         if method == Method::Post {
             message.push_str(&format!(
                 "Content-Type: application/json\r\nContent-Length: {}\r\n",
@@ -442,9 +443,9 @@
         }
         stage.store(SENT, Ordering::Relaxed);
         connection.stream.write_all(message.as_bytes()).await?;
-        let (status, body, keep_alive) = connection.response().await?;
+        let (status, body, keep_alive) = connection.read_response().await?;
         if keep_alive && connection.buffer.is_empty() {
-            self.keep(to, opened);
+            self.return_idle(to, opened);
         }
         Ok((status, body))
     }
@@ -472,17 +473,17 @@
     fn requests_follow_each_other_on_one_connection() {
         let sent = b"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nConnection: close\r\n\r\n";
         read(sent, async |c| {
-            let first = c.request().await.expect("a request");
+            let first = c.read_request().await.expect("a request");
             assert_eq!(
                 (first.path.as_str(), first.body.as_slice(), first.keep_alive),
                 ("/a", &b"abc"[..], true)
             );
-            let second = c.request().await.expect("another");
+            let second = c.read_request().await.expect("another");
             assert_eq!(
                 (second.method.as_str(), second.body.len(), second.keep_alive),
                 ("GET", 0, false)
             );
-            assert!(matches!(c.request().await, Err(Fault::Closed)));
+            assert!(matches!(c.read_request().await, Err(HttpError::Closed)));
         });
     }
 
@@ -491,7 +492,7 @@
         let sent =
             b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n";
         read(sent, async |c| {
-            assert_eq!(c.request().await.expect("a request").body, b"abcde")
+            assert_eq!(c.read_request().await.expect("a request").body, b"abcde")
         });
     }
 
@@ -499,11 +500,11 @@
     fn what_is_too_large_or_malformed_is_told_apart() {
         let large = format!("POST /a HTTP/1.1\r\nContent-Length: {}\r\n\r\n", BODY_LIMIT + 1);
         read(large.as_bytes(), async |c| {
-            assert!(matches!(c.request().await, Err(Fault::BodyTooLarge)))
+            assert!(matches!(c.read_request().await, Err(HttpError::BodyTooLarge)))
         });
         let head = format!("GET /a HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(2 * HEAD_LIMIT));
         read(head.as_bytes(), async |c| {
-            assert!(matches!(c.request().await, Err(Fault::HeadTooLarge)))
+            assert!(matches!(c.read_request().await, Err(HttpError::HeadTooLarge)))
         });
         for bad in [
             "nonsense\r\n\r\n",
@@ -512,12 +513,12 @@
             "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
         ] {
             read(bad.as_bytes(), async |c| {
-                assert!(matches!(c.request().await, Err(Fault::Malformed)), "{bad}")
+                assert!(matches!(c.read_request().await, Err(HttpError::Malformed)), "{bad}")
             });
         }
         read(b"POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", async |c| {
             assert!(
-                matches!(c.request().await, Err(Fault::Closed)),
+                matches!(c.read_request().await, Err(HttpError::Closed)),
                 "it ends within the body"
             );
         });
--- a/crates/tidelatch/src/main.rs
+++ b/crates/tidelatch/src/main.rs
@@ -1,7 +1,7 @@
 //! tidelatch: a cluster scheduler. The command line.
 
+mod admission;
 mod daemon;
-mod doors;
 mod http;
 mod peers;
 mod settings;
@@ -55,18 +55,18 @@
                 println!("{text}");
                 ExitCode::SUCCESS
             }
-            Err(fault) => {
-                eprintln!("{fault}");
+            Err(error) => {
+                eprintln!("{error}");
                 ExitCode::FAILURE
             }
         },
         Command::Check(files) => match load(&files) {
             Ok(settings) => {
                 println!("the settings are in order");
-                let division = doors::Division::of(settings.platform.facts.machine_limits.sockets);
+                let budget = admission::SocketBudget::of(settings.platform.facts.machine_limits.sockets);
                 println!(
                     "sockets: {} workers can report to this controller when it stands alone",
-                    division.workers
+                    budget.workers
                 );
                 ExitCode::SUCCESS
             }
@@ -77,14 +77,14 @@
                 Ok(settings) => settings,
                 Err(code) => return code,
             };
-            if let Err(fault) = settings::start_logging() {
-                eprintln!("{fault}");
+            if let Err(error) = settings::start_logging() {
+                eprintln!("{error}");
                 return ExitCode::FAILURE;
             }
             match daemon::run(settings) {
                 Ok(()) => ExitCode::SUCCESS,
-                Err(fault) => {
-                    tracing::error!("{fault}");
+                Err(error) => {
+                    tracing::error!("{error}");
                     ExitCode::FAILURE
                 }
             }
--- a/crates/tidelatch/src/peers.rs
+++ b/crates/tidelatch/src/peers.rs
@@ -146,11 +146,11 @@
 
 /// The service that a controller offers to the others.
 #[derive(Clone)]
-struct Door {
+struct PeerService {
     events: Sender<Event>,
 }
 
-impl Door {
+impl PeerService {
     async fn ask(&self, request: PeerRequest) -> Result<PeerReply, tonic::Status> {
         let (reply, answer) = smol::channel::bounded(1);
         let unavailable = |_| tonic::Status::unavailable("stopping");
@@ -170,7 +170,7 @@
 }
 
 #[tonic::async_trait]
-impl Peer for Door {
+impl Peer for PeerService {
     async fn relay(
         &self,
         request: tonic::Request<wire::RelayRequest>,
@@ -236,14 +236,14 @@
 }
 
 /// Makes tonic's service callable by hyper.
-struct Bridge(PeerServer<Door>);
+struct HyperService(PeerServer<PeerService>);
 
-type Pinned<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+type BoxedFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
-impl hyper::service::Service<Request<hyper::body::Incoming>> for Bridge {
+impl hyper::service::Service<Request<hyper::body::Incoming>> for HyperService {
     type Response = Response<Body>;
     type Error = std::convert::Infallible;
-    type Future = Pinned<Result<Self::Response, Self::Error>>;
+    type Future = BoxedFuture<Result<Self::Response, Self::Error>>;
 
     fn call(&self, request: Request<hyper::body::Incoming>) -> Self::Future {
         let mut server = self.0.clone();
@@ -253,10 +253,10 @@
 
 /// Connections of one peer at a time: one that is used, and those that it has given up in cuts that still
 /// hold their ends back.
-const CONNECTIONS_PER_PEER: usize = 16;
+const MAX_CONNECTIONS_PER_PEER: usize = 16;
 /// Most questions at a time on one connection: a third of a thousand workers' reports may be passed on
 /// while their owner is slow.
-const STREAMS: u32 = 256;
+const MAX_STREAMS_PER_CONNECTION: u32 = 256;
 
 /// Serves the other controllers. A connection on which nothing answers for `silence` is closed: its end
 /// may have been lost in a cut, and such ones must not take the places of new ones.
@@ -273,25 +273,25 @@
             smol::Timer::after(std::time::Duration::from_millis(100)).await;
             continue;
         };
-        if Arc::strong_count(&open) > CONNECTIONS_PER_PEER * peers.max(1) {
+        if Arc::strong_count(&open) > MAX_CONNECTIONS_PER_PEER * peers.max(1) {
             continue;
         }
         let _ = stream.set_nodelay(true);
-        let bridge = Bridge(PeerServer::new(Door { events: events.clone() }));
-        let held = open.clone();
-        let rt = SmolExecutor::new(Ex(executor.clone()));
+        let service = HyperService(PeerServer::new(PeerService { events: events.clone() }));
+        let connection_count = open.clone();
+        let rt = SmolExecutor::new(SharedExecutor(executor.clone()));
         executor
             .spawn(async move {
-                let _held = held;
+                let _connection_count = connection_count;
                 let served = hyper::server::conn::http2::Builder::new(rt)
                     .timer(SmolTimer::new())
                     .keep_alive_interval(silence)
                     .keep_alive_timeout(silence)
-                    .max_concurrent_streams(STREAMS)
-                    .serve_connection(FuturesIo::new(stream), bridge)
+                    .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
+                    .serve_connection(FuturesIo::new(stream), service)
                     .await;
-                if let Err(fault) = served {
-                    tracing::debug!("a peer's connection ended: {fault}");
+                if let Err(error) = served {
+                    tracing::debug!("a peer's connection ended: {error}");
                 }
             })
             .detach();
@@ -300,30 +300,30 @@
 
 /// The executor, in the form that hyper's adapter takes.
 #[derive(Clone)]
-struct Ex(Arc<Executor<'static>>);
+struct SharedExecutor(Arc<Executor<'static>>);
 
-impl AsRef<Executor<'static>> for Ex {
+impl AsRef<Executor<'static>> for SharedExecutor {
     fn as_ref(&self) -> &Executor<'static> {
         &self.0
     }
 }
 
-type Handle = hyper::client::conn::http2::SendRequest<Body>;
+type RequestSender = hyper::client::conn::http2::SendRequest<Body>;
 
 /// One connection to a peer, as tonic's client wants it.
 #[derive(Clone)]
 struct Channel {
-    handle: Handle,
+    sender: RequestSender,
     authority: String,
 }
 
 impl Service<Request<Body>> for Channel {
     type Response = Response<hyper::body::Incoming>;
     type Error = hyper::Error;
-    type Future = Pinned<Result<Self::Response, Self::Error>>;
+    type Future = BoxedFuture<Result<Self::Response, Self::Error>>;
 
     fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        self.handle.poll_ready(cx)
+        self.sender.poll_ready(cx)
     }
 
     fn call(&mut self, mut request: Request<Body>) -> Self::Future {
@@ -331,18 +331,18 @@
         if let Ok(uri) = format!("http://{}{path}", self.authority).parse() {
             *request.uri_mut() = uri;
         }
-        Box::pin(self.handle.send_request(request))
+        Box::pin(self.sender.send_request(request))
     }
 }
 
 /// Calls to the other controllers, one connection to each.
 #[derive(Clone)]
-pub struct Peers {
+pub struct PeerClients {
     executor: Arc<Executor<'static>>,
     open: Arc<Mutex<HashMap<SocketAddr, Channel>>>,
 }
 
-impl Peers {
+impl PeerClients {
     /// No connection yet.
     pub fn new(executor: Arc<Executor<'static>>) -> Self {
         Self {
@@ -351,36 +351,36 @@
         }
     }
 
-    fn known(&self, to: SocketAddr) -> Option<Channel> {
+    fn open_channel(&self, to: SocketAddr) -> Option<Channel> {
         let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.get(&to).filter(|c| !c.handle.is_closed()).cloned()
+        open.get(&to).filter(|c| !c.sender.is_closed()).cloned()
     }
 
     /// Drops the connection to a peer that did not answer: a new one may get through.
-    pub fn forget(&self, to: SocketAddr) {
+    pub fn disconnect(&self, to: SocketAddr) {
         self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&to);
     }
 
     async fn channel(&self, to: SocketAddr) -> Option<Channel> {
-        if let Some(channel) = self.known(to) {
+        if let Some(channel) = self.open_channel(to) {
             return Some(channel);
         }
         let stream = TcpStream::connect(to).await.ok()?;
         let _ = stream.set_nodelay(true);
-        let rt = SmolExecutor::new(Ex(self.executor.clone()));
-        let (handle, connection) = hyper::client::conn::http2::Builder::new(rt)
+        let rt = SmolExecutor::new(SharedExecutor(self.executor.clone()));
+        let (sender, connection) = hyper::client::conn::http2::Builder::new(rt)
             .handshake(FuturesIo::new(stream))
             .await
             .ok()?;
         self.executor
             .spawn(async move {
-                if let Err(fault) = connection.await {
-                    tracing::debug!("the connection to a peer ended: {fault}");
+                if let Err(error) = connection.await {
+                    tracing::debug!("the connection to a peer ended: {error}");
                 }
             })
             .detach();
         let channel = Channel {
-            handle,
+            sender,
             authority: to.to_string(),
         };
         self.open
--- a/crates/tidelatch/src/settings.rs
+++ b/crates/tidelatch/src/settings.rs
@@ -7,7 +7,7 @@
 
 /// A fault that keeps the program from starting.
 #[derive(Debug, thiserror::Error)]
-pub enum Fault {
+pub enum SettingsError {
     /// A file cannot be read.
     #[error("{path}: {source}")]
     Read {
@@ -37,8 +37,8 @@
     Level(String),
 }
 
-fn read(path: &Path) -> Result<String, Fault> {
-    std::fs::read_to_string(path).map_err(|source| Fault::Read {
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
         path: path.display().to_string(),
         source,
     })
@@ -47,18 +47,18 @@
 fn parse_platform(text: &str) -> Result<Platform, String> {
     let input = toml::Deserializer::parse(text).map_err(|fault| fault.message().to_owned())?;
     serde_path_to_error::deserialize(input)
-        .map_err(|fault| format!("{}: {}", shown(fault.path()), fault.inner().message()))
+        .map_err(|fault| format!("{}: {}", display_path(fault.path()), fault.inner().message()))
 }
 
 fn parse_operator(text: &str) -> Result<Operator, String> {
     let mut input = serde_json::Deserializer::from_str(text);
     let operator = serde_path_to_error::deserialize(&mut input)
-        .map_err(|fault| format!("{}: {}", shown(fault.path()), fault.inner()))?;
+        .map_err(|fault| format!("{}: {}", display_path(fault.path()), fault.inner()))?;
     input.end().map_err(|fault| fault.to_string())?;
     Ok(operator)
 }
 
-fn shown(path: &serde_path_to_error::Path) -> String {
+fn display_path(path: &serde_path_to_error::Path) -> String {
     let path = path.to_string();
     if path == "." {
         "(the whole file)".to_owned()
@@ -68,7 +68,7 @@
 }
 
 /// Reads both files and reports everything that is wrong with them.
-pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<Fault>> {
+pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<SettingsError>> {
     let mut faults = Vec::new();
     let shown = platform.display().to_string();
     let platform = match read(platform) {
@@ -78,14 +78,14 @@
         }
         Ok(text) => match parse_platform(&text) {
             Ok(p) => {
-                faults.extend(p.faults().into_iter().map(|fault| Fault::Value {
+                faults.extend(p.faults().into_iter().map(|fault| SettingsError::Value {
                     path: shown.clone(),
                     fault,
                 }));
                 Some(p)
             }
             Err(fault) => {
-                faults.push(Fault::Form {
+                faults.push(SettingsError::Form {
                     path: shown,
                     text: fault,
                 });
@@ -104,14 +104,14 @@
                 }
                 Ok(text) => match parse_operator(&text) {
                     Ok(o) => {
-                        faults.extend(o.faults().into_iter().map(|fault| Fault::Value {
+                        faults.extend(o.faults().into_iter().map(|fault| SettingsError::Value {
                             path: shown.clone(),
                             fault,
                         }));
                         Some(o)
                     }
                     Err(fault) => {
-                        faults.push(Fault::Form {
+                        faults.push(SettingsError::Form {
                             path: shown,
                             text: fault.to_string(),
                         });
@@ -137,14 +137,14 @@
 }
 
 /// Starts logging to standard error, as much as `LOG_LEVEL` says.
-pub fn start_logging() -> Result<(), Fault> {
+pub fn start_logging() -> Result<(), SettingsError> {
     let level = match std::env::var("LOG_LEVEL") {
         Err(_) => tracing::Level::INFO,
         Ok(text) => match text.as_str() {
             "error" => tracing::Level::ERROR,
             "info" => tracing::Level::INFO,
             "debug" => tracing::Level::DEBUG,
-            _ => return Err(Fault::Level(text)),
+            _ => return Err(SettingsError::Level(text)),
         },
     };
     // Libraries speak up for errors only: their own detail would drown this program's.
