--- a/crates/tidelatch/src/admission.rs
+++ b/crates/tidelatch/src/admission.rs
@@ -56,10 +56,16 @@
     evict: Sender<()>,
 }
 
+#[derive(Debug, Default)]
+struct OpenConnections {
+    last_id: u64,
+    by_id: BTreeMap<u64, ConnectionState>,
+}
+
 /// All connections that came in.
 #[derive(Debug)]
 pub struct Admission {
-    open: Mutex<(u64, BTreeMap<u64, ConnectionState>)>,
+    open: Mutex<OpenConnections>,
     budget: SocketBudget,
     report_interval: Duration,
     lease_duration: Duration,
@@ -76,36 +82,36 @@
         })
     }
 
-    fn lock(&self) -> MutexGuard<'_, (u64, BTreeMap<u64, ConnectionState>)> {
+    fn lock(&self) -> MutexGuard<'_, OpenConnections> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Lets a connection in, if need be in the place of an idle one; none if there is no place.
     pub fn admit(self: &Arc<Self>, now: Instant) -> Option<AdmittedConnection> {
         let mut open = self.lock();
-        if open.1.len() >= self.budget.incoming {
+        if open.by_id.len() >= self.budget.incoming {
             let silent = 2 * self.report_interval;
             let place = |e: &ConnectionState| match (e.activity, e.worker) {
                 (Activity::Idle, true) if now.saturating_duration_since(e.since) > silent => Some(0),
                 (Activity::Idle, false) => Some(1),
                 _ => None,
             };
-            let found = open.1.iter().filter_map(|(id, e)| Some((place(e)?, e.since, *id)));
+            let found = open.by_id.iter().filter_map(|(id, e)| Some((place(e)?, e.since, *id)));
             let (_, _, victim) = found.min()?;
-            if let Some(entry) = open.1.remove(&victim) {
+            if let Some(entry) = open.by_id.remove(&victim) {
                 let _ = entry.evict.try_send(());
             }
         }
         let (evict, evicted) = smol::channel::bounded(1);
-        open.0 += 1;
-        let id = open.0;
+        open.last_id += 1;
+        let id = open.last_id;
         let entry = ConnectionState {
             worker: false,
             activity: Activity::Idle,
             since: now,
             evict,
         };
-        open.1.insert(id, entry);
+        open.by_id.insert(id, entry);
         let admission = self.clone();
         Some(AdmittedConnection { id, admission, evicted })
     }
@@ -114,7 +120,7 @@
     /// reported for a lease's time has gone elsewhere, or has ended.
     pub fn close_stale(&self, now: Instant) {
         let mut open = self.lock();
-        open.1.retain(|_, e| {
+        open.by_id.retain(|_, e| {
             let most = match (e.activity, e.worker) {
                 (Activity::Answering, _) => return true,
                 (Activity::Idle, false) => 4 * self.lease_duration,
@@ -145,7 +151,7 @@
     }
 
     fn set_activity(&self, activity: Activity) {
-        if let Some(e) = self.admission.lock().1.get_mut(&self.id) {
+        if let Some(e) = self.admission.lock().by_id.get_mut(&self.id) {
             e.activity = activity;
             e.since = Instant::now();
         }
@@ -165,11 +171,11 @@
     pub fn set_answering(&self, worker: bool) -> bool {
         self.set_activity(Activity::Answering);
         let mut open = self.admission.lock();
-        if !worker || open.1.get(&self.id).is_none_or(|e| e.worker) {
+        if !worker || open.by_id.get(&self.id).is_none_or(|e| e.worker) {
             return true;
         }
-        let full = open.1.values().filter(|e| e.worker).count() >= self.admission.budget.workers;
-        if !full && let Some(e) = open.1.get_mut(&self.id) {
+        let full = open.by_id.values().filter(|e| e.worker).count() >= self.admission.budget.workers;
+        if !full && let Some(e) = open.by_id.get_mut(&self.id) {
             e.worker = true;
         }
         !full
@@ -178,7 +184,7 @@
 
 impl Drop for AdmittedConnection {
     fn drop(&mut self) {
-        self.admission.lock().1.remove(&self.id);
+        self.admission.lock().by_id.remove(&self.id);
     }
 }
 
--- /dev/null
+++ b/crates/tidelatch/src/peers/client.rs
@@ -0,0 +1,118 @@
+//! Calls to the other controllers.
+
+use super::convert::WireRequest;
+use super::wire::peer_client::PeerClient;
+use super::{BoxedFuture, SharedExecutor};
+use http::{Request, Response};
+use smol::Executor;
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolExecutor};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use tidelatch_core::{PeerReply, PeerRequest};
+use tonic::body::Body;
+use tower_service::Service;
+
+type RequestSender = hyper::client::conn::http2::SendRequest<Body>;
+
+/// One connection to a peer, as tonic's client wants it.
+#[derive(Clone)]
+struct Channel {
+    sender: RequestSender,
+    authority: String,
+}
+
+impl Service<Request<Body>> for Channel {
+    type Response = Response<hyper::body::Incoming>;
+    type Error = hyper::Error;
+    type Future = BoxedFuture<Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.sender.poll_ready(cx)
+    }
+
+    fn call(&mut self, mut request: Request<Body>) -> Self::Future {
+        let path = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
+        if let Ok(uri) = format!("http://{}{path}", self.authority).parse() {
+            *request.uri_mut() = uri;
+        }
+        Box::pin(self.sender.send_request(request))
+    }
+}
+
+/// Calls to the other controllers, one connection to each.
+#[derive(Clone)]
+pub struct PeerClients {
+    executor: Arc<Executor<'static>>,
+    open: Arc<Mutex<HashMap<SocketAddr, Channel>>>,
+}
+
+impl PeerClients {
+    /// No connection yet.
+    pub fn new(executor: Arc<Executor<'static>>) -> Self {
+        Self {
+            executor,
+            open: Arc::default(),
+        }
+    }
+
+    fn open_channel(&self, to: SocketAddr) -> Option<Channel> {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.get(&to).filter(|c| !c.sender.is_closed()).cloned()
+    }
+
+    /// Drops the connection to a peer that did not answer: a new one may get through.
+    pub fn disconnect(&self, to: SocketAddr) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&to);
+    }
+
+    async fn channel(&self, to: SocketAddr) -> Option<Channel> {
+        if let Some(channel) = self.open_channel(to) {
+            return Some(channel);
+        }
+        let stream = TcpStream::connect(to).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let rt = SmolExecutor::new(SharedExecutor(self.executor.clone()));
+        let (sender, connection) = hyper::client::conn::http2::Builder::new(rt)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .ok()?;
+        self.executor
+            .spawn(async move {
+                if let Err(error) = connection.await {
+                    tracing::debug!("the connection to a peer ended: {error}");
+                }
+            })
+            .detach();
+        let channel = Channel {
+            sender,
+            authority: to.to_string(),
+        };
+        self.open
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(to, channel.clone());
+        Some(channel)
+    }
+
+    /// Asks a peer; `None` if it did not answer.
+    pub async fn ask(&self, to: SocketAddr, request: PeerRequest) -> Option<PeerReply> {
+        let mut client = PeerClient::new(self.channel(to).await?);
+        match request.into() {
+            WireRequest::Relay(request) => {
+                let answer = client.relay(request).await.ok()?;
+                Some(answer.into_inner().into())
+            }
+            WireRequest::Forward(request) => {
+                let answer = client.forward(request).await.ok()?;
+                Some(answer.into_inner().into())
+            }
+            WireRequest::Hello(request) => {
+                let reply = client.hello(request).await.ok()?;
+                Some(reply.into_inner().into())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tidelatch/src/peers/convert.rs
@@ -0,0 +1,286 @@
+//! Between the core's messages and those of `peer.proto`.
+
+use super::wire;
+use tidelatch_core::ids::{JobId, MachineId, Partition};
+use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, Told, Want};
+
+/// The core has answered a request in the form of another kind of request.
+#[derive(Debug, thiserror::Error)]
+#[error("another kind of answer")]
+pub struct UnexpectedReply;
+
+/// A request in the form of `peer.proto`, by the call that carries it.
+pub(super) enum WireRequest {
+    Relay(wire::RelayRequest),
+    Forward(wire::ForwardRequest),
+    Hello(wire::HelloRequest),
+}
+
+impl From<PeerRequest> for WireRequest {
+    fn from(request: PeerRequest) -> Self {
+        match request {
+            PeerRequest::Relay { report } => Self::Relay(wire::RelayRequest { report }),
+            PeerRequest::Forward { job, withdraw } => Self::Forward(wire::ForwardRequest { job, withdraw }),
+            PeerRequest::Hello {
+                name,
+                entitled,
+                wants_grant,
+                relies,
+                digests,
+                told,
+            } => Self::Hello(wire::HelloRequest {
+                name,
+                entitled,
+                wants_grant,
+                relies,
+                digests: convert_all(digests),
+                life: told.life,
+                unread: told.unread,
+                cancelled: job_names(told.cancelled),
+                asked: job_names(told.asked),
+            }),
+        }
+    }
+}
+
+impl From<wire::RelayRequest> for PeerRequest {
+    fn from(request: wire::RelayRequest) -> Self {
+        Self::Relay { report: request.report }
+    }
+}
+
+impl From<wire::ForwardRequest> for PeerRequest {
+    fn from(request: wire::ForwardRequest) -> Self {
+        Self::Forward {
+            job: request.job,
+            withdraw: request.withdraw,
+        }
+    }
+}
+
+impl From<wire::HelloRequest> for PeerRequest {
+    fn from(request: wire::HelloRequest) -> Self {
+        Self::Hello {
+            name: request.name,
+            entitled: request.entitled,
+            wants_grant: request.wants_grant,
+            relies: request.relies,
+            digests: convert_all(request.digests),
+            told: Told {
+                life: request.life,
+                unread: request.unread,
+                cancelled: job_ids(&request.cancelled),
+                asked: job_ids(&request.asked),
+            },
+        }
+    }
+}
+
+impl TryFrom<PeerReply> for wire::Answer {
+    type Error = UnexpectedReply;
+
+    fn try_from(reply: PeerReply) -> Result<Self, Self::Error> {
+        let PeerReply::Answer(answer) = reply else {
+            return Err(UnexpectedReply);
+        };
+        Ok(Self {
+            status: u32::from(answer.status),
+            body: answer.body.into_bytes(),
+            retry_after_s: answer.retry_after_s.unwrap_or(0),
+        })
+    }
+}
+
+impl From<wire::Answer> for PeerReply {
+    fn from(answer: wire::Answer) -> Self {
+        Self::Answer(Answer {
+            status: u16::try_from(answer.status).unwrap_or(503),
+            retry_after_s: (answer.retry_after_s > 0).then_some(answer.retry_after_s),
+            body: String::from_utf8_lossy(&answer.body).into_owned(),
+        })
+    }
+}
+
+impl TryFrom<PeerReply> for wire::HelloReply {
+    type Error = UnexpectedReply;
+
+    fn try_from(reply: PeerReply) -> Result<Self, Self::Error> {
+        let PeerReply::Hello {
+            entitled,
+            granted,
+            relies,
+            moves,
+            refused,
+            told,
+        } = reply
+        else {
+            return Err(UnexpectedReply);
+        };
+        Ok(Self {
+            entitled,
+            granted,
+            relies,
+            moves: convert_all(moves),
+            refused: convert_all(refused),
+            life: told.life,
+            unread: told.unread,
+            cancelled: job_names(told.cancelled),
+            asked: job_names(told.asked),
+        })
+    }
+}
+
+impl From<wire::HelloReply> for PeerReply {
+    fn from(reply: wire::HelloReply) -> Self {
+        Self::Hello {
+            entitled: reply.entitled,
+            granted: reply.granted,
+            relies: reply.relies,
+            moves: convert_all(reply.moves),
+            refused: convert_all(reply.refused),
+            told: Told {
+                life: reply.life,
+                unread: reply.unread,
+                cancelled: job_ids(&reply.cancelled),
+                asked: job_ids(&reply.asked),
+            },
+        }
+    }
+}
+
+impl From<Move> for wire::Move {
+    fn from(machine_move: Move) -> Self {
+        Self {
+            machine: machine_move.machine.as_str().to_owned(),
+            to: machine_move.to.0,
+            vacate: machine_move.vacate,
+        }
+    }
+}
+
+impl From<wire::Move> for Move {
+    fn from(machine_move: wire::Move) -> Self {
+        Self {
+            machine: MachineId::new(machine_move.machine),
+            to: Partition(machine_move.to),
+            vacate: machine_move.vacate,
+        }
+    }
+}
+
+impl From<Need> for wire::Need {
+    fn from(need: Need) -> Self {
+        Self {
+            model: need.model,
+            zone: need.zone,
+            spot: need.spot,
+            count: need.count,
+            urgent: need.urgent,
+            any_zone: need.any_zone,
+        }
+    }
+}
+
+impl From<wire::Need> for Need {
+    fn from(need: wire::Need) -> Self {
+        Self {
+            model: need.model,
+            zone: need.zone,
+            spot: need.spot,
+            count: need.count,
+            urgent: need.urgent,
+            any_zone: need.any_zone,
+        }
+    }
+}
+
+impl From<Idle> for wire::Idle {
+    fn from(idle: Idle) -> Self {
+        Self {
+            machine: idle.machine.as_str().to_owned(),
+            model: idle.model,
+            zone: idle.zone,
+            spot: idle.spot,
+        }
+    }
+}
+
+impl From<wire::Idle> for Idle {
+    fn from(idle: wire::Idle) -> Self {
+        Self {
+            machine: MachineId::new(idle.machine),
+            model: idle.model,
+            zone: idle.zone,
+            spot: idle.spot,
+        }
+    }
+}
+
+impl From<Want> for wire::Want {
+    fn from(want: Want) -> Self {
+        Self {
+            models: want.models,
+            zones: want.zones,
+            spot: want.spot,
+            urgent: want.urgent,
+            size: want.size.to_vec(),
+            count: want.count,
+        }
+    }
+}
+
+impl From<wire::Want> for Want {
+    fn from(want: wire::Want) -> Self {
+        let mut size = [0.0; 3];
+        size.iter_mut().zip(want.size).for_each(|(s, v)| *s = v);
+        Self {
+            models: want.models,
+            zones: want.zones,
+            spot: want.spot,
+            urgent: want.urgent,
+            size,
+            count: want.count,
+        }
+    }
+}
+
+impl From<Digest> for wire::Digest {
+    fn from(digest: Digest) -> Self {
+        Self {
+            partition: digest.partition.0,
+            ledger: digest.ledger,
+            demand: digest.demand,
+            needs: convert_all(digest.needs),
+            idle: convert_all(digest.idle),
+            yielding: convert_all(digest.yielding),
+            wants: convert_all(digest.wants),
+        }
+    }
+}
+
+impl From<wire::Digest> for Digest {
+    fn from(digest: wire::Digest) -> Self {
+        Self {
+            partition: Partition(digest.partition),
+            ledger: digest.ledger,
+            demand: digest.demand,
+            needs: convert_all(digest.needs),
+            idle: convert_all(digest.idle),
+            yielding: convert_all(digest.yielding),
+            wants: convert_all(digest.wants),
+        }
+    }
+}
+
+fn convert_all<T: Into<U>, U>(items: Vec<T>) -> Vec<U> {
+    items.into_iter().map(Into::into).collect()
+}
+
+fn job_names(jobs: Vec<JobId>) -> Vec<String> {
+    jobs.into_iter().map(|id| id.as_str().to_owned()).collect()
+}
+
+/// The jobs with these names; what is none is passed over.
+fn job_ids(names: &[String]) -> Vec<JobId> {
+    names.iter().filter_map(|name| JobId::parse(name)).collect()
+}
--- a/crates/tidelatch/src/settings.rs
+++ b/crates/tidelatch/src/settings.rs
@@ -69,68 +69,47 @@
 
 /// Reads both files and reports everything that is wrong with them.
 pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<SettingsError>> {
-    let mut faults = Vec::new();
-    let shown = platform.display().to_string();
-    let platform = match read(platform) {
-        Err(fault) => {
-            faults.push(fault);
-            None
-        }
-        Ok(text) => match parse_platform(&text) {
-            Ok(p) => {
-                faults.extend(p.faults().into_iter().map(|fault| SettingsError::Value {
-                    path: shown.clone(),
-                    fault,
-                }));
-                Some(p)
-            }
-            Err(fault) => {
-                faults.push(SettingsError::Form {
-                    path: shown,
-                    text: fault,
-                });
-                None
-            }
-        },
-    };
+    let platform = load_file(platform, parse_platform, Platform::faults);
     let operator = match operator {
-        None => Some(Operator::default()),
-        Some(path) => {
-            let shown = path.display().to_string();
-            match read(path) {
-                Err(fault) => {
-                    faults.push(fault);
-                    None
-                }
-                Ok(text) => match parse_operator(&text) {
-                    Ok(o) => {
-                        faults.extend(o.faults().into_iter().map(|fault| SettingsError::Value {
-                            path: shown.clone(),
-                            fault,
-                        }));
-                        Some(o)
-                    }
-                    Err(fault) => {
-                        faults.push(SettingsError::Form {
-                            path: shown,
-                            text: fault.to_string(),
-                        });
-                        None
-                    }
-                },
-            }
-        }
+        None => Ok(Operator::default()),
+        Some(path) => load_file(path, parse_operator, Operator::faults),
     };
     match (platform, operator) {
-        (Some(platform), Some(operator)) if faults.is_empty() => Ok(Settings {
+        (Ok(platform), Ok(operator)) => Ok(Settings {
             platform,
             operator,
             features: tidelatch_core::settings::Features::default(),
         }),
-        _ => Err(faults),
+        (platform, operator) => {
+            let mut errors = platform.err().unwrap_or_default();
+            errors.extend(operator.err().unwrap_or_default());
+            Err(errors)
+        }
     }
 }
 
+/// Reads one file, and checks its values.
+fn load_file<T>(
+    path: &Path,
+    parse: fn(&str) -> Result<T, String>,
+    check: fn(&T) -> Vec<tidelatch_core::settings::Fault>,
+) -> Result<T, Vec<SettingsError>> {
+    let text = read(path).map_err(|error| vec![error])?;
+    let path = path.display().to_string();
+    let settings = match parse(&text) {
+        Ok(settings) => settings,
+        Err(text) => return Err(vec![SettingsError::Form { path, text }]),
+    };
+    let errors: Vec<SettingsError> = check(&settings)
+        .into_iter()
+        .map(|fault| SettingsError::Value {
+            path: path.clone(),
+            fault,
+        })
+        .collect();
+    if errors.is_empty() { Ok(settings) } else { Err(errors) }
+}
+
 /// The schema of the operators' own settings.
 pub fn schema() -> schemars::Schema {
     schemars::schema_for!(Operator)
