--- a/crates/tidelatch-standin/src/cloud.rs
+++ b/crates/tidelatch-standin/src/cloud.rs
@@ -50,68 +50,81 @@
         }
         let body: Value = serde_json::from_str(body).unwrap_or(Value::Null);
         match (method, path.split('?').next().unwrap_or(path)) {
-            ("GET", "/machine_types") => {
-                let types = json!({ "models": [{
-                    "label": "m2", "vcpus": 24, "accelerators": 2, "ramGb": 144, "localGb": 100,
-                    "pullGbPerS": 1.0, "rate": 7.0, "marketPrice": 3.0, "startupS": 3, "yards": ["a", "b"]
-                }]});
-                (200, types, Vec::new())
-            }
-            ("POST", "/hosts") => {
-                let request = body["charter"].as_str().unwrap_or_default().to_owned();
-                if let Some(names) = self.requests.get(&request) {
-                    return (200, json!({ "berths": names }), Vec::new());
-                }
-                let room = self.most.saturating_sub(self.machines.len());
-                let here = |z: &str| self.machines.values().filter(|(zone, _)| zone == z).count();
-                let wanted = body["yard"].as_str().unwrap_or_default();
-                let most = self.most_in_zone.get(wanted);
-                let room = most.map_or(room, |most| room.min(most.saturating_sub(here(wanted))));
-                let count = (body["number"].as_u64().unwrap_or(0) as usize).min(room);
-                if count == 0 {
-                    return (503, json!({ "error": "no capacity" }), Vec::new());
-                }
-                let zone = body["yard"].as_str().unwrap_or_default().to_owned();
-                let spot = body["standby"].as_bool().unwrap_or(false);
-                let names: Vec<String> = (0..count)
-                    .map(|_| {
-                        self.next += 1;
-                        format!("{}{:06}", self.prefix, self.next)
-                    })
-                    .collect();
-                for name in &names {
-                    self.machines.insert(name.clone(), (zone.clone(), spot));
-                }
-                self.requests.insert(request, names.clone());
-                (200, json!({ "berths": names }), names)
-            }
+            ("GET", "/machine_types") => (200, Self::machine_types(), Vec::new()),
+            ("POST", "/hosts") => self.rent(&body),
             ("POST", "/hosts/delete") => {
-                for name in body["berths"]
-                    .as_array()
-                    .into_iter()
-                    .flatten()
-                    .filter_map(Value::as_str)
-                {
-                    self.machines.remove(name);
-                    self.deleted.insert(name.to_owned());
-                }
+                self.delete(&body);
                 (200, json!({}), Vec::new())
             }
-            ("GET", "/hosts") => {
-                let since = path.split("since=").nth(1).and_then(|p| p.split('&').next());
-                let since = since.unwrap_or_default();
-                let after = self.machines.iter().filter(|(id, _)| id.as_str() > since);
-                let more = after.clone().count() > Self::PAGE;
-                let list: Vec<Value> = after
-                    .take(Self::PAGE)
-                    .map(|(id, (zone, spot))| {
-                        json!({ "uid": id, "addr": "", "model": "m2", "yard": zone, "standby": spot,
-                                "status": "running", "ageS": 100.0 })
-                    })
-                    .collect();
-                (200, json!({ "berths": list, "more": more }), Vec::new())
-            }
+            ("GET", "/hosts") => (200, self.list(path), Vec::new()),
             _ => (404, json!({}), Vec::new()),
         }
     }
+
+    fn machine_types() -> Value {
+        json!({ "models": [{
+            "label": "m2", "vcpus": 24, "accelerators": 2, "ramGb": 144, "localGb": 100,
+            "pullGbPerS": 1.0, "rate": 7.0, "marketPrice": 3.0, "startupS": 3, "yards": ["a", "b"]
+        }]})
+    }
+
+    /// Rents machines, as many as there is room for; a repeated request gets those that it has.
+    fn rent(&mut self, body: &Value) -> (u16, Value, Vec<String>) {
+        let request = body["charter"].as_str().unwrap_or_default().to_owned();
+        if let Some(names) = self.requests.get(&request) {
+            return (200, json!({ "berths": names }), Vec::new());
+        }
+        let zone = body["yard"].as_str().unwrap_or_default().to_owned();
+        let wanted = body["number"].as_u64().unwrap_or(0) as usize;
+        let count = wanted.min(self.room_in(&zone));
+        if count == 0 {
+            return (503, json!({ "error": "no capacity" }), Vec::new());
+        }
+        let spot = body["standby"].as_bool().unwrap_or(false);
+        let names: Vec<String> = (0..count)
+            .map(|_| {
+                self.next += 1;
+                format!("{}{:06}", self.prefix, self.next)
+            })
+            .collect();
+        for name in &names {
+            self.machines.insert(name.clone(), (zone.clone(), spot));
+        }
+        self.requests.insert(request, names.clone());
+        (200, json!({ "berths": names }), names)
+    }
+
+    /// How many more machines can be rented in a zone.
+    fn room_in(&self, zone: &str) -> usize {
+        let room = self.most.saturating_sub(self.machines.len());
+        let Some(most) = self.most_in_zone.get(zone) else {
+            return room;
+        };
+        let here = self.machines.values().filter(|(z, _)| z == zone).count();
+        room.min(most.saturating_sub(here))
+    }
+
+    fn delete(&mut self, body: &Value) {
+        let names = body["berths"].as_array().into_iter().flatten();
+        for name in names.filter_map(Value::as_str) {
+            self.machines.remove(name);
+            self.deleted.insert(name.to_owned());
+        }
+    }
+
+    /// A page of the list of machines, after the one that the path names.
+    fn list(&self, path: &str) -> Value {
+        let since = path.split("since=").nth(1).and_then(|p| p.split('&').next());
+        let since = since.unwrap_or_default();
+        let after = self.machines.iter().filter(|(id, _)| id.as_str() > since);
+        let more = after.clone().count() > Self::PAGE;
+        let list: Vec<Value> = after
+            .take(Self::PAGE)
+            .map(|(id, (zone, spot))| {
+                json!({ "uid": id, "addr": "", "model": "m2", "yard": zone, "standby": spot,
+                        "status": "running", "ageS": 100.0 })
+            })
+            .collect();
+        json!({ "berths": list, "more": more })
+    }
 }
--- a/crates/tidelatch-standin/src/gang.rs
+++ b/crates/tidelatch-standin/src/gang.rs
@@ -55,6 +55,18 @@
     pub checkpoint_ms: u64,
 }
 
+/// A worker's name and a task on it.
+type WorkerTask = (String, String);
+
+/// One look at an attempt of a gang.
+struct Round<'a> {
+    job: &'a str,
+    attempt: u64,
+    terms: Terms,
+    workers: &'a mut BTreeMap<String, Worker>,
+    now: u64,
+}
+
 impl Gangs {
     /// A task was told to stop. True: it saves first.
     pub fn told(&mut self, job: &str, attempt: u64, task: &str, grace_s: f64, now: u64) -> bool {
@@ -71,134 +83,141 @@
         true
     }
 
-    /// Lets one attempt go on: `holders` are the workers that have tasks of it.
+    /// Lets one attempt go on, on all workers that have tasks of it.
     pub fn go_on(&mut self, key: &(String, u64), terms: Terms, workers: &mut BTreeMap<String, Worker>, now: u64) {
-        let (job, attempt) = key;
-        let prefix = format!("{job}/");
-        let play = self.plays.entry(key.clone()).or_default();
-        let mut here: BTreeMap<&'static str, Vec<(String, String)>> = BTreeMap::new();
-        for (name, w) in workers.iter_mut().filter(|(_, w)| !w.hanging) {
+        let mut play = self.plays.remove(key).unwrap_or_default();
+        let mut round = Round {
+            job: &key.0,
+            attempt: key.1,
+            terms,
+            workers,
+            now,
+        };
+        let mut tasks = self.tasks_by_state(&mut round);
+        let mut in_state = |state: &str| tasks.remove(state).unwrap_or_default();
+        if play.running {
+            let mut left = in_state("running");
+            left.extend(in_state("flushing"));
+            self.proceed(&mut play, &mut round, &left);
+        } else {
+            self.start_or_give_up(&mut play, &mut round, in_state("gathering"));
+        }
+        self.plays.insert(key.clone(), play);
+    }
+
+    /// The attempt's tasks on workers that do not hang. What has been fetched waits; its time begins.
+    fn tasks_by_state(&mut self, round: &mut Round<'_>) -> BTreeMap<&'static str, Vec<WorkerTask>> {
+        let prefix = format!("{}/", round.job);
+        let mut tasks: BTreeMap<&'static str, Vec<WorkerTask>> = BTreeMap::new();
+        for (name, w) in round.workers.iter_mut().filter(|(_, w)| !w.hanging) {
             for ((task, n), a) in &mut w.tasks {
-                if *n != *attempt || !task.starts_with(&prefix) {
+                if *n != round.attempt || !task.starts_with(&prefix) {
                     continue;
                 }
-                if a.state == "pulling" && a.next.is_some_and(|t| t <= now) {
-                    // What was fetched waits; its time begins.
+                if a.state == "pulling" && a.next.is_some_and(|t| t <= round.now) {
                     a.state = "gathering";
-                    a.next = Some(now + WAIT_MS);
+                    a.next = Some(round.now + WAIT_MS);
                     self.changed.insert(name.clone());
                 }
-                here.entry(a.state).or_default().push((name.clone(), task.clone()));
+                tasks.entry(a.state).or_default().push((name.clone(), task.clone()));
             }
         }
-        let of = |state: &str| here.get(state).cloned().unwrap_or_default();
-        let mut set = |list: &[(String, String)], state: &'static str, why: &'static str| {
-            for (name, task) in list {
-                let a = workers
-                    .get_mut(name)
-                    .and_then(|w| w.tasks.get_mut(&(task.clone(), *attempt)));
-                if let Some(a) = a {
-                    a.state = state;
-                    a.why = why;
-                    a.next = None;
-                    self.changed.insert(name.clone());
-                }
-            }
-        };
-        if !play.running {
-            let waiting = of("gathering");
-            let distinct: BTreeSet<&String> = waiting.iter().map(|(_, t)| t).collect();
-            if distinct.len() == terms.tasks {
-                play.running = true;
-                play.seen_at = now;
-                set(&waiting, "running", "");
-                self.news
-                    .push(format!("{job}: all {} tasks of attempt {attempt} run", terms.tasks));
-                return;
-            }
-            let late: Vec<(String, String)> = waiting
-                .into_iter()
-                .filter(|(name, task)| {
-                    let a = workers.get(name).and_then(|w| w.tasks.get(&(task.clone(), *attempt)));
-                    a.is_some_and(|a| a.next.is_some_and(|t| t <= now))
-                })
-                .collect();
-            if !late.is_empty() {
-                self.news.push(format!(
-                    "{job}: {} tasks of attempt {attempt} exit: incomplete",
-                    late.len()
-                ));
-                end(workers, &late, *attempt, "incomplete", &mut self.changed);
-            }
+        tasks
+    }
+
+    /// All tasks start together once all wait; one that has waited for too long exits.
+    fn start_or_give_up(&mut self, play: &mut Play, round: &mut Round<'_>, waiting: Vec<WorkerTask>) {
+        let (job, attempt, now) = (round.job, round.attempt, round.now);
+        let distinct: BTreeSet<&String> = waiting.iter().map(|(_, t)| t).collect();
+        if distinct.len() == round.terms.tasks {
+            play.running = true;
+            play.seen_at = now;
+            self.set_state(round, &waiting, "running", "");
+            let text = format!("{job}: all {} tasks of attempt {attempt} run", round.terms.tasks);
+            self.news.push(text);
             return;
         }
-        let (running, flushing) = (of("running"), of("flushing"));
-        let left: Vec<(String, String)> = running.iter().chain(&flushing).cloned().collect();
+        let late: Vec<WorkerTask> = waiting
+            .into_iter()
+            .filter(|(name, task)| {
+                let worker = round.workers.get(name);
+                let a = worker.and_then(|w| w.tasks.get(&(task.clone(), attempt)));
+                a.is_some_and(|a| a.next.is_some_and(|t| t <= now))
+            })
+            .collect();
+        if !late.is_empty() {
+            let text = format!("{job}: {} tasks of attempt {attempt} exit: incomplete", late.len());
+            self.news.push(text);
+            self.set_state(round, &late, "ended", "incomplete");
+        }
+    }
+
+    /// A gang that runs makes progress, until it is done, is saved, or falls apart.
+    fn proceed(&mut self, play: &mut Play, round: &mut Round<'_>, left: &[WorkerTask]) {
         if left.is_empty() {
             return;
         }
-        // Progress stops with the first stop, and with the loss of a task.
-        let whole = left.len() == terms.tasks;
-        if whole && play.stop_at.is_none() && play.broken.is_none() {
-            play.ran_ms += now - play.seen_at;
-        }
-        play.seen_at = now;
-        let stored = self.saved_ms.get(job).copied().unwrap_or(0);
-        if let Some(passed) = (stored + play.ran_ms).checked_div(terms.checkpoint_ms) {
-            let at = passed * terms.checkpoint_ms;
-            if at > stored {
-                play.ran_ms = stored + play.ran_ms - at;
-                self.saved_ms.insert(job.clone(), at);
-            }
-        }
+        let (job, attempt, now) = (round.job, round.attempt, round.now);
+        let whole = left.len() == round.terms.tasks;
+        self.add_progress(play, round, whole);
         let stored = self.saved_ms.get(job).copied().unwrap_or(0);
-        if whole && play.stop_at.is_none() && stored + play.ran_ms >= terms.run_ms {
+        let progress = stored + play.ran_ms;
+        if whole && play.stop_at.is_none() && progress >= round.terms.run_ms {
             self.news.push(format!("{job}: done"));
             self.done.extend(left.iter().map(|(_, task)| task.clone()));
-            end(workers, &left, *attempt, "done", &mut self.changed);
+            self.set_state(round, left, "ended", "done");
             return;
         }
         if let Some(at) = play.stop_at.filter(|_| whole && !play.spoilt && !play.saved)
-            && play.told.len() == terms.tasks
+            && play.told.len() == round.terms.tasks
             && now >= at + SAVE_MS
         {
             play.saved = true;
-            self.saved_ms.insert(job.clone(), stored + play.ran_ms);
-            self.news.push(format!(
-                "{job}: attempt {attempt} is saved at {} ms",
-                stored + play.ran_ms
-            ));
-            end(workers, &left, *attempt, "stopped", &mut self.changed);
+            self.saved_ms.insert(job.to_owned(), progress);
+            self.news
+                .push(format!("{job}: attempt {attempt} is saved at {progress} ms"));
+            self.set_state(round, left, "ended", "stopped");
             return;
         }
-        if !whole || play.stop_at.is_some_and(|at| now > at + PEER_MS) {
+        let untold = play.stop_at.is_some_and(|at| now > at + PEER_MS);
+        if !whole || untold {
             let since = *play.broken.get_or_insert(now);
-            let untold = play.stop_at.is_some_and(|at| now > at + PEER_MS);
             if now > since + PEER_MS || untold {
-                self.news
-                    .push(format!("{job}: {} tasks of attempt {attempt} exit: peers", left.len()));
-                end(workers, &left, *attempt, "peers", &mut self.changed);
+                let text = format!("{job}: {} tasks of attempt {attempt} exit: peers", left.len());
+                self.news.push(text);
+                self.set_state(round, left, "ended", "peers");
             }
         }
     }
-}
 
-fn end(
-    workers: &mut BTreeMap<String, Worker>,
-    list: &[(String, String)],
-    attempt: u64,
-    why: &'static str,
-    changed: &mut BTreeSet<String>,
-) {
-    for (name, task) in list {
-        let a = workers
-            .get_mut(name)
-            .and_then(|w| w.tasks.get_mut(&(task.clone(), attempt)));
-        if let Some(a) = a {
-            a.state = "ended";
-            a.why = why;
-            a.next = None;
-            changed.insert(name.clone());
+    /// Counts progress, which stops with the first stop and with the loss of a task, and stores checkpoints.
+    fn add_progress(&mut self, play: &mut Play, round: &Round<'_>, whole: bool) {
+        if whole && play.stop_at.is_none() && play.broken.is_none() {
+            play.ran_ms += round.now - play.seen_at;
+        }
+        play.seen_at = round.now;
+        let stored = self.saved_ms.get(round.job).copied().unwrap_or(0);
+        let checkpoint_ms = round.terms.checkpoint_ms;
+        if let Some(passed) = (stored + play.ran_ms).checked_div(checkpoint_ms) {
+            let at = passed * checkpoint_ms;
+            if at > stored {
+                play.ran_ms = stored + play.ran_ms - at;
+                self.saved_ms.insert(round.job.to_owned(), at);
+            }
+        }
+    }
+
+    /// Puts tasks of the attempt into a state in which they stay by themselves.
+    fn set_state(&mut self, round: &mut Round<'_>, tasks: &[WorkerTask], state: &'static str, why: &'static str) {
+        for (name, task) in tasks {
+            let worker = round.workers.get_mut(name);
+            let a = worker.and_then(|w| w.tasks.get_mut(&(task.clone(), round.attempt)));
+            if let Some(a) = a {
+                a.state = state;
+                a.why = why;
+                a.next = None;
+                self.changed.insert(name.clone());
+            }
         }
     }
 }
--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -4,6 +4,8 @@
 //! The world is written from the protocol's text alone. It checks the rules as it goes: a broken one
 //! is listed in [`World::broken`]. What happens is written down in a trace that people can read.
 
+#![warn(clippy::too_many_lines)]
+
 pub mod checker;
 mod cloud;
 mod gang;
--- a/crates/tidelatch-standin/src/state.rs
+++ b/crates/tidelatch-standin/src/state.rs
@@ -204,15 +204,8 @@
     fn txn(&mut self, now: u64, body: &Value) -> Said {
         let empty = Vec::new();
         let changes = body["then"].as_array().unwrap_or(&empty);
-        if let Some(rate) = self.rate {
-            let passed = now.saturating_sub(self.level_at) as f64 / 1000.0;
-            self.level = (self.level + passed * rate).min(rate);
-            self.level_at = now;
-            if self.level < changes.len() as f64 {
-                self.slowed += 1;
-                return Said::Now(429, json!({ "error": "too many" }));
-            }
-            self.level -= changes.len() as f64;
+        if !self.admits(now, changes.len()) {
+            return Said::Now(429, json!({ "error": "too many" }));
         }
         let sizes = changes.iter().filter(|c| c["write"].is_string());
         let value = sizes.map(|c| c["value"].to_string().len()).max().unwrap_or(0);
@@ -245,19 +238,37 @@
         if !failed.is_empty() {
             return Said::Now(409, json!({ "failed": failed, "ledger": self.revision }));
         }
+        self.apply(changes);
+        Said::Now(200, json!({ "ledger": self.revision }))
+    }
+
+    /// Whether the rate of changes leaves room for so many.
+    fn admits(&mut self, now: u64, changes: usize) -> bool {
+        let Some(rate) = self.rate else { return true };
+        let passed = now.saturating_sub(self.level_at) as f64 / 1000.0;
+        self.level = (self.level + passed * rate).min(rate);
+        self.level_at = now;
+        if self.level < changes as f64 {
+            self.slowed += 1;
+            return false;
+        }
+        self.level -= changes as f64;
+        true
+    }
+
+    /// Carries out changes under one new revision.
+    fn apply(&mut self, changes: &[Value]) {
         if !changes.is_empty() {
             self.revision += 1;
         }
         for c in changes {
             if let Some(key) = c["write"].as_str() {
-                self.keys.insert(
-                    key.to_owned(),
-                    Entry {
-                        value: c["value"].clone(),
-                        stamp: self.revision,
-                        lease: c["permit"].as_u64(),
-                    },
-                );
+                let entry = Entry {
+                    value: c["value"].clone(),
+                    stamp: self.revision,
+                    lease: c["permit"].as_u64(),
+                };
+                self.keys.insert(key.to_owned(), entry);
                 self.changes.push(Change {
                     stamp: self.revision,
                     key: key.to_owned(),
@@ -267,6 +278,5 @@
                 self.remove(key);
             }
         }
-        Said::Now(200, json!({ "ledger": self.revision }))
     }
 }
--- a/crates/tidelatch/src/main.rs
+++ b/crates/tidelatch/src/main.rs
@@ -1,5 +1,7 @@
 //! tidelatch: a cluster scheduler. The command line.
 
+#![warn(clippy::too_many_lines)]
+
 mod admission;
 mod daemon;
 mod http;
--- a/crates/tidelatch/src/peers/mod.rs
+++ b/crates/tidelatch/src/peers/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 // Generated code.
-#[allow(missing_docs)]
+#[allow(missing_docs, clippy::too_many_lines)]
 mod wire {
     tonic::include_proto!("tidelatch.peer.v1");
 }
