Tests: shared set-up and checks in one support module of the stand-in

The trace comparison, the check that no rule was broken, the world with a service and the question whether a job is done stood in up to four files, CANCEL_MS too. Assertions are the same.

--- a/crates/tidelatch-standin/src/world/mod.rs
+++ b/crates/tidelatch-standin/src/world/mod.rs
@@ -33,7 +33,7 @@
 use tidelatch_core::settings::Operator;
 
 /// Milliseconds that a cancelled job's tasks have to end.
-const CANCEL_MS: u64 = 38_000;
+pub const CANCEL_MS: u64 = 38_000;
 
 /// What the controllers have sent, all together.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/tidelatch-standin/tests/cancellations.rs
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -5,9 +5,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use tidelatch_core::settings::Features;
-use tidelatch_standin::{Fate, World, job};
-
-const CANCEL_MS: u64 = 38_000;
+use tidelatch_standin::{CANCEL_MS, Fate, World, job};
 
 /// What becomes of the controller that confirmed, once the outage has begun.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/tidelatch-standin/tests/checker.rs
+++ b/crates/tidelatch-standin/tests/checker.rs
@@ -3,9 +3,7 @@
 
 use serde_json::{Value, json};
 use tidelatch_standin::checker::{Place, Question, SILENCE_MS};
-use tidelatch_standin::{Checker, job};
-
-const CANCEL_MS: u64 = 38_000;
+use tidelatch_standin::{CANCEL_MS, Checker, job};
 
 /// Three machines in zone a, two in b, one of them spot; a team with four accelerators.
 fn checker() -> Checker {
--- a/crates/tidelatch-standin/tests/gangs.rs
+++ b/crates/tidelatch-standin/tests/gangs.rs
@@ -1,33 +1,12 @@
 //! Gangs: one trace for each phase of the operators' page, and for each thing that can go wrong in it.
 //! Traces are kept under `traces/`; `UPDATE_TRACES=1` writes them anew.
 
-use std::path::Path;
 use tidelatch_core::settings::Operator;
+use tidelatch_standin::support::{keep, sound};
 use tidelatch_standin::{Fate, Size, World, gang, job};
 
 const GANG: &str = "job-000001";
 
-fn sound(world: &World) {
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
-}
-
-/// Compares a world's trace with the kept one, and checks that no rule was broken.
-fn keep(world: &World, name: &str) {
-    sound(world);
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("traces")
-        .join(format!("gang_{name}.txt"));
-    if std::env::var_os("UPDATE_TRACES").is_some() {
-        std::fs::write(&path, world.trace()).expect("the trace is written");
-    }
-    let kept = std::fs::read_to_string(&path).expect("the trace is kept");
-    assert_eq!(
-        kept,
-        world.trace(),
-        "the trace {name} differs; UPDATE_TRACES=1 writes it anew"
-    );
-}
-
 /// A world with a service of eight replicas: two machines in each zone, with room for two tasks of a gang
 /// on each, so that one of four fits into either zone.
 fn world() -> World {
@@ -102,7 +81,7 @@
     let poll = world.poll(0, GANG);
     world.run(300);
     assert_eq!(world.said(poll), "done");
-    keep(&world, "quiet_day");
+    keep(&world, "gang_quiet_day");
 }
 
 #[test]
@@ -170,7 +149,7 @@
     assert_eq!(now.first().map(|(_, n, _)| *n), Some(attempt), "{}", world.trace());
     assert!(done(&mut world, 60_000), "{}", world.trace());
     world.run(30_000);
-    keep(&world, "replacement");
+    keep(&world, "gang_replacement");
 }
 
 #[test]
@@ -186,7 +165,7 @@
     world.run(2500);
     world.calm();
     assert!(done(&mut world, 90_000), "{}", world.trace());
-    keep(&world, "incomplete");
+    keep(&world, "gang_incomplete");
 }
 
 #[test]
@@ -205,7 +184,7 @@
     assert!(world.run_until(20_000, |w| w.running(GANG) == 4), "{}", world.trace());
     world.run_ms = 1000;
     assert!(done(&mut world, 30_000), "{}", world.trace());
-    keep(&world, "loss_while_running");
+    keep(&world, "gang_loss_while_running");
 }
 
 #[test]
@@ -219,7 +198,7 @@
     assert!(world.cloud.deleted.contains(&victim), "{}", world.trace());
     assert_eq!(world.running(GANG), 4, "{}", world.trace());
     assert!(world.gangs.saved_ms.contains_key(GANG), "it had a checkpoint");
-    keep(&world, "hanging_machine");
+    keep(&world, "gang_hanging_machine");
 }
 
 #[test]
@@ -243,7 +222,7 @@
     world.calm();
     world.run(20_000);
     assert_eq!(world.running(GANG), 4, "{}", world.trace());
-    keep(&world, "lease_ends");
+    keep(&world, "gang_lease_ends");
 }
 
 /// Production work that needs the gang's processors.
@@ -272,7 +251,7 @@
     world.cloud.most = 20;
     world.run_ms = 15_000;
     assert!(done(&mut world, 120_000), "{}", world.trace());
-    keep(&world, "orderly_stop");
+    keep(&world, "gang_orderly_stop");
 }
 
 #[test]
@@ -290,7 +269,7 @@
     world.cloud.most = 20;
     world.run_ms = 15_000;
     assert!(done(&mut world, 120_000), "{}", world.trace());
-    keep(&world, "stop_that_does_not_reach_all");
+    keep(&world, "gang_stop_that_does_not_reach_all");
 }
 
 #[test]
@@ -308,7 +287,7 @@
     world.calm();
     world.run(20_000);
     assert!(!world.trace().contains("went_back"));
-    keep(&world, "done_of_one");
+    keep(&world, "gang_done_of_one");
 }
 
 #[test]
@@ -325,7 +304,7 @@
     assert_eq!(world.said(told), "withdrawn", "{}", world.trace());
     world.run(40_000);
     assert!(world.machines_of(GANG).is_empty(), "{}", world.trace());
-    keep(&world, "cancelled_while_gathering");
+    keep(&world, "gang_cancelled_while_gathering");
 }
 
 #[test]
@@ -354,7 +333,7 @@
     world.calm();
     world.run_ms = 1000;
     assert!(done(&mut world, 60_000), "{}", world.trace());
-    keep(&world, "zone_rule");
+    keep(&world, "gang_zone_rule");
 }
 
 /// The owner of the gang's team crashes at some time after its acceptance, and comes back.
@@ -381,7 +360,7 @@
     let world = take_over(4000, 12_000);
     let starts = world.trace().matches("starts job-000001/").count();
     assert_eq!(starts, 4, "nothing is started twice\n{}", world.trace());
-    keep(&world, "take_over_while_running");
+    keep(&world, "gang_take_over_while_running");
 }
 
 #[test]
@@ -432,7 +411,7 @@
         assert!(world.run_until(60_000, over), "{id}\n{}", world.trace());
     }
     assert!(!world.trace().contains("incomplete"), "{}", world.trace());
-    keep(&world, "two_for_one_room");
+    keep(&world, "gang_two_for_one_room");
 }
 
 #[test]
@@ -446,7 +425,7 @@
         w.sick = true;
     }
     assert!(done(&mut world, 120_000), "{}", world.trace());
-    keep(&world, "sick_machine");
+    keep(&world, "gang_sick_machine");
 }
 
 #[test]
@@ -581,7 +560,7 @@
     assert!(world.trace().contains("is saved at"), "{}", world.trace());
     world.run_ms = 6000;
     assert!(done(&mut world, 60_000), "{}", world.trace());
-    keep(&world, "stop_of_an_earlier_owner");
+    keep(&world, "gang_stop_of_an_earlier_owner");
 }
 
 #[test]
--- a/crates/tidelatch-standin/tests/meddlers.rs
+++ b/crates/tidelatch-standin/tests/meddlers.rs
@@ -3,13 +3,10 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use tidelatch_standin::support::{is_done, sound, with_service};
 use tidelatch_standin::troubles::{self, Meddler};
 use tidelatch_standin::{Fate, Letter, World, job};
 
-fn sound(world: &World) {
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
-}
-
 fn fate(meddler: &mut Meddler, at: u64, from: &str, to: &str, what: &str) -> Fate {
     let body = "{}";
     meddler(&Letter {
@@ -21,19 +18,6 @@
     })
 }
 
-fn with_service() -> World {
-    let mut world = World::new();
-    world.run(3000);
-    world.accepted(0, &job(1, 0, "standing", 2));
-    let up = world.run_until(30_000, |w| w.running("job-000001") == 2);
-    assert!(up, "{}", world.trace());
-    world
-}
-
-fn done(world: &World, id: &str) -> bool {
-    world.store.get(&format!("t/j/{id}")).is_some_and(|j| j["st"] == "done")
-}
-
 /// Answers of a controller to the balancer's question.
 fn healthy(world: &mut World, node: usize) -> bool {
     let asked = world.user(node, tidelatch_core::Method::Get, "/up", "", ("up".into(), "health"));
@@ -152,7 +136,7 @@
         let jobs = ["job-000001", "job-000002", "job-000003"];
         let open = world.unanswered(75_000, &jobs);
         assert!(open.is_empty(), "seed {seed}: {open:?}\n{}", world.trace());
-        assert!(done(&world, "job-000002"), "seed {seed}\n{}", world.trace());
+        assert!(is_done(&world, "job-000002"), "seed {seed}\n{}", world.trace());
         assert_eq!(world.running("job-000001"), 1, "seed {seed}\n{}", world.trace());
         sound(&world);
     }
@@ -160,7 +144,7 @@
 
 #[test]
 fn the_state_service_refuses_one_controller_whose_leases_run_out_and_whose_watches_wait() {
-    let mut world = with_service();
+    let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     let before = world.epoch();
     let name = format!("berth-{owner}");
@@ -173,7 +157,7 @@
     assert!(!healthy(&mut world, owner), "{}", world.trace());
     assert!(healthy(&mut world, (owner + 1) % 3), "{}", world.trace());
     world.accepted((owner + 1) % 3, &job(2, 0, "sweep", 2));
-    let over = world.run_until(60_000, |w| done(w, "job-000002"));
+    let over = world.run_until(60_000, |w| is_done(w, "job-000002"));
     assert!(over, "{}", world.trace());
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
     world.calm();
@@ -243,7 +227,7 @@
 
 #[test]
 fn work_on_a_deaf_machine_goes_elsewhere() {
-    let mut world = with_service();
+    let mut world = with_service(0);
     let deaf = world.machines_of("job-000001").first().cloned().expect("it runs");
     world.note(&format!("nothing reaches {deaf} any more; its reports arrive"));
     world.meddle(troubles::deaf(&deaf));
@@ -254,7 +238,7 @@
 
 #[test]
 fn a_cancelled_job_on_a_mute_machine_is_gone_in_time() {
-    let mut world = with_service();
+    let mut world = with_service(0);
     let mute = world.machines_of("job-000001").first().cloned().expect("it runs");
     world.note(&format!("reports of {mute} reach nobody any more"));
     world.meddle(troubles::mute(&mute));
@@ -269,7 +253,7 @@
 
 #[test]
 fn reports_of_before_come_to_all_controllers_when_an_epoch_begins() {
-    let mut world = with_service();
+    let mut world = with_service(0);
     world.keep_reports();
     world.accepted(0, &job(2, 0, "sweep", 4));
     world.run(8000);
@@ -283,7 +267,7 @@
     );
     assert!(!world.trace().contains(" 0 reports of before"), "{}", world.trace());
     world.start(owner);
-    let over = world.run_until(60_000, |w| done(w, "job-000002") && w.running("job-000001") == 2);
+    let over = world.run_until(60_000, |w| is_done(w, "job-000002") && w.running("job-000001") == 2);
     assert!(over, "{}", world.trace());
     world.run(40_000);
     sound(&world);
@@ -320,7 +304,7 @@
 
 #[test]
 fn a_controller_cut_from_state_and_peers_steps_down() {
-    let mut world = with_service();
+    let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     world.note(&format!("berth-{owner} is cut from the state service and its peers"));
     world.meddle(troubles::cut_off(owner));
@@ -336,7 +320,7 @@
 #[test]
 fn the_world_tells_the_checker_of_a_task_that_appears_on_a_second_machine() {
     // The world's own eyes: what a test does to a machine by hand is seen as well.
-    let mut world = with_service();
+    let mut world = with_service(0);
     let on = world.machines_of("job-000001").first().cloned().expect("it runs");
     let mut second = world.workers[&on].clone();
     second.name = "n-900000".to_owned();
@@ -352,7 +336,7 @@
 
 #[test]
 fn the_world_tells_the_checker_when_a_cancelled_jobs_last_task_is_gone() {
-    let mut world = with_service();
+    let mut world = with_service(0);
     assert_eq!(world.gone_after_confirmation("job-000001"), None);
     // A cancellation stops tasks from when it is asked; without direct commands they go with the next reports.
     world.meddle(|l| {
@@ -373,7 +357,7 @@
 #[test]
 fn the_world_tells_the_checker_when_tasks_end_with_their_machines_lease() {
     // Within one long run, in which nobody looks at the machines but the world itself.
-    let mut world = with_service();
+    let mut world = with_service(0);
     let cut = world.machines_of("job-000001").first().cloned().expect("it runs");
     world.note(&format!("nothing comes from {cut}, and nothing reaches it"));
     let ended = Rc::new(Cell::new(0));
--- a/crates/tidelatch-standin/tests/meetings.rs
+++ b/crates/tidelatch-standin/tests/meetings.rs
@@ -3,14 +3,9 @@
 
 use std::collections::BTreeSet;
 use tidelatch_core::settings::Operator;
+use tidelatch_standin::support::sound;
 use tidelatch_standin::troubles::{self, Meddler};
-use tidelatch_standin::{Fate, Size, World, job};
-
-const CANCEL_MS: u64 = 38_000;
-
-fn sound(world: &World) {
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
-}
+use tidelatch_standin::{CANCEL_MS, Fate, Size, World, job};
 
 fn id(n: u32) -> String {
     format!("job-{n:06}")
--- a/crates/tidelatch-standin/tests/meetings_of_two.rs
+++ b/crates/tidelatch-standin/tests/meetings_of_two.rs
@@ -5,9 +5,7 @@
 use tidelatch_core::Method;
 use tidelatch_core::settings::Operator;
 use tidelatch_standin::troubles::{self, Meddler};
-use tidelatch_standin::{Fate, Size, Worker, World, job};
-
-const CANCEL_MS: u64 = 38_000;
+use tidelatch_standin::{CANCEL_MS, Fate, Size, Worker, World, job};
 
 fn sound(world: &World, case: impl std::fmt::Debug) {
     assert!(
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -2,41 +2,11 @@
 //! it is there for. Traces of them are kept under `traces/`; `UPDATE_TRACES=1` writes them anew.
 
 use std::cell::Cell;
-use std::path::Path;
 use std::rc::Rc;
 use tidelatch_core::settings::Operator;
+use tidelatch_standin::support::{keep, with_service};
 use tidelatch_standin::{Fate, World, job};
 
-/// Compares a world's trace with the kept one, and checks that no rule was broken.
-fn keep(world: &World, name: &str) {
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("traces")
-        .join(format!("{name}.txt"));
-    if std::env::var_os("UPDATE_TRACES").is_some() {
-        std::fs::write(&path, world.trace()).expect("the trace is written");
-    }
-    let kept = std::fs::read_to_string(&path).expect("the trace is kept");
-    assert_eq!(
-        kept,
-        world.trace(),
-        "the trace {name} differs; UPDATE_TRACES=1 writes it anew"
-    );
-}
-
-/// A world with a service of two replicas that runs.
-fn with_service(team: u32) -> World {
-    let mut world = World::new();
-    world.run(3000);
-    world.accepted(0, &job(1, team, "standing", 2));
-    assert!(
-        world.run_until(30_000, |w| w.running("job-000001") == 2),
-        "{}",
-        world.trace()
-    );
-    world
-}
-
 #[test]
 fn a_quiet_day_runs_a_service_and_an_array() {
     let mut world = with_service(0);
--- a/crates/tidelatch-standin/tests/troubles.rs
+++ b/crates/tidelatch-standin/tests/troubles.rs
@@ -3,64 +3,23 @@
 //! test names the guard that it is there for.
 
 use std::cell::Cell;
-use std::path::Path;
 use std::rc::Rc;
 use tidelatch_core::Method;
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::{Fate, Size, World, gang, job};
-
-fn keep(world: &World, name: &str) {
-    sound(world);
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("traces")
-        .join(format!("{name}.txt"));
-    if std::env::var_os("UPDATE_TRACES").is_some() {
-        std::fs::write(&path, world.trace()).expect("the trace is written");
-    }
-    let kept = std::fs::read_to_string(&path).expect("the trace is kept");
-    assert_eq!(
-        kept,
-        world.trace(),
-        "the trace {name} differs; UPDATE_TRACES=1 writes it anew"
-    );
-}
-
-fn sound(world: &World) {
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
-}
-
-fn with_service() -> World {
-    let mut world = World::new();
-    world.run(3000);
-    world.accepted(0, &job(1, 0, "standing", 2));
-    assert!(
-        world.run_until(30_000, |w| w.running("job-000001") == 2),
-        "{}",
-        world.trace()
-    );
-    world
-}
+use tidelatch_standin::support::{keep, sound, with_service};
+use tidelatch_standin::{Fate, Size, World, gang, job, troubles};
 
 /// No answer and no command reaches a machine any more; its reports do, and it tells its state.
 fn deafen(world: &mut World, machine: &str) {
     world.note(&format!("nothing reaches {machine} any more; its reports arrive"));
-    let deaf = machine.to_owned();
-    world.meddle(move |l| {
-        if l.from == deaf {
-            Fate::AnswerLost
-        } else if l.to == deaf && l.what != "GET /status" {
-            Fate::Lost
-        } else {
-            Fate::Pass
-        }
-    });
+    world.meddle(troubles::deaf(machine));
 }
 
 #[test]
 fn work_on_a_machine_that_no_answer_reaches_goes_elsewhere() {
     // Guard: a worker whose lease ends though it is answered, or that never starts what it is sent, is
     // given up. It would be given the same tasks again and again, for it reports and looks empty.
-    let mut world = with_service();
+    let mut world = with_service(0);
     let deaf = world.machines_of("job-000001").first().cloned().expect("it runs");
     // The cloud has no other machine: the work runs again only once this one has been returned.
     world.cloud.most = 1;
@@ -287,7 +246,7 @@
 fn a_controller_that_has_only_its_workers_left_steps_down() {
     // Guard: entitlement ends with the lease when no peer can promise anything; and the balancer is
     // told, for its users would be put off without end.
-    let mut world = with_service();
+    let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     let name = format!("berth-{owner}");
     world.note(&format!(
@@ -408,7 +367,7 @@
 fn a_late_copy_of_an_earlier_lifes_key_changes_nothing() {
     // Guard: a controller's own key is written on condition of its revision. A copy of an earlier life's
     // write put that life back, and the membership changed to and fro.
-    let mut world = with_service();
+    let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     let name = format!("berth-{owner}");
     let copies = Rc::new(Cell::new(0));
@@ -500,7 +459,7 @@
 fn a_controller_that_stood_still_for_longer_than_its_lease_does_nothing_on_waking() {
     // Guard: entitlement is looked at with each input, at the time of that input: what lay in the buffers
     // (reports, users' requests, ends of calls, ticks) is met by a controller that may not act any more.
-    let mut world = with_service();
+    let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     world.freeze(owner);
     // In its buffers by the time it goes on: a submission, a poll, a cancellation, a health check.
--- a/crates/tidelatch-standin/tests/upgrade.rs
+++ b/crates/tidelatch-standin/tests/upgrade.rs
@@ -4,28 +4,9 @@
 use serde_json::{Value, json};
 use std::path::Path;
 use tidelatch_core::settings::{Features, Operator};
+use tidelatch_standin::support::{is_done, keep, sound};
 use tidelatch_standin::{Fate, Size, World, gang, job};
 
-fn sound(world: &World) {
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
-}
-
-fn keep(world: &World, name: &str) {
-    sound(world);
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("traces")
-        .join(format!("{name}.txt"));
-    if std::env::var_os("UPDATE_TRACES").is_some() {
-        std::fs::write(&path, world.trace()).expect("the trace is written");
-    }
-    let kept = std::fs::read_to_string(&path).expect("the trace is kept");
-    assert_eq!(
-        kept,
-        world.trace(),
-        "the trace {name} differs; UPDATE_TRACES=1 writes it anew"
-    );
-}
-
 /// Three controllers of the version before, with a service that runs.
 fn before(size: Size) -> World {
     let mut world = World::sized(&Operator::default(), size);
@@ -52,10 +33,6 @@
     world.start(node);
 }
 
-fn is_over(world: &World, id: &str) -> bool {
-    world.store.get(&format!("t/j/{id}")).is_some_and(|j| j["st"] == "done")
-}
-
 /// Submits until the job is taken; what was said before that.
 fn submitted(world: &mut World, body: &Value, ms: u64) -> Vec<u16> {
     let until = world.now + ms;
@@ -216,7 +193,7 @@
             }
             submitted(&mut world, &gang(2, 1, 2), 20_000);
             assert!(
-                world.run_until(60_000, |w| is_over(w, "job-000002")),
+                world.run_until(60_000, |w| is_done(w, "job-000002")),
                 "{order:?}\n{}",
                 world.trace()
             );
@@ -256,12 +233,12 @@
     replace(&mut world, 2, Features::default(), 6000);
     submitted(&mut world, &gang(2, 2, 3), 30_000);
     assert!(
-        world.run_until(60_000, |w| is_over(w, "job-000002")),
+        world.run_until(60_000, |w| is_done(w, "job-000002")),
         "{}",
         world.trace()
     );
     assert!(
-        world.run_until(60_000, |w| is_over(w, "job-000003")),
+        world.run_until(60_000, |w| is_done(w, "job-000003")),
         "{}",
         world.trace()
     );
@@ -313,7 +290,7 @@
     replace(&mut world, owner, Features::default(), 500);
     world.run_ms = 3000;
     assert!(
-        world.run_until(90_000, |w| is_over(w, "job-000001")),
+        world.run_until(90_000, |w| is_done(w, "job-000001")),
         "{}",
         world.trace()
     );
@@ -388,7 +365,7 @@
     let over = |w: &World| {
         (0..16)
             .filter(|i| i % 4 != 0)
-            .all(|i| is_over(w, &format!("job-{:06}", i + 1)))
+            .all(|i| is_done(w, &format!("job-{:06}", i + 1)))
     };
     assert!(world.run_until(240_000, over), "{}", world.trace());
     world.run(9000);
@@ -546,7 +523,7 @@
         };
         submitted(&mut world, &body, 30_000);
     }
-    let over = |w: &World| (1..40).all(|i| is_over(w, &format!("job-{i:06}")));
+    let over = |w: &World| (1..40).all(|i| is_done(w, &format!("job-{i:06}")));
     assert!(world.run_until(240_000, over), "{}", world.trace());
     assert!(!world.trace().contains("lease lost"), "{}", world.trace());
     let slowed = world.store.slowed;
