--- /dev/null
+++ b/crates/tidelatch-standin/src/faults.rs
@@ -0,0 +1,112 @@
+//! Faults for [`World::meddle`](crate::World::meddle), which can be combined: what becomes of messages on
+//! networks and at services that fail. With one seed, all are the same every time.
+
+use crate::world::{Delivery, Message};
+use std::ops::Range;
+
+/// Decides what becomes of messages.
+pub type FaultInjector = Box<dyn FnMut(&Message<'_>) -> Delivery>;
+
+/// The earlier name of [`FaultInjector`].
+pub type Meddler = FaultInjector;
+
+/// Several faults at once: the first that does anything to a message decides.
+pub fn all(mut injectors: Vec<FaultInjector>) -> FaultInjector {
+    Box::new(move |l| {
+        // Each is asked, so that none depends on what the others did.
+        let deliveries: Vec<Delivery> = injectors.iter_mut().map(|m| m(l)).collect();
+        deliveries
+            .into_iter()
+            .find(|f| *f != Delivery::Pass)
+            .unwrap_or(Delivery::Pass)
+    })
+}
+
+/// A fault for some time, in milliseconds since the beginning.
+pub fn during(time: Range<u64>, mut injector: FaultInjector) -> FaultInjector {
+    Box::new(move |l| {
+        if time.contains(&l.at) {
+            injector(l)
+        } else {
+            Delivery::Pass
+        }
+    })
+}
+
+/// A share of transactions gets no answer, and is carried out 2 to 12 s later.
+pub fn late_writes(seed: u64, share: f64) -> FaultInjector {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    Box::new(move |l| {
+        if l.what == "POST /txn" && rng.f64() < share {
+            Delivery::Late(rng.u64(2_000..12_000))
+        } else {
+            Delivery::Pass
+        }
+    })
+}
+
+/// A share of transactions is carried out at once, and its answer is lost.
+pub fn lost_answers(seed: u64, share: f64) -> FaultInjector {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    Box::new(move |l| {
+        if l.what == "POST /txn" && rng.f64() < share {
+            Delivery::AnswerLost
+        } else {
+            Delivery::Pass
+        }
+    })
+}
+
+/// A copy of a share of reports comes late: from 2 s to well over two leases.
+pub fn late_copies(seed: u64, share: f64) -> FaultInjector {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    Box::new(move |l| {
+        if l.what == "POST /agent/beat" && rng.f64() < share {
+            Delivery::Copied(rng.u64(2_000..45_000))
+        } else {
+            Delivery::Pass
+        }
+    })
+}
+
+/// A machine's reports arrive; answers and direct commands do not reach it. It still tells its state.
+pub fn deaf(machine: &str) -> FaultInjector {
+    let deaf = machine.to_owned();
+    Box::new(move |l| {
+        if l.from == deaf {
+            Delivery::AnswerLost
+        } else if l.to == deaf && l.what != "GET /status" {
+            Delivery::Lost
+        } else {
+            Delivery::Pass
+        }
+    })
+}
+
+/// A machine's reports reach no controller; direct commands reach it, and are answered.
+pub fn mute(machine: &str) -> FaultInjector {
+    let mute = machine.to_owned();
+    Box::new(move |l| if l.from == mute { Delivery::Lost } else { Delivery::Pass })
+}
+
+/// A controller is cut off from the state service and its peers, and has its workers and users still.
+pub fn cut_off(node: usize) -> FaultInjector {
+    let name = format!("berth-{node}");
+    Box::new(move |l| {
+        let out = l.from == name && (l.to == "state" || l.to.starts_with("berth-"));
+        let back = l.to == name && l.from.starts_with("berth-");
+        if out || back { Delivery::Lost } else { Delivery::Pass }
+    })
+}
+
+/// The state service answers 503 to one controller alone.
+pub fn refused(node: usize) -> FaultInjector {
+    let name = format!("berth-{node}");
+    Box::new(move |l| {
+        if l.from == name && l.to == "state" {
+            Delivery::Refused
+        } else {
+            Delivery::Pass
+        }
+    })
+}
--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -8,10 +8,10 @@
 
 pub mod checker;
 mod cloud;
+pub mod faults;
 mod gang;
 mod state;
 pub mod support;
-pub mod troubles;
 mod worker;
 mod world;
 
@@ -19,4 +19,8 @@
 pub use cloud::Cloud;
 pub use state::Store;
 pub use worker::Worker;
-pub use world::{CANCEL_MS, Fate, Letter, Sent, Size, World, gang, job};
+pub use world::{CANCEL_MS, Delivery, Message, Sent, Size, World, gang, job};
+
+// Earlier names, for tests that still use them.
+pub use faults as troubles;
+pub use world::{Delivery as Fate, Message as Letter};
--- a/crates/tidelatch-standin/src/support.rs
+++ b/crates/tidelatch-standin/src/support.rs
@@ -8,7 +8,7 @@
 /// # Panics
 ///
 /// If one was: with the breaches and the trace.
-pub fn sound(world: &World) {
+pub fn assert_no_breaches(world: &World) {
     assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
 }
 
@@ -18,8 +18,8 @@
 /// # Panics
 ///
 /// If the traces differ, or a rule was broken.
-pub fn keep(world: &World, name: &str) {
-    sound(world);
+pub fn assert_trace(world: &World, name: &str) {
+    assert_no_breaches(world);
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
         .join("traces")
         .join(format!("{name}.txt"));
--- a/crates/tidelatch-standin/src/world/calls.rs
+++ b/crates/tidelatch-standin/src/world/calls.rs
@@ -2,7 +2,7 @@
 
 use super::World;
 use super::event::{Caller, Event, ServiceRequest, Watch};
-use super::network::Fate;
+use super::network::Delivery;
 use crate::cloud::Cloud;
 use crate::state::Said;
 use serde_json::{Value, json};
@@ -31,31 +31,31 @@
     pub(super) fn call(&mut self, from: Caller, target: &Target, request: ServiceRequest, timeout_ms: u64) {
         self.count_call(target, &request.body);
         let what = format!("{} {}", request.method, request.path);
-        let fate = self.fate(&format!("berth-{}", from.node), &request.to, &what, &request.body);
+        let delivery = self.deliver(&format!("berth-{}", from.node), &request.to, &what, &request.body);
         if let Some(n) = self.nodes.get_mut(from.node) {
             n.open.insert(from.call);
             if *target == Target::State {
-                n.refused = fate == Fate::Refused;
+                n.refused = delivery == Delivery::Refused;
             }
         }
-        if fate == Fate::Refused {
+        if delivery == Delivery::Refused {
             let result = Some((503, json!({ "error": "trouble" }).to_string()));
-            self.push(2, Event::Back { to: from, result });
+            self.schedule(2, Event::RequestAnswered { to: from, result });
         }
-        self.push(timeout_ms, Event::Back { to: from, result: None });
-        if let Fate::Copied(late) = fate {
-            let copy = Event::Arrive {
+        self.schedule(timeout_ms, Event::RequestAnswered { to: from, result: None });
+        if let Delivery::Copied(late) = delivery {
+            let copy = Event::RequestArrives {
                 from,
                 request: request.clone(),
                 answered: None,
             };
-            self.push(late, copy);
+            self.schedule(late, copy);
         }
-        if let Some(after) = fate.request_delay() {
-            let answered = fate.answer_delay();
-            self.push(
+        if let Some(after) = delivery.request_delay() {
+            let answered = delivery.answer_delay();
+            self.schedule(
                 after,
-                Event::Arrive {
+                Event::RequestArrives {
                     from,
                     request,
                     answered,
@@ -75,13 +75,13 @@
             Target::Cloud => self.sent.cloud_calls += 1,
             Target::Worker(_) => {
                 self.sent.commands += 1;
-                self.ordered(body);
+                self.count_starts(body);
             }
         }
     }
 
     /// A call has come to its receiver.
-    pub(super) fn arrive(&mut self, from: Caller, request: &ServiceRequest, answered: Option<u64>) {
+    pub(super) fn request_arrives(&mut self, from: Caller, request: &ServiceRequest, answered: Option<u64>) {
         let result = match request.to.as_str() {
             "state" => match self
                 .store
@@ -90,23 +90,23 @@
                 Said::Now(status, body) => Some((status, body.to_string())),
                 Said::Later(prefix, since, until) => {
                     let watch = Watch { prefix, since, until };
-                    self.push(1, Event::Watch { from, watch });
+                    self.schedule(1, Event::Watch { from, watch });
                     None
                 }
             },
-            "cloud" => Some(self.arrive_at_cloud(request)),
-            machine => self.direct(machine, &request.path, &request.body),
+            "cloud" => Some(self.request_at_cloud(request)),
+            machine => self.direct_command(machine, &request.path, &request.body),
         };
         if let (Some(result), Some(after)) = (result, answered) {
             let result = Some(result);
-            self.push(after, Event::Back { to: from, result });
+            self.schedule(after, Event::RequestAnswered { to: from, result });
         }
     }
 
-    fn arrive_at_cloud(&mut self, request: &ServiceRequest) -> (u16, String) {
+    fn request_at_cloud(&mut self, request: &ServiceRequest) -> (u16, String) {
         let (status, body, rented) = self.cloud.request(request.method, &request.path, &request.body);
         for name in rented {
-            self.push(Cloud::BOOT_MS, Event::Boot(name));
+            self.schedule(Cloud::BOOT_MS, Event::Boot(name));
         }
         let gone: Vec<String> = self
             .workers
@@ -116,16 +116,16 @@
             .collect();
         for worker in gone {
             self.workers.remove(&worker);
-            self.look_at(&worker, &[]);
+            self.observe_machine(&worker, &[]);
         }
         (status, body.to_string())
     }
 
     /// The result of a call, or the end of the time for it, has come to the controller.
-    pub(super) fn back(&mut self, to: Caller, result: Option<(u16, String)>) {
+    pub(super) fn request_answered(&mut self, to: Caller, result: Option<(u16, String)>) {
         if self.ends_call(to) {
             let result = result.map(|(status, body)| (status, body.into_bytes()));
-            self.feed(to.node, Input::Reply { call: to.call, result });
+            self.feed_input(to.node, Input::Reply { call: to.call, result });
         }
     }
 
@@ -142,11 +142,11 @@
         };
         let over = self.now >= watch.until && !waits;
         if news.is_none() && !over {
-            self.push(WATCH_MS, Event::Watch { from, watch });
+            self.schedule(WATCH_MS, Event::Watch { from, watch });
             return;
         }
         let news = news.unwrap_or_else(|| json!({ "ledger": self.store.revision(), "news": [] }));
         let result = Some((200, news.to_string()));
-        self.push(2, Event::Back { to: from, result });
+        self.schedule(2, Event::RequestAnswered { to: from, result });
     }
 }
--- a/crates/tidelatch-standin/src/world/controllers.rs
+++ b/crates/tidelatch-standin/src/world/controllers.rs
@@ -20,7 +20,7 @@
     /// Calls that have no result yet.
     pub(super) open: HashSet<u64>,
     /// While it stands still: what has come in since.
-    pub(super) still: Option<Vec<Input>>,
+    pub(super) frozen_inputs: Option<Vec<Input>>,
     /// The state service answered its last request with 503, and only its.
     pub(super) refused: bool,
 }
@@ -33,7 +33,7 @@
             life: 0,
             settings,
             open: HashSet::new(),
-            still: None,
+            frozen_inputs: None,
             refused: false,
         }
     }
@@ -56,29 +56,29 @@
         let Some(n) = self.nodes.get_mut(node) else { return };
         n.life += 1;
         n.open.clear();
-        n.still = None;
+        n.frozen_inputs = None;
         n.refused = false;
         let inc = Incarnation((node as u64 + 1) * 1_000_000 + n.life * 1000);
         n.core = Some(Controller::new(n.settings.clone(), inc, now));
         let life = n.life;
         self.note(&format!("berth-{node} starts"));
-        self.push(1, Event::Tick(node, life));
+        self.schedule(1, Event::Tick(node, life));
     }
 
     /// A controller stands still while its clocks run on; what comes in stays in its buffers.
     pub fn freeze(&mut self, node: usize) {
         self.note(&format!("berth-{node} stands still"));
         if let Some(n) = self.nodes.get_mut(node) {
-            n.still = Some(Vec::new());
+            n.frozen_inputs = Some(Vec::new());
         }
     }
 
     /// It goes on, with all that has come in meanwhile.
     pub fn thaw(&mut self, node: usize) {
         self.note(&format!("berth-{node} goes on"));
-        let inputs = self.nodes.get_mut(node).and_then(|n| n.still.take());
+        let inputs = self.nodes.get_mut(node).and_then(|n| n.frozen_inputs.take());
         for input in inputs.unwrap_or_default() {
-            self.feed(node, input);
+            self.feed_input(node, input);
         }
         self.check_owners();
     }
@@ -95,8 +95,8 @@
     /// A controller's timer fires, and is set again.
     pub(super) fn tick(&mut self, node: usize, life: u64) {
         if self.alive(node, life) {
-            self.feed(node, Input::Tick);
-            self.push(TICK_MS, Event::Tick(node, life));
+            self.feed_input(node, Input::Tick);
+            self.schedule(TICK_MS, Event::Tick(node, life));
         }
     }
 
@@ -115,14 +115,14 @@
     }
 
     /// Hands an input to a controller and carries out what it wants.
-    pub(super) fn feed(&mut self, node: usize, input: Input) {
+    pub(super) fn feed_input(&mut self, node: usize, input: Input) {
         let now = Now {
             ms: self.now,
             wall_ms: self.now,
         };
         let Some(n) = self.nodes.get_mut(node) else { return };
-        if let Some(still) = &mut n.still {
-            still.push(input);
+        if let Some(frozen_inputs) = &mut n.frozen_inputs {
+            frozen_inputs.push(input);
             return;
         }
         let life = n.life;
@@ -166,15 +166,15 @@
     /// A controller answers a user or a worker.
     fn answer(&mut self, node: usize, id: u64, answer: Answer) {
         match self.asked.remove(&id) {
-            Some(Asked::User) => self.tell_user(node, id, answer),
+            Some(Asked::User) => self.answer_user(node, id, answer),
             Some(Asked::Worker {
                 worker,
                 beat,
                 answered: Some(after),
             }) => {
-                self.ordered(&answer.body);
+                self.count_starts(&answer.body);
                 let result = Some((answer.status, answer.body));
-                self.push(after, Event::BeatBack { worker, beat, result });
+                self.schedule(after, Event::ReportAnswered { worker, beat, result });
             }
             _ => {}
         }
--- a/crates/tidelatch-standin/src/world/event.rs
+++ b/crates/tidelatch-standin/src/world/event.rs
@@ -48,25 +48,25 @@
     /// A controller's timer, in one of its lives.
     Tick(usize, u64),
     /// A request reaches a service or a worker.
-    Arrive {
+    RequestArrives {
         from: Caller,
         request: ServiceRequest,
         /// Milliseconds that the answer takes, if it is delivered.
         answered: Option<u64>,
     },
     /// An answer, or the end of the time for it, reaches a controller.
-    Back { to: Caller, result: Option<(u16, String)> },
+    RequestAnswered { to: Caller, result: Option<(u16, String)> },
     /// An open watch looks for news.
     Watch { from: Caller, watch: Watch },
     /// A request reaches another controller.
-    PeerArrive {
+    PeerRequestArrives {
         from: Caller,
         to: usize,
         request: PeerRequest,
         answered: Option<u64>,
     },
     /// A peer's answer, or the end of the time for it, reaches a controller.
-    PeerBack { to: Caller, result: Option<PeerReply> },
+    PeerRequestAnswered { to: Caller, result: Option<PeerReply> },
     /// A machine has booted.
     Boot(String),
     /// A worker goes on with its tasks.
@@ -74,7 +74,7 @@
     /// The gangs go on.
     Gangs,
     /// A worker's report reaches a controller.
-    BeatArrive {
+    ReportArrives {
         node: usize,
         report: Report,
         answered: Option<u64>,
@@ -82,7 +82,7 @@
     /// A user cancels a job.
     Withdraw { node: usize, job: String },
     /// The answer to a report, or the end of the time for it, reaches a worker.
-    BeatBack {
+    ReportAnswered {
         worker: String,
         beat: u64,
         result: Option<(u16, String)>,
--- a/crates/tidelatch-standin/src/world/gangs.rs
+++ b/crates/tidelatch-standin/src/world/gangs.rs
@@ -13,7 +13,7 @@
 
 impl World {
     /// Lets all gangs go on; a worker whose tasks have changed reports at once.
-    pub(super) fn play_gangs(&mut self) {
+    pub(super) fn step_gangs(&mut self) {
         for key in self.gangs_on_machines() {
             let Some(job) = self.jobs.get(&key.0) else { continue };
             let terms = Terms {
@@ -24,7 +24,7 @@
             self.gangs.go_on(&key, terms, &mut self.workers, self.now);
         }
         for name in self.gangs.changed.clone() {
-            self.look_at(&name, &[]);
+            self.observe_machine(&name, &[]);
         }
         for task in std::mem::take(&mut self.gangs.done) {
             self.completed(&task);
@@ -33,7 +33,7 @@
             self.note(&text);
         }
         self.report_changed_gangs();
-        self.push(GANG_STEP_MS, Event::Gangs);
+        self.schedule(GANG_STEP_MS, Event::Gangs);
     }
 
     /// The gangs that have tasks on machines, by job and attempt.
@@ -55,14 +55,17 @@
         let now = self.now;
         let changed = std::mem::take(&mut self.gangs.changed);
         for name in changed {
-            let lately = self.beaten.get(&name).is_some_and(|t| now < t + CHANGE_REPORT_MS);
+            let lately = self
+                .gang_reported_at
+                .get(&name)
+                .is_some_and(|t| now < t + CHANGE_REPORT_MS);
             let free = self
                 .workers
                 .get(&name)
                 .is_some_and(|w| !w.hanging && w.waiting.is_none());
             if free && !lately {
-                self.beaten.insert(name.clone(), now);
-                self.beat(&name);
+                self.gang_reported_at.insert(name.clone(), now);
+                self.send_report(&name);
             } else if self.workers.contains_key(&name) {
                 self.gangs.changed.insert(name);
             }
@@ -71,7 +74,7 @@
 }
 
 /// A task was told to stop: only a gang's that runs saves first.
-pub(super) fn told(gangs: &mut Gangs, jobs: &BTreeMap<String, Value>, stop: (&str, u64, f64), now: u64) -> bool {
+pub(super) fn begin_stop(gangs: &mut Gangs, jobs: &BTreeMap<String, Value>, stop: (&str, u64, f64), now: u64) -> bool {
     let (task, attempt, grace_s) = stop;
     let job = task.split('/').next().unwrap_or_default();
     let gang = jobs.get(job).is_some_and(|j| j["shape"] == "group");
--- a/crates/tidelatch-standin/src/world/mod.rs
+++ b/crates/tidelatch-standin/src/world/mod.rs
@@ -17,7 +17,7 @@
 mod workers;
 
 pub use deployment::{Size, gang, job};
-pub use network::{Fate, Letter};
+pub use network::{Delivery, Message};
 
 use crate::checker::Checker;
 use crate::cloud::Cloud;
@@ -26,7 +26,7 @@
 use crate::worker::Worker;
 use controllers::Node;
 use event::{Asked, Event};
-use network::Meddler;
+use network::FaultInjector;
 use serde_json::Value;
 use std::collections::{BTreeMap, VecDeque};
 use tidelatch_core::Answer;
@@ -77,16 +77,16 @@
     order: u64,
     asked: BTreeMap<u64, Asked>,
     next_request: u64,
-    meddler: Meddler,
+    injector: FaultInjector,
     jobs: BTreeMap<String, Value>,
     /// How workers play gangs.
     pub gangs: Gangs,
-    playing: bool,
-    beaten: BTreeMap<String, u64>,
+    gangs_scheduled: bool,
+    gang_reported_at: BTreeMap<String, u64>,
     asked_about: BTreeMap<u64, (String, &'static str)>,
     checker: Checker,
     /// How many of the checker's breaches are in `broken`.
-    judged: usize,
+    recorded_breaches: usize,
     /// Jobs to be cancelled when their last task ends: at which controller, and how much later.
     cancel_at_end: BTreeMap<String, (usize, u64)>,
     /// Cancellations that were asked for when a job's last task had ended, by job.
@@ -133,14 +133,14 @@
             order: 0,
             asked: BTreeMap::new(),
             next_request: 1,
-            meddler: Box::new(|_| Fate::Pass),
+            injector: Box::new(|_| Delivery::Pass),
             jobs: BTreeMap::new(),
             gangs: Gangs::default(),
-            playing: false,
-            beaten: BTreeMap::new(),
+            gangs_scheduled: false,
+            gang_reported_at: BTreeMap::new(),
             asked_about: BTreeMap::new(),
             checker: Checker::new(CANCEL_MS),
-            judged: 0,
+            recorded_breaches: 0,
             cancel_at_end: BTreeMap::new(),
             cancelled_at_end: BTreeMap::new(),
             kept: None,
@@ -160,7 +160,7 @@
     }
 
     /// Lets something happen after some milliseconds.
-    fn push(&mut self, after: u64, event: Event) {
+    fn schedule(&mut self, after: u64, event: Event) {
         self.order += 1;
         self.queue.insert((self.now + after, self.order), event);
     }
@@ -169,7 +169,7 @@
     pub fn run(&mut self, ms: u64) {
         let until = self.now + ms;
         // A test may have changed machines.
-        self.look_at_machines();
+        self.observe_machines();
         while let Some(((at, _), _)) = self.queue.first_key_value() {
             if *at > until {
                 break;
@@ -179,16 +179,16 @@
             };
             self.now = at;
             self.expire_leases();
-            self.happen(event);
+            self.handle_event(event);
             self.check_owners();
             self.checker.passes(self.now);
-            self.judge();
+            self.record_breaches();
             self.deliver_kept();
         }
         self.now = until;
         self.expire_leases();
         self.checker.passes(self.now);
-        self.judge();
+        self.record_breaches();
     }
 
     /// Lets time pass until something holds, for at most `ms`; whether it came to hold.
@@ -208,29 +208,29 @@
         self.store.expire(now);
     }
 
-    fn happen(&mut self, event: Event) {
+    fn handle_event(&mut self, event: Event) {
         match event {
             Event::Tick(node, life) => self.tick(node, life),
-            Event::Arrive {
+            Event::RequestArrives {
                 from,
                 request,
                 answered,
-            } => self.arrive(from, &request, answered),
-            Event::Back { to, result } => self.back(to, result),
+            } => self.request_arrives(from, &request, answered),
+            Event::RequestAnswered { to, result } => self.request_answered(to, result),
             Event::Watch { from, watch } => self.watch(from, watch),
-            Event::PeerArrive {
+            Event::PeerRequestArrives {
                 from,
                 to,
                 request,
                 answered,
-            } => self.peer_arrive(from, to, request, answered),
-            Event::PeerBack { to, result } => self.peer_back(to, result),
+            } => self.peer_request_arrives(from, to, request, answered),
+            Event::PeerRequestAnswered { to, result } => self.peer_request_answered(to, result),
             Event::Boot(name) => self.boot(name),
             Event::Work(name) => self.work(&name),
-            Event::Gangs => self.play_gangs(),
+            Event::Gangs => self.step_gangs(),
             Event::Withdraw { node, job } => self.withdraw_at_end(node, job),
-            Event::BeatArrive { node, report, answered } => self.beat_arrive(node, report, answered),
-            Event::BeatBack { worker, beat, result } => self.beat_back(&worker, beat, result),
+            Event::ReportArrives { node, report, answered } => self.report_arrives(node, report, answered),
+            Event::ReportAnswered { worker, beat, result } => self.report_answered(&worker, beat, result),
         }
     }
 }
--- a/crates/tidelatch-standin/src/world/network.rs
+++ b/crates/tidelatch-standin/src/world/network.rs
@@ -4,7 +4,7 @@
 
 /// What becomes of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
+pub enum Delivery {
     /// It arrives, and so does its answer.
     Pass,
     /// It never arrives.
@@ -26,7 +26,7 @@
 
 /// A message on its way.
 #[derive(Debug)]
-pub struct Letter<'a> {
+pub struct Message<'a> {
     /// Time of sending.
     pub at: u64,
     /// Sender: a controller or a machine.
@@ -40,12 +40,12 @@
 }
 
 /// Decides what becomes of each message.
-pub(super) type Meddler = Box<dyn FnMut(&Letter<'_>) -> Fate>;
+pub(super) type FaultInjector = Box<dyn FnMut(&Message<'_>) -> Delivery>;
 
 /// Milliseconds that a message is under way when nothing delays it.
 const TRANSIT_MS: u64 = 2;
 
-impl Fate {
+impl Delivery {
     /// How long the answer is under way, if it is delivered.
     pub(super) fn answer_delay(self) -> Option<u64> {
         match self {
@@ -66,30 +66,30 @@
 }
 
 impl World {
-    /// Decides the fate of every message from now on.
-    pub fn meddle(&mut self, meddler: impl FnMut(&Letter<'_>) -> Fate + 'static) {
-        self.meddler = Box::new(meddler);
+    /// Decides the delivery of every message from now on.
+    pub fn meddle(&mut self, injector: impl FnMut(&Message<'_>) -> Delivery + 'static) {
+        self.injector = Box::new(injector);
     }
 
     /// Lets every message pass again.
     pub fn calm(&mut self) {
-        self.meddler = Box::new(|_| Fate::Pass);
+        self.injector = Box::new(|_| Delivery::Pass);
     }
 
     /// Asks what becomes of a message, and notes it in the trace unless it is delivered.
-    pub(super) fn fate(&mut self, from: &str, to: &str, what: &str, body: &str) -> Fate {
-        let letter = Letter {
+    pub(super) fn deliver(&mut self, from: &str, to: &str, what: &str, body: &str) -> Delivery {
+        let message = Message {
             at: self.now,
             from,
             to,
             what,
             body,
         };
-        let fate = (self.meddler)(&letter);
-        if !matches!(fate, Fate::Pass | Fate::Copied(_) | Fate::Slow(_)) && !what.starts_with("hello") {
+        let delivery = (self.injector)(&message);
+        if !matches!(delivery, Delivery::Pass | Delivery::Copied(_) | Delivery::Slow(_)) && !what.starts_with("hello") {
             let path: String = what.chars().take(60).collect();
-            self.note(&format!("({from} to {to}, {path}: {fate:?})"));
+            self.note(&format!("({from} to {to}, {path}: {delivery:?})"));
         }
-        fate
+        delivery
     }
 }
--- a/crates/tidelatch-standin/src/world/peers.rs
+++ b/crates/tidelatch-standin/src/world/peers.rs
@@ -2,7 +2,7 @@
 
 use super::World;
 use super::event::{Asked, Caller, Event};
-use super::network::Fate;
+use super::network::Delivery;
 use tidelatch_core::{Input, PeerReply, PeerRequest};
 
 impl World {
@@ -16,28 +16,34 @@
             PeerRequest::Forward { .. } => "forward",
             PeerRequest::Hello { .. } => "hello",
         };
-        let fate = self.fate(&format!("berth-{}", from.node), to, kind, "");
-        let timeout_ms = if fate == Fate::Refused { 2 } else { timeout_ms };
+        let delivery = self.deliver(&format!("berth-{}", from.node), to, kind, "");
+        let timeout_ms = if delivery == Delivery::Refused { 2 } else { timeout_ms };
         if let Some(n) = self.nodes.get_mut(from.node) {
             n.open.insert(from.call);
         }
-        self.push(timeout_ms, Event::PeerBack { to: from, result: None });
+        self.schedule(timeout_ms, Event::PeerRequestAnswered { to: from, result: None });
         let to = to.strip_prefix("berth-").and_then(|n| n.parse().ok()).unwrap_or(0);
-        if let Some(after) = fate.request_delay() {
-            let arrival = Event::PeerArrive {
+        if let Some(after) = delivery.request_delay() {
+            let arrival = Event::PeerRequestArrives {
                 from,
                 to,
                 request,
-                answered: fate.answer_delay(),
+                answered: delivery.answer_delay(),
             };
-            self.push(after, arrival);
+            self.schedule(after, arrival);
         }
     }
 
     /// A peer's request has come to a controller.
-    pub(super) fn peer_arrive(&mut self, from: Caller, to: usize, request: PeerRequest, answered: Option<u64>) {
+    pub(super) fn peer_request_arrives(
+        &mut self,
+        from: Caller,
+        to: usize,
+        request: PeerRequest,
+        answered: Option<u64>,
+    ) {
         let id = self.new_request(Asked::Peer { from, answered });
-        self.feed(to, Input::PeerRequest { id, request });
+        self.feed_input(to, Input::PeerRequest { id, request });
     }
 
     /// A controller answers another one.
@@ -48,14 +54,14 @@
         }) = self.asked.remove(&id)
         {
             let result = Some(reply);
-            self.push(after, Event::PeerBack { to: from, result });
+            self.schedule(after, Event::PeerRequestAnswered { to: from, result });
         }
     }
 
     /// A peer's answer, or the end of the time for it, has come to the controller that asked.
-    pub(super) fn peer_back(&mut self, to: Caller, result: Option<PeerReply>) {
+    pub(super) fn peer_request_answered(&mut self, to: Caller, result: Option<PeerReply>) {
         if self.ends_call(to) {
-            self.feed(to.node, Input::PeerReply { call: to.call, result });
+            self.feed_input(to.node, Input::PeerReply { call: to.call, result });
         }
     }
 }
--- a/crates/tidelatch-standin/src/world/reports.rs
+++ b/crates/tidelatch-standin/src/world/reports.rs
@@ -2,8 +2,8 @@
 
 use super::World;
 use super::event::{Asked, Event, Report};
-use super::gangs::told;
-use super::network::Fate;
+use super::gangs::begin_stop;
+use super::network::Delivery;
 use serde_json::Value;
 use std::collections::VecDeque;
 use tidelatch_core::{Input, Method};
@@ -15,13 +15,13 @@
 
 impl World {
     /// A worker sends a report to the controller that it reports to.
-    pub(super) fn beat(&mut self, name: &str) {
+    pub(super) fn send_report(&mut self, name: &str) {
         let Some(w) = self.workers.get_mut(name) else { return };
         let body = w.report().to_string();
         let (node, beat) = (w.node, w.seq);
         w.waiting = Some(beat);
         let to = format!("berth-{node}");
-        let fate = self.fate(name, &to, "POST /agent/beat", &body);
+        let delivery = self.deliver(name, &to, "POST /agent/beat", &body);
         self.sent.beats += 1;
         self.keep_copy(&body);
         let up = self.nodes.get(node).is_some_and(|n| n.core.is_some());
@@ -30,34 +30,34 @@
             beat,
             body,
         };
-        if let Fate::Copied(late) = fate {
-            let copy = Event::BeatArrive {
+        if let Delivery::Copied(late) = delivery {
+            let copy = Event::ReportArrives {
                 node,
                 report: report.clone(),
                 answered: None,
             };
-            self.push(late, copy);
+            self.schedule(late, copy);
         }
-        if let Some(after) = fate.request_delay().filter(|_| up) {
-            let answered = fate.answer_delay();
-            self.push(after, Event::BeatArrive { node, report, answered });
+        if let Some(after) = delivery.request_delay().filter(|_| up) {
+            let answered = delivery.answer_delay();
+            self.schedule(after, Event::ReportArrives { node, report, answered });
         }
         // A refused connection shows at once, and so does a 503; silence after the time for an answer.
-        let patience = if up && fate != Fate::Refused {
+        let patience = if up && delivery != Delivery::Refused {
             REPORT_TIMEOUT_MS
         } else {
             2
         };
-        let timeout = Event::BeatBack {
+        let timeout = Event::ReportAnswered {
             worker: name.to_owned(),
             beat,
             result: None,
         };
-        self.push(patience, timeout);
+        self.schedule(patience, timeout);
     }
 
     /// A report has come to a controller.
-    pub(super) fn beat_arrive(&mut self, node: usize, report: Report, answered: Option<u64>) {
+    pub(super) fn report_arrives(&mut self, node: usize, report: Report, answered: Option<u64>) {
         let id = self.new_request(Asked::Worker {
             worker: report.worker,
             beat: report.beat,
@@ -69,11 +69,11 @@
             path: "/agent/beat".into(),
             body: report.body.into_bytes(),
         };
-        self.feed(node, request);
+        self.feed_input(node, request);
     }
 
     /// The answer to a report, or the end of the time for it, has come to the worker.
-    pub(super) fn beat_back(&mut self, name: &str, beat: u64, result: Option<(u16, String)>) {
+    pub(super) fn report_answered(&mut self, name: &str, beat: u64, result: Option<(u16, String)>) {
         let now = self.now;
         let Some(w) = self.workers.get_mut(name) else { return };
         if w.waiting != Some(beat) || w.hanging {
@@ -91,7 +91,7 @@
                     let gangs = &mut self.gangs;
                     let jobs = &self.jobs;
                     let mut saves =
-                        |task: &str, attempt: u64, grace_s: f64| told(gangs, jobs, (task, attempt, grace_s), now);
+                        |task: &str, attempt: u64, grace_s: f64| begin_stop(gangs, jobs, (task, attempt, grace_s), now);
                     for order in body["orders"].as_array().into_iter().flatten() {
                         started.extend(w.order(order, now, &mut saves));
                     }
@@ -143,12 +143,12 @@
                     beat: 0,
                     body: body.clone(),
                 };
-                let arrival = Event::BeatArrive {
+                let arrival = Event::ReportArrives {
                     node,
                     report,
                     answered: None,
                 };
-                self.push(1, arrival);
+                self.schedule(1, arrival);
             }
         }
     }
--- a/crates/tidelatch-standin/src/world/rules.rs
+++ b/crates/tidelatch-standin/src/world/rules.rs
@@ -24,16 +24,21 @@
     }
 
     /// Writes down what the checker has found since it was last asked.
-    pub(super) fn judge(&mut self) {
-        let new = self.checker.breaches().get(self.judged..).unwrap_or_default().to_vec();
-        self.judged += new.len();
+    pub(super) fn record_breaches(&mut self) {
+        let new = self
+            .checker
+            .breaches()
+            .get(self.recorded_breaches..)
+            .unwrap_or_default()
+            .to_vec();
+        self.recorded_breaches += new.len();
         for text in new {
             self.breach(text);
         }
     }
 
     /// A controller sends orders to a worker: the checker counts the starts among them.
-    pub(super) fn ordered(&mut self, body: &str) {
+    pub(super) fn count_starts(&mut self, body: &str) {
         if !body.contains("\"start\"") {
             return;
         }
@@ -53,26 +58,26 @@
             && self.checker.all_done(&job)
             && let Some((node, after)) = self.cancel_at_end.remove(&job)
         {
-            self.push(after, Event::Withdraw { node, job });
+            self.schedule(after, Event::Withdraw { node, job });
         }
     }
 
     /// The checker is told what has changed on all machines.
-    pub(super) fn look_at_machines(&mut self) {
+    pub(super) fn observe_machines(&mut self) {
         let known = self.checker.machines().map(str::to_owned);
         let names: BTreeSet<String> = known.chain(self.workers.keys().cloned()).collect();
         for name in names {
-            self.look_at(&name, &[]);
+            self.observe_machine(&name, &[]);
         }
     }
 
     /// The checker is told what has changed on a machine: what has ended, what has just been started there,
     /// in whatever state it is by now, and what has got its image.
-    pub(super) fn look_at(&mut self, name: &str, started: &[(String, u64)]) {
+    pub(super) fn observe_machine(&mut self, name: &str, started: &[(String, u64)]) {
         let now = self.now;
         let Some(w) = self.workers.get(name) else {
             self.checker.machine_gone(now, name);
-            self.judge();
+            self.record_breaches();
             return;
         };
         let place = Place {
@@ -109,7 +114,7 @@
                 self.checker.has_image(now, name, task, *attempt);
             }
         }
-        self.judge();
+        self.record_breaches();
     }
 
     /// A rule is broken.
--- a/crates/tidelatch-standin/src/world/users.rs
+++ b/crates/tidelatch-standin/src/world/users.rs
@@ -15,9 +15,9 @@
         self.jobs.insert(id.clone(), body.clone());
         self.checker.submitted(body);
         self.note(&format!("a user submits {id} to berth-{node}"));
-        if body["shape"] == "group" && !self.playing {
-            self.playing = true;
-            self.push(GANG_STEP_MS, Event::Gangs);
+        if body["shape"] == "group" && !self.gangs_scheduled {
+            self.gangs_scheduled = true;
+            self.schedule(GANG_STEP_MS, Event::Gangs);
         }
         self.user(node, Method::Post, "/submissions", &body.to_string(), (id, "submit"))
     }
@@ -54,7 +54,7 @@
             self.checker.asked(self.now, &about.0, Question::Poll);
         }
         self.asked_about.insert(id, about);
-        self.feed(
+        self.feed_input(
             node,
             Input::Request {
                 id,
@@ -135,7 +135,7 @@
     }
 
     /// A user gets an answer; the checker judges it.
-    pub(super) fn tell_user(&mut self, node: usize, id: u64, answer: Answer) {
+    pub(super) fn answer_user(&mut self, node: usize, id: u64, answer: Answer) {
         let Some((job, kind)) = self.asked_about.get(&id).cloned() else {
             return;
         };
@@ -146,7 +146,7 @@
         self.note(&format!("berth-{node} answers {kind} {job}: {} {said}", answer.status));
         if kind != "health" {
             self.checker.answered(self.now, &job, answer.status, &said);
-            self.judge();
+            self.record_breaches();
         }
         self.answers.insert(id, (self.now, answer));
     }
--- a/crates/tidelatch-standin/src/world/workers.rs
+++ b/crates/tidelatch-standin/src/world/workers.rs
@@ -2,7 +2,7 @@
 
 use super::World;
 use super::event::Event;
-use super::gangs::told;
+use super::gangs::begin_stop;
 use crate::worker::{Attempt, Worker};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -21,12 +21,12 @@
         let node = self.workers.len() % 3;
         let worker = Worker::new(&name, &zone, spot, node, self.now);
         self.workers.insert(name.clone(), worker);
-        self.look_at(&name, &[]);
-        self.push(1, Event::Work(name));
+        self.observe_machine(&name, &[]);
+        self.schedule(1, Event::Work(name));
     }
 
     /// A direct command at a worker.
-    pub(super) fn direct(&mut self, machine: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    pub(super) fn direct_command(&mut self, machine: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let now = self.now;
         let w = self.workers.get_mut(machine).filter(|w| !w.hanging)?;
         if path == "/status" {
@@ -42,7 +42,7 @@
         w.token = token;
         let mut started = Vec::new();
         let (gangs, jobs) = (&mut self.gangs, &self.jobs);
-        let mut saves = |task: &str, attempt: u64, grace_s: f64| told(gangs, jobs, (task, attempt, grace_s), now);
+        let mut saves = |task: &str, attempt: u64, grace_s: f64| begin_stop(gangs, jobs, (task, attempt, grace_s), now);
         for order in body["orders"].as_array().into_iter().flatten() {
             started.extend(w.order(order, now, &mut saves));
         }
@@ -67,7 +67,7 @@
             };
             finished = go_on(w, &self.jobs, pace, now);
         }
-        self.look_at(name, &[]);
+        self.observe_machine(name, &[]);
         for task in finished {
             self.completed(&task);
         }
@@ -76,16 +76,16 @@
             .get(name)
             .is_some_and(|w| !w.hanging && w.waiting.is_none());
         if due {
-            self.beat(name);
+            self.send_report(name);
         }
-        self.push(REPORT_MS, Event::Work(name.to_owned()));
+        self.schedule(REPORT_MS, Event::Work(name.to_owned()));
     }
 
     /// Tells a machine to stop all that runs on it, with some grace, as a controller did that has ended since.
     pub fn stop_on(&mut self, machine: &str, grace_s: f64) {
         let now = self.now;
         let (gangs, jobs) = (&mut self.gangs, &self.jobs);
-        let mut saves = |task: &str, attempt: u64, grace_s: f64| told(gangs, jobs, (task, attempt, grace_s), now);
+        let mut saves = |task: &str, attempt: u64, grace_s: f64| begin_stop(gangs, jobs, (task, attempt, grace_s), now);
         if let Some(w) = self.workers.get_mut(machine) {
             for (task, attempt) in w.tasks.keys().cloned().collect::<Vec<_>>() {
                 let order = json!({ "order": "kill", "wagon": task, "run": attempt, "leewayS": grace_s });
@@ -93,7 +93,7 @@
             }
         }
         self.note(&format!("{machine} was told to stop all"));
-        self.look_at(machine, &[]);
+        self.observe_machine(machine, &[]);
     }
 
     /// Tasks have started on a machine: the rules are checked.
@@ -101,7 +101,7 @@
         for (task, _) in started {
             self.note(&format!("{machine} starts {task}"));
         }
-        self.look_at(machine, started);
+        self.observe_machine(machine, started);
     }
 
     /// Number of a job's tasks that run.
--- a/crates/tidelatch-standin/tests/cancellations.rs
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -5,7 +5,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use tidelatch_core::settings::Features;
-use tidelatch_standin::{CANCEL_MS, Fate, World, job};
+use tidelatch_standin::{CANCEL_MS, Delivery, World, job};
 
 /// What becomes of the controller that confirmed, once the outage has begun.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -78,11 +78,11 @@
         };
         let greeting = l.what == "hello" && lost.get() && unheard;
         if elsewhere || greeting {
-            Fate::Lost
+            Delivery::Lost
         } else if l.from == name && l.to == "state" {
-            Fate::Refused
+            Delivery::Refused
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.run(gap.refused_ms.saturating_sub(gap.asked_ms));
@@ -221,13 +221,13 @@
             // The writer does not reach its peers just then, and gets no answer.
             let end = l.from == from && l.what == "POST /txn" && l.body.contains("withdrawn");
             if elsewhere || (l.from == from && l.what == "hello") {
-                Fate::Lost
+                Delivery::Lost
             } else if end {
-                Fate::AnswerLost
+                Delivery::AnswerLost
             } else if l.from == old && l.to == "state" {
-                Fate::Refused
+                Delivery::Refused
             } else {
-                Fate::Pass
+                Delivery::Pass
             }
         });
         world.withdraw(writer, "job-000002");
@@ -318,13 +318,17 @@
     // Reports passed on are lost, and so are direct commands; one report of the machine is answered.
     world.meddle(move |l| {
         if l.what == "relay" || (l.to == name && l.what.starts_with("POST /commands")) {
-            return Fate::Lost;
+            return Delivery::Lost;
         }
         if l.from == name {
             count.set(count.get() + 1);
-            return if count.get() > 1 { Fate::AnswerLost } else { Fate::Pass };
+            return if count.get() > 1 {
+                Delivery::AnswerLost
+            } else {
+                Delivery::Pass
+            };
         }
-        Fate::Pass
+        Delivery::Pass
     });
     let cancel = world.withdraw(owner, "job-000001");
     world.run(20);
--- a/crates/tidelatch-standin/tests/meetings.rs
+++ b/crates/tidelatch-standin/tests/compound_fault_regressions.rs
@@ -1,11 +1,11 @@
-//! Meetings of two troubles that broke rules elsewhere, one a test. All rules are checked by the world's checker;
-//! what a test asserts beside that is what its meeting is about.
+//! Compound faults that broke rules elsewhere, one a test. All rules are checked by the world's checker; what a
+//! test asserts beside that is what its combination of faults is about.
 
 use std::collections::BTreeSet;
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::support::sound;
-use tidelatch_standin::troubles::{self, Meddler};
-use tidelatch_standin::{CANCEL_MS, Fate, Size, World, job};
+use tidelatch_standin::faults::{self, FaultInjector};
+use tidelatch_standin::support::assert_no_breaches;
+use tidelatch_standin::{CANCEL_MS, Delivery, Size, World, job};
 
 fn id(n: u32) -> String {
     format!("job-{n:06}")
@@ -91,8 +91,8 @@
         let mut looks = CloseLooks::new();
         world.accepted(0, &job(90, 0, "sweep", 1));
         looks.run(&mut world, 9000, &bodies);
-        let meddlers: Vec<Meddler> = vec![troubles::lost_answers(seed, 0.3), troubles::late_copies(seed, 0.2)];
-        world.meddle(troubles::all(meddlers));
+        let injectors: Vec<FaultInjector> = vec![faults::lost_answers(seed, 0.3), faults::late_copies(seed, 0.2)];
+        world.meddle(faults::all(injectors));
         for (n, body) in bodies.iter().enumerate() {
             world.submit(n % 3, body);
             looks.run(&mut world, 300, &bodies);
@@ -117,7 +117,7 @@
             looks.run(&mut world, 50, &bodies);
         }
         looks.run(&mut world, 20_000, &bodies);
-        sound(&world);
+        assert_no_breaches(&world);
         assert!(
             looks.looks >= 18,
             "seed {seed}: {} looks\n{}",
@@ -149,9 +149,9 @@
         // Its watch is behind as well.
         let watch = l.from == name && l.what.starts_with("GET /changes");
         match (end, watch) {
-            (true, _) => Fate::AnswerLost,
-            (_, true) => Fate::Lost,
-            _ => Fate::Pass,
+            (true, _) => Delivery::AnswerLost,
+            (_, true) => Delivery::Lost,
+            _ => Delivery::Pass,
         }
     });
     world.run(6000);
@@ -170,7 +170,7 @@
     assert_eq!(world.checker().ordered_after("job-000001"), 0, "{}", world.trace());
     world.calm();
     world.run(20_000);
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -209,13 +209,13 @@
             assert_eq!(cancel(&mut world, 1, &id(n)), "withdrawn");
         }
         world.run(CANCEL_MS);
-        sound(&world);
+        assert_no_breaches(&world);
         for machine in &stuck {
             assert!(world.cloud.deleted.contains(machine), "{machine}\n{}", world.trace());
         }
         let full = |w: &World| (11..=13).all(|n| w.running(&id(n)) == 4);
         assert!(world.run_until(30_000, full), "{}", world.trace());
-        sound(&world);
+        assert_no_breaches(&world);
     }
 }
 
@@ -239,9 +239,9 @@
         let slow = name.clone();
         world.meddle(move |l| {
             if l.from == slow && l.what == "POST /commands" {
-                Fate::Late(9000)
+                Delivery::Late(9000)
             } else {
-                Fate::Pass
+                Delivery::Pass
             }
         });
         world.accepted(0, &job(2, 0, "sweep", 2));
@@ -258,7 +258,7 @@
         }
         world.calm();
         world.run(CANCEL_MS);
-        sound(&world);
+        assert_no_breaches(&world);
         for n in 1..=2 {
             assert_eq!(world.checker().ordered_after(&id(n)), 0, "{}", world.trace());
             let ms = world.gone_after_confirmation(&id(n));
@@ -275,11 +275,11 @@
         let mut world = World::new();
         world.run_ms = 8000;
         world.run(3000);
-        let mut meddlers: Vec<Meddler> = vec![troubles::late_writes(seed, 0.4)];
+        let mut injectors: Vec<FaultInjector> = vec![faults::late_writes(seed, 0.4)];
         if seed % 2 == 0 {
-            meddlers.push(troubles::lost_answers(seed, 0.3));
+            injectors.push(faults::lost_answers(seed, 0.3));
         }
-        world.meddle(troubles::all(meddlers));
+        world.meddle(faults::all(injectors));
         for n in 1..=4 {
             world.submit(n as usize % 3, &job(n, n % 3, "sweep", 3));
         }
@@ -306,7 +306,7 @@
         }
         let all = |w: &World| (1..=4).all(|n| is_over(w, &id(n)));
         assert!(world.run_until(90_000, all), "seed {seed}\n{}", world.trace());
-        sound(&world);
+        assert_no_breaches(&world);
     }
 }
 
@@ -334,7 +334,7 @@
         world.meddle(move |l| {
             count.set(count.get() + 1);
             let copies = l.what == "POST /agent/beat" && l.from != machine && count.get() % 3 == 0;
-            if copies { Fate::Copied(9000) } else { Fate::Pass }
+            if copies { Delivery::Copied(9000) } else { Delivery::Pass }
         });
         world.crash(owner);
         if let Some(ms) = back_ms {
@@ -347,7 +347,7 @@
         let ms = world.now - since;
         assert!(ms < 30_000, "after {ms} ms\n{}", world.trace());
         assert!(world.run_until(40_000, full), "{}", world.trace());
-        sound(&world);
+        assert_no_breaches(&world);
     }
 }
 
@@ -405,7 +405,7 @@
         let said = world.said(request);
         assert!(said == "withdrawn" || said == "done", "{n}: {said}");
     }
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -433,5 +433,5 @@
     assert!(!is_over(&world, "job-000001"), "{}", world.trace());
     world.run(20_000);
     assert_eq!(world.running("job-000002"), 2, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
--- a/crates/tidelatch-standin/tests/meetings_of_two.rs
+++ b/crates/tidelatch-standin/tests/compound_faults.rs
@@ -1,13 +1,13 @@
-//! Two troubles at once, as the operators' page lists them: one trace a line, the spacings swept where they
+//! Compound faults: two at once, as the operators list them, one trace a line, the spacings swept where they
 //! matter. The rules hold without exception; each test names what keeps them.
 
 use serde_json::{Value, json};
 use tidelatch_core::Method;
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::troubles::{self, Meddler};
-use tidelatch_standin::{CANCEL_MS, Fate, Size, Worker, World, job};
+use tidelatch_standin::faults::{self, FaultInjector};
+use tidelatch_standin::{CANCEL_MS, Delivery, Size, Worker, World, job};
 
-fn sound(world: &World, case: impl std::fmt::Debug) {
+fn assert_no_breaches(world: &World, case: impl std::fmt::Debug) {
     assert!(
         world.broken.is_empty(),
         "{case:?}: {:?}\n{}",
@@ -93,19 +93,19 @@
 }
 
 /// Nothing comes from some machines, and nothing reaches them.
-fn unreached(machines: &[String]) -> Meddler {
+fn unreached(machines: &[String]) -> FaultInjector {
     let cut = machines.to_vec();
     Box::new(move |l| {
         if cut.iter().any(|m| m == l.from || m == l.to) {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     })
 }
 
-fn each(machines: &[String], trouble: fn(&str) -> Meddler) -> Meddler {
-    troubles::all(machines.iter().map(|m| trouble(m)).collect())
+fn each(machines: &[String], trouble: fn(&str) -> FaultInjector) -> FaultInjector {
+    faults::all(machines.iter().map(|m| trouble(m)).collect())
 }
 
 #[test]
@@ -122,11 +122,11 @@
             let name = format!("berth-{cut}");
             world.note(&format!("{name} is cut from the state service and its peers"));
             world.workers.values_mut().for_each(|w| w.node = cut);
-            let mut away = troubles::cut_off(cut);
+            let mut away = faults::cut_off(cut);
             world.meddle(move |l| {
                 let worker = |who: &str| who.starts_with("n-");
                 let elsewhere = (worker(l.from) && l.to != name) || (worker(l.to) && l.from != name);
-                if captive && elsewhere { Fate::Lost } else { away(l) }
+                if captive && elsewhere { Delivery::Lost } else { away(l) }
             });
             let next = world.run_until(30_000, |w| leader(w).is_some_and(|l| l != cut));
             assert!(next, "{case:?}\n{}", world.trace());
@@ -139,7 +139,7 @@
                 world.withdraw(cut, id);
             }
             world.run(CANCEL_MS + 2000);
-            sound(&world, case);
+            assert_no_breaches(&world, case);
             for id in ["job-000001", "job-000002"] {
                 gone_in_time(&world, id, case);
             }
@@ -147,7 +147,7 @@
             world.run(40_000);
             assert_eq!(world.running("job-000003"), 2, "{case:?}\n{}", world.trace());
             assert_eq!(said_everywhere(&mut world, "job-000001"), ["withdrawn"; 3], "{case:?}");
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
@@ -184,7 +184,7 @@
                     "{case:?}"
                 );
                 assert_eq!(stored(&world, "job-000001"), first, "{case:?}\n{}", world.trace());
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -206,9 +206,9 @@
             world.meddle(move |l| {
                 let start = l.what == "POST /commands" && l.body.contains("\"start\"");
                 match start && l.body.contains("job-000002/0") {
-                    true if answer => Fate::AnswerLate(late),
-                    true => Fate::Late(late),
-                    false => Fate::Pass,
+                    true if answer => Delivery::AnswerLate(late),
+                    true => Delivery::Late(late),
+                    false => Delivery::Pass,
                 }
             });
             let machine = world.machines_of("job-000001")[0].clone();
@@ -226,7 +226,7 @@
             }
             world.note(&format!("{machine} goes on"));
             world.run(60_000);
-            sound(&world, case);
+            assert_no_breaches(&world, case);
             gone_in_time(&world, "job-000002", case);
             assert_eq!(world.running("job-000001"), 1, "{case:?}\n{}", world.trace());
         }
@@ -269,7 +269,7 @@
             assert_eq!(world.running("job-000001"), 2, "{case:?}\n{}", world.trace());
             let over = world.run_until(200_000, |w| stored(w, "job-000002") == "done");
             assert!(over, "{case:?}\n{}", world.trace());
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
@@ -292,7 +292,7 @@
                 let lost = if trouble == "cut" {
                     unreached(&machines)
                 } else {
-                    each(&machines, troubles::deaf)
+                    each(&machines, faults::deaf)
                 };
                 world.note(&format!("{trouble}: {machines:?}"));
                 world.meddle(lost);
@@ -310,7 +310,7 @@
                 world.calm();
                 let well = |w: &World| stored(w, "job-000001") == "done" && w.running("job-000002") == 2;
                 assert!(world.run_until(260_000, well), "{case:?}\n{}", world.trace());
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -332,7 +332,7 @@
                 world.note(&format!("{trouble}: {machines:?}"));
                 match trouble {
                     "cut" => world.meddle(unreached(&machines)),
-                    "deaf" => world.meddle(each(&machines, troubles::deaf)),
+                    "deaf" => world.meddle(each(&machines, faults::deaf)),
                     _ => machines.iter().for_each(|m| {
                         world.workers.get_mut(m).expect("a worker").hanging = true;
                     }),
@@ -358,7 +358,7 @@
                 }
                 let well = |w: &World| w.running("job-000002") == 4;
                 assert!(world.run_until(60_000, well), "{case:?}\n{}", world.trace());
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -377,7 +377,7 @@
                 mute = world.workers.keys().cloned().collect();
             }
             world.note(&format!("reports of {mute:?} reach nobody any more"));
-            world.meddle(each(&mute, troubles::mute));
+            world.meddle(each(&mute, faults::mute));
             world.run(mute_ms);
             let before = world.machines_of("job-000001");
             assert_eq!(cancel(&mut world, &[0, 1, 2], "job-000001"), "withdrawn", "{case:?}");
@@ -391,7 +391,7 @@
             world.run(40_000);
             assert_eq!(world.running("job-000002"), 2, "{case:?}\n{}", world.trace());
             assert_eq!(world.running("job-000003"), 4, "{case:?}\n{}", world.trace());
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
@@ -404,8 +404,8 @@
         let mut world = World::new();
         world.run_ms = 7000;
         world.run(3000);
-        let late = troubles::late_writes(seed, if seed % 2 == 0 { 0.15 } else { 0.4 });
-        world.meddle(troubles::during(0..70_000, late));
+        let late = faults::late_writes(seed, if seed % 2 == 0 { 0.15 } else { 0.4 });
+        world.meddle(faults::during(0..70_000, late));
         let mut jobs = vec![job(1, 0, "standing", 2)];
         jobs.extend((2..8).map(|i| job(i, i % 3, "sweep", 1 + i % 3)));
         for (i, body) in jobs.iter().enumerate() {
@@ -444,7 +444,7 @@
         roster.sort();
         let rented: Vec<String> = world.cloud.machines.keys().cloned().collect();
         assert_eq!(roster, rented, "{seed}\n{}", world.trace());
-        sound(&world, seed);
+        assert_no_breaches(&world, seed);
     }
 }
 
@@ -469,9 +469,9 @@
                 // One report of each machine at least is from before it has got its further task.
                 let until = world.now + 2600;
                 world.meddle(move |l| match l.what {
-                    "POST /agent/beat" if l.at < until && lost => Fate::Late(held),
-                    "POST /agent/beat" if l.at < until => Fate::Copied(held),
-                    _ => Fate::Pass,
+                    "POST /agent/beat" if l.at < until && lost => Delivery::Late(held),
+                    "POST /agent/beat" if l.at < until => Delivery::Copied(held),
+                    _ => Delivery::Pass,
                 });
                 world.run(2600);
                 let further = [job(4, 0, "sweep", 1), job(5, 1, "sweep", 1), job(6, 2, "sweep", 1)];
@@ -492,7 +492,7 @@
                 assert!(world.run_until(120_000, well), "{case:?}\n{}", world.trace());
                 world.run(30_000);
                 gone_in_time(&world, "job-000002", case);
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -514,13 +514,13 @@
             world.meddle(move |l| {
                 n += 1;
                 if l.to != "state" {
-                    Fate::Pass
+                    Delivery::Pass
                 } else if l.from == name && l.at >= from {
-                    Fate::Refused
+                    Delivery::Refused
                 } else if slow > 0 && n % 3 != 0 {
-                    Fate::Slow(slow)
+                    Delivery::Slow(slow)
                 } else {
-                    Fate::Pass
+                    Delivery::Pass
                 }
             });
             let ask = |world: &mut World, ms: u64| {
@@ -550,7 +550,7 @@
             gone_in_time(&world, "job-000001", case);
             assert_eq!(said_everywhere(&mut world, "job-000001"), ["withdrawn"; 3], "{case:?}");
             assert_eq!(world.running("job-000003"), 4, "{case:?}\n{}", world.trace());
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
@@ -622,7 +622,7 @@
                 let over = |w: &World| ["job-000001", "job-000002"].iter().all(|id| stored(w, id) == "done");
                 let well = |w: &World| over(w) && w.running("job-000003") == 3;
                 assert!(world.run_until(200_000, well), "{case:?}\n{}", world.trace());
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -658,9 +658,9 @@
             world.meddle(move |l| {
                 let within = |who: &str| zone.iter().any(|z| z == who);
                 if within(l.from) == within(l.to) {
-                    Fate::Pass
+                    Delivery::Pass
                 } else {
-                    Fate::Lost
+                    Delivery::Lost
                 }
             });
             let outside = [(inside + 1) % 3, (inside + 2) % 3];
@@ -674,7 +674,7 @@
             let well = |w: &World| stored(w, "job-000003") == "done" && w.running("job-000002") == 4;
             assert!(world.run_until(150_000, well), "{case:?}\n{}", world.trace());
             assert_eq!(said_everywhere(&mut world, "job-000001"), ["withdrawn"; 3], "{case:?}");
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
@@ -724,7 +724,7 @@
                 }
                 assert!(over(&world), "{case:?}\n{}", world.trace());
                 assert_eq!(said_everywhere(&mut world, "job-000001"), ["done"; 3], "{case:?}");
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -767,7 +767,7 @@
                 assert!(world.run_until(150_000, well), "{case:?}\n{}", world.trace());
                 let ids = ["job-000001", "job-000002", "job-000003"];
                 assert!(world.unanswered(75_000, &ids).is_empty(), "{case:?}");
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -796,7 +796,7 @@
             gone_in_time(&world, "job-000002", case);
             let well = |w: &World| stored(w, "job-000003") == "done" && w.running("job-000001") == 4;
             assert!(world.run_until(120_000, well), "{case:?}\n{}", world.trace());
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
@@ -942,7 +942,7 @@
         "{}",
         world.trace()
     );
-    sound(&world, "");
+    assert_no_breaches(&world, "");
 }
 
 #[test]
@@ -1022,11 +1022,11 @@
         world.trace()
     );
     assert_eq!(world.running("job-000001"), 1, "{}", world.trace());
-    sound(&world, "");
+    assert_no_breaches(&world, "");
 }
 
 #[test]
-fn once_troubles_are_over_no_job_waits_where_there_is_room_and_none_is_unanswered() {
+fn once_faults_are_over_no_job_waits_where_there_is_room_and_none_is_unanswered() {
     // Guard: whatever a trouble leaves behind (a machine in doubt, a reservation, a job that rests) is looked at
     // again in time.
     for seed in 0..8u64 {
@@ -1047,22 +1047,22 @@
         world.run(6000);
         let busy: Vec<String> = world.workers.keys().cloned().collect();
         let from = world.now;
-        let mut troubles = vec![
-            troubles::late_writes(seed, 0.1),
-            troubles::late_copies(seed, 0.2),
-            troubles::lost_answers(seed + 100, 0.1),
+        let mut injectors = vec![
+            faults::late_writes(seed, 0.1),
+            faults::late_copies(seed, 0.2),
+            faults::lost_answers(seed + 100, 0.1),
         ];
         for (i, m) in busy.iter().enumerate() {
             match (seed + i as u64) % 5 {
-                0 => troubles.push(troubles::mute(m)),
-                1 => troubles.push(troubles::deaf(m)),
-                2 => troubles.push(unreached(std::slice::from_ref(m))),
+                0 => injectors.push(faults::mute(m)),
+                1 => injectors.push(faults::deaf(m)),
+                2 => injectors.push(unreached(std::slice::from_ref(m))),
                 _ => {}
             }
         }
         let node = seed as usize % 3;
-        troubles.push(troubles::during(from + 20_000..from + 40_000, troubles::cut_off(node)));
-        world.meddle(troubles::during(from..from + 60_000, troubles::all(troubles)));
+        injectors.push(faults::during(from + 20_000..from + 40_000, faults::cut_off(node)));
+        world.meddle(faults::during(from..from + 60_000, faults::all(injectors)));
         world.run(10_000);
         world.crash((node + 1) % 3);
         world.run(500);
@@ -1109,7 +1109,7 @@
         for body in &jobs[3..] {
             assert_eq!(stored(&world, uid(body)), "done", "{seed}\n{}", world.trace());
         }
-        sound(&world, seed);
+        assert_no_breaches(&world, seed);
     }
 }
 
@@ -1139,9 +1139,9 @@
             let node = world.owner_of_team(0);
             world.meddle(move |l| {
                 if l.what.starts_with("GET /store/t/j/") {
-                    Fate::AnswerLate(late)
+                    Delivery::AnswerLate(late)
                 } else {
-                    Fate::Pass
+                    Delivery::Pass
                 }
             });
             let body = job(1, 0, "sweep", 1);
@@ -1159,7 +1159,7 @@
             let accepted = world.submit(node, &body);
             world.run(1500);
             assert_eq!(world.status(accepted), 201, "{case:?}\n{}", world.trace());
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
@@ -1181,9 +1181,9 @@
                         answers += u64::from(l.what == "forward");
                         // The first question's answer is late; the others' are not.
                         if l.what == "forward" && answers % 2 == 1 {
-                            Fate::AnswerLate(late)
+                            Delivery::AnswerLate(late)
                         } else {
-                            Fate::Pass
+                            Delivery::Pass
                         }
                     });
                     if ends {
@@ -1205,7 +1205,7 @@
                         world.run(10);
                     }
                     assert!(matches!(world.status(first), 200 | 503), "{case:?}\n{}", world.trace());
-                    sound(&world, case);
+                    assert_no_breaches(&world, case);
                 }
             }
         }
@@ -1239,7 +1239,7 @@
                 world.run(still_ms);
                 world.thaw(asks);
                 world.run(2000);
-                sound(&world, case);
+                assert_no_breaches(&world, case);
             }
         }
     }
@@ -1271,7 +1271,7 @@
             world.accepted(0, &job(3, 2, shape, 1));
             let third = world.run_until(90_000, |w| w.running("job-000003") == 1);
             assert!(third, "{case:?}\n{}", world.trace());
-            sound(&world, case);
+            assert_no_breaches(&world, case);
         }
     }
 }
--- a/crates/tidelatch-standin/tests/meddlers.rs
+++ b/crates/tidelatch-standin/tests/fault_injection.rs
@@ -1,15 +1,15 @@
-//! The stand-ins' troubles: each does to messages what it says, the same every time, and the controllers
-//! keep the rules under it.
+//! The fault injectors: each does to messages what it says, the same every time, and the controllers keep the
+//! rules under it.
 
 use std::cell::Cell;
 use std::rc::Rc;
-use tidelatch_standin::support::{is_done, sound, with_service};
-use tidelatch_standin::troubles::{self, Meddler};
-use tidelatch_standin::{Fate, Letter, World, job};
+use tidelatch_standin::faults::{self, FaultInjector};
+use tidelatch_standin::support::{assert_no_breaches, is_done, with_service};
+use tidelatch_standin::{Delivery, Message, World, job};
 
-fn fate(meddler: &mut Meddler, at: u64, from: &str, to: &str, what: &str) -> Fate {
+fn fate(injector: &mut FaultInjector, at: u64, from: &str, to: &str, what: &str) -> Delivery {
     let body = "{}";
-    meddler(&Letter {
+    injector(&Message {
         at,
         from,
         to,
@@ -40,62 +40,71 @@
 #[test]
 fn shares_are_about_what_they_say_and_the_same_with_each_seed() {
     for (make, what) in [
-        (troubles::late_writes as fn(u64, f64) -> Meddler, "POST /txn"),
-        (troubles::lost_answers, "POST /txn"),
-        (troubles::late_copies, "POST /agent/beat"),
+        (faults::late_writes as fn(u64, f64) -> FaultInjector, "POST /txn"),
+        (faults::lost_answers, "POST /txn"),
+        (faults::late_copies, "POST /agent/beat"),
     ] {
-        let fates = |seed: u64| -> Vec<Fate> {
-            let mut meddler = make(seed, 0.3);
+        let fates = |seed: u64| -> Vec<Delivery> {
+            let mut injector = make(seed, 0.3);
             (0..1000)
-                .map(|at| fate(&mut meddler, at, "berth-0", "state", what))
+                .map(|at| fate(&mut injector, at, "berth-0", "state", what))
                 .collect()
         };
         assert_eq!(fates(7), fates(7));
         assert_ne!(fates(7), fates(8));
-        let hit: Vec<Fate> = fates(7).into_iter().filter(|f| *f != Fate::Pass).collect();
+        let hit: Vec<Delivery> = fates(7).into_iter().filter(|f| *f != Delivery::Pass).collect();
         assert!((200..400).contains(&hit.len()), "{what}: {}", hit.len());
         for f in hit {
             let right = match f {
-                Fate::Late(ms) => (2_000..12_000).contains(&ms),
-                Fate::Copied(ms) => (2_000..45_000).contains(&ms),
-                Fate::AnswerLost => true,
+                Delivery::Late(ms) => (2_000..12_000).contains(&ms),
+                Delivery::Copied(ms) => (2_000..45_000).contains(&ms),
+                Delivery::AnswerLost => true,
                 _ => false,
             };
             assert!(right, "{f:?}");
         }
-        let mut meddler = make(7, 1.0);
-        assert_eq!(fate(&mut meddler, 0, "berth-0", "cloud", "POST /hosts"), Fate::Pass);
+        let mut injector = make(7, 1.0);
+        assert_eq!(
+            fate(&mut injector, 0, "berth-0", "cloud", "POST /hosts"),
+            Delivery::Pass
+        );
     }
 }
 
 #[test]
 fn troubles_are_put_together_and_end() {
-    let mut both = troubles::all(vec![
-        troubles::during(100..200, troubles::mute("n-000001")),
-        troubles::refused(1),
+    let mut both = faults::all(vec![
+        faults::during(100..200, faults::mute("n-000001")),
+        faults::refused(1),
     ]);
     let beat = "POST /agent/beat";
-    assert_eq!(fate(&mut both, 99, "n-000001", "berth-0", beat), Fate::Pass);
-    assert_eq!(fate(&mut both, 100, "n-000001", "berth-0", beat), Fate::Lost);
-    assert_eq!(fate(&mut both, 199, "n-000001", "berth-0", beat), Fate::Lost);
-    assert_eq!(fate(&mut both, 200, "n-000001", "berth-0", beat), Fate::Pass);
+    assert_eq!(fate(&mut both, 99, "n-000001", "berth-0", beat), Delivery::Pass);
+    assert_eq!(fate(&mut both, 100, "n-000001", "berth-0", beat), Delivery::Lost);
+    assert_eq!(fate(&mut both, 199, "n-000001", "berth-0", beat), Delivery::Lost);
+    assert_eq!(fate(&mut both, 200, "n-000001", "berth-0", beat), Delivery::Pass);
     assert_eq!(
         fate(&mut both, 150, "berth-0", "n-000001", "POST /commands"),
-        Fate::Pass
+        Delivery::Pass
     );
-    assert_eq!(fate(&mut both, 150, "berth-1", "state", "POST /txn"), Fate::Refused);
-    assert_eq!(fate(&mut both, 150, "berth-0", "state", "POST /txn"), Fate::Pass);
-    assert_eq!(fate(&mut both, 150, "berth-1", "cloud", "POST /hosts"), Fate::Pass);
-    let mut deaf = troubles::deaf("n-000001");
-    assert_eq!(fate(&mut deaf, 0, "n-000001", "berth-0", beat), Fate::AnswerLost);
-    assert_eq!(fate(&mut deaf, 0, "berth-0", "n-000001", "POST /commands"), Fate::Lost);
-    let mut cut = troubles::cut_off(1);
-    assert_eq!(fate(&mut cut, 0, "berth-1", "state", "POST /txn"), Fate::Lost);
-    assert_eq!(fate(&mut cut, 0, "berth-1", "berth-2", "relay"), Fate::Lost);
-    assert_eq!(fate(&mut cut, 0, "berth-2", "berth-1", "relay"), Fate::Lost);
-    assert_eq!(fate(&mut cut, 0, "n-000001", "berth-1", beat), Fate::Pass);
-    assert_eq!(fate(&mut cut, 0, "berth-1", "n-000001", "POST /commands"), Fate::Pass);
-    assert_eq!(fate(&mut cut, 0, "berth-0", "berth-2", "relay"), Fate::Pass);
+    assert_eq!(fate(&mut both, 150, "berth-1", "state", "POST /txn"), Delivery::Refused);
+    assert_eq!(fate(&mut both, 150, "berth-0", "state", "POST /txn"), Delivery::Pass);
+    assert_eq!(fate(&mut both, 150, "berth-1", "cloud", "POST /hosts"), Delivery::Pass);
+    let mut deaf = faults::deaf("n-000001");
+    assert_eq!(fate(&mut deaf, 0, "n-000001", "berth-0", beat), Delivery::AnswerLost);
+    assert_eq!(
+        fate(&mut deaf, 0, "berth-0", "n-000001", "POST /commands"),
+        Delivery::Lost
+    );
+    let mut cut = faults::cut_off(1);
+    assert_eq!(fate(&mut cut, 0, "berth-1", "state", "POST /txn"), Delivery::Lost);
+    assert_eq!(fate(&mut cut, 0, "berth-1", "berth-2", "relay"), Delivery::Lost);
+    assert_eq!(fate(&mut cut, 0, "berth-2", "berth-1", "relay"), Delivery::Lost);
+    assert_eq!(fate(&mut cut, 0, "n-000001", "berth-1", beat), Delivery::Pass);
+    assert_eq!(
+        fate(&mut cut, 0, "berth-1", "n-000001", "POST /commands"),
+        Delivery::Pass
+    );
+    assert_eq!(fate(&mut cut, 0, "berth-0", "berth-2", "relay"), Delivery::Pass);
 }
 
 /// A short day with arrays, a service and cancellations, under writes that come late, answers that are lost
@@ -104,12 +113,12 @@
     let mut world = World::new();
     world.run(3000);
     world.keep_reports();
-    world.meddle(troubles::during(
+    world.meddle(faults::during(
         0..80_000,
-        troubles::all(vec![
-            troubles::late_writes(seed, 0.05),
-            troubles::lost_answers(seed + 1, 0.05),
-            troubles::late_copies(seed + 2, 0.2),
+        faults::all(vec![
+            faults::late_writes(seed, 0.05),
+            faults::lost_answers(seed + 1, 0.05),
+            faults::late_copies(seed + 2, 0.2),
         ]),
     ));
     world.accepted(0, &job(1, 0, "standing", 1));
@@ -131,14 +140,14 @@
 fn a_day_under_many_troubles_keeps_the_rules_and_is_the_same_every_time() {
     for seed in 0..6 {
         let mut world = day(seed);
-        sound(&world);
+        assert_no_breaches(&world);
         assert_eq!(world.trace(), day(seed).trace(), "seed {seed}");
         let jobs = ["job-000001", "job-000002", "job-000003"];
         let open = world.unanswered(75_000, &jobs);
         assert!(open.is_empty(), "seed {seed}: {open:?}\n{}", world.trace());
         assert!(is_done(&world, "job-000002"), "seed {seed}\n{}", world.trace());
         assert_eq!(world.running("job-000001"), 1, "seed {seed}\n{}", world.trace());
-        sound(&world);
+        assert_no_breaches(&world);
     }
 }
 
@@ -149,7 +158,7 @@
     let before = world.epoch();
     let name = format!("berth-{owner}");
     world.note(&format!("the state service refuses {name} alone"));
-    world.meddle(troubles::refused(owner));
+    world.meddle(faults::refused(owner));
     // The others are served: they go on without it.
     world.run(25_000);
     assert!(world.epoch() > before, "{}", world.trace());
@@ -163,7 +172,7 @@
     world.calm();
     world.run(20_000);
     assert!(healthy(&mut world, owner), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -171,7 +180,7 @@
     let mut world = World::new();
     world.run(3000);
     let team = (0..3).find(|t| world.owner_of_team(*t) == 2).expect("it owns a team");
-    world.meddle(troubles::refused(2));
+    world.meddle(faults::refused(2));
     let request = world.submit(2, &job(1, team as u32, "sweep", 1));
     world.run(400);
     assert_eq!(world.store.get("t/j/job-000001"), None, "{}", world.trace());
@@ -179,7 +188,7 @@
     world.calm();
     world.accepted(2, &job(1, team as u32, "sweep", 1));
     assert!(world.store.get("t/j/job-000001").is_some(), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -198,9 +207,9 @@
             // Its leases are refused, and so is what it writes; its watches are opened as ever.
             let watch = l.what.starts_with("GET /changes");
             if refused && l.from == "berth-2" && l.to == "state" && !watch {
-                Fate::Refused
+                Delivery::Refused
             } else {
-                Fate::Pass
+                Delivery::Pass
             }
         });
         // By now the controller has asked for something and was refused.
@@ -217,7 +226,7 @@
             }
             world.run(1000);
         }
-        sound(&world);
+        assert_no_breaches(&world);
         count.get() - before
     };
     let (open, refused) = (opened(false), opened(true));
@@ -230,10 +239,10 @@
     let mut world = with_service(0);
     let deaf = world.machines_of("job-000001").first().cloned().expect("it runs");
     world.note(&format!("nothing reaches {deaf} any more; its reports arrive"));
-    world.meddle(troubles::deaf(&deaf));
+    world.meddle(faults::deaf(&deaf));
     let well = |w: &World| w.running("job-000001") == 2 && !w.machines_of("job-000001").contains(&deaf);
     assert!(world.run_until(110_000, well), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -241,14 +250,14 @@
     let mut world = with_service(0);
     let mute = world.machines_of("job-000001").first().cloned().expect("it runs");
     world.note(&format!("reports of {mute} reach nobody any more"));
-    world.meddle(troubles::mute(&mute));
+    world.meddle(faults::mute(&mute));
     world.run(1000);
     assert_eq!(cancel(&mut world, "job-000001"), "withdrawn");
     world.run(60_000);
     let gone = world.gone_after_confirmation("job-000001");
     assert!(gone.is_some_and(|ms| ms <= 38_000), "{gone:?}\n{}", world.trace());
     assert_eq!(world.started_after("job-000001"), 0, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -270,7 +279,7 @@
     let over = world.run_until(60_000, |w| is_done(w, "job-000002") && w.running("job-000001") == 2);
     assert!(over, "{}", world.trace());
     world.run(40_000);
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -297,7 +306,7 @@
             }
             world.run(40_000);
             assert_eq!(world.started_after("job-000001"), 0, "{after}\n{}", world.trace());
-            sound(&world);
+            assert_no_breaches(&world);
         }
     }
 }
@@ -307,14 +316,14 @@
     let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     world.note(&format!("berth-{owner} is cut from the state service and its peers"));
-    world.meddle(troubles::cut_off(owner));
+    world.meddle(faults::cut_off(owner));
     world.run(25_000);
     assert_ne!(world.owner_of_team(0), owner, "{}", world.trace());
     assert!(!healthy(&mut world, owner), "{}", world.trace());
     world.calm();
     world.run(20_000);
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -341,9 +350,9 @@
     // A cancellation stops tasks from when it is asked; without direct commands they go with the next reports.
     world.meddle(|l| {
         if l.what == "POST /commands" {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     assert_eq!(cancel(&mut world, "job-000001"), "withdrawn");
@@ -351,7 +360,7 @@
     assert!(world.run_until(38_000, gone), "{}", world.trace());
     let ms = world.gone_after_confirmation("job-000001");
     assert!(ms.is_some_and(|ms| ms > 0 && ms < 20_000), "{ms:?}\n{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -369,9 +378,9 @@
             seen.set(l.at);
         }
         if l.from == machine || l.to == machine {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     assert_eq!(cancel(&mut world, "job-000001"), "withdrawn");
@@ -382,7 +391,7 @@
     assert!(ended.get() > told, "{}", world.trace());
     let gone = world.gone_after_confirmation("job-000001");
     assert_eq!(gone, Some(ended.get() - told), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -405,5 +414,5 @@
     assert_eq!(cancel(&mut world, "job-000002"), "withdrawn");
     world.run(40_000);
     assert_eq!(world.checker().ordered_after("job-000002"), 0, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
--- a/crates/tidelatch-standin/tests/gangs.rs
+++ b/crates/tidelatch-standin/tests/gangs.rs
@@ -2,8 +2,8 @@
 //! Traces are kept under `traces/`; `UPDATE_TRACES=1` writes them anew.
 
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::support::{keep, sound};
-use tidelatch_standin::{Fate, Size, World, gang, job};
+use tidelatch_standin::support::{assert_no_breaches, assert_trace};
+use tidelatch_standin::{Delivery, Size, World, gang, job};
 
 const GANG: &str = "job-000001";
 
@@ -55,7 +55,7 @@
     let machine = machine.to_owned();
     world.meddle(move |l| {
         let cut = l.from == machine || l.to == machine;
-        if cut { Fate::Lost } else { Fate::Pass }
+        if cut { Delivery::Lost } else { Delivery::Pass }
     });
 }
 
@@ -81,7 +81,7 @@
     let poll = world.poll(0, GANG);
     world.run(300);
     assert_eq!(world.said(poll), "done");
-    keep(&world, "gang_quiet_day");
+    assert_trace(&world, "gang_quiet_day");
 }
 
 #[test]
@@ -98,7 +98,7 @@
     let poll = world.poll(0, GANG);
     world.run(300);
     assert_eq!(world.said(poll), "queued", "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -120,9 +120,9 @@
         let start = l.what.starts_with("POST /commands") && l.body.contains("job-000001/1");
         if start && !held_up {
             held_up = true;
-            return Fate::Late(30_000);
+            return Delivery::Late(30_000);
         }
-        Fate::Pass
+        Delivery::Pass
     });
     let mut pair = gang(1, 0, 2);
     pair["vcpus"] = serde_json::json!(8.0);
@@ -149,7 +149,7 @@
     assert_eq!(now.first().map(|(_, n, _)| *n), Some(attempt), "{}", world.trace());
     assert!(done(&mut world, 60_000), "{}", world.trace());
     world.run(30_000);
-    keep(&world, "gang_replacement");
+    assert_trace(&world, "gang_replacement");
 }
 
 #[test]
@@ -159,13 +159,13 @@
     world.meddle(|l| {
         // All starts of one task are answered, and lost on the way, with beats as well.
         let start = l.body.contains("job-000001/2") && l.what.starts_with("POST /commands");
-        if start { Fate::Lost } else { Fate::Pass }
+        if start { Delivery::Lost } else { Delivery::Pass }
     });
     world.accepted(1, &gang(1, 0, 4));
     world.run(2500);
     world.calm();
     assert!(done(&mut world, 90_000), "{}", world.trace());
-    keep(&world, "gang_incomplete");
+    assert_trace(&world, "gang_incomplete");
 }
 
 #[test]
@@ -184,7 +184,7 @@
     assert!(world.run_until(20_000, |w| w.running(GANG) == 4), "{}", world.trace());
     world.run_ms = 1000;
     assert!(done(&mut world, 30_000), "{}", world.trace());
-    keep(&world, "gang_loss_while_running");
+    assert_trace(&world, "gang_loss_while_running");
 }
 
 #[test]
@@ -198,7 +198,7 @@
     assert!(world.cloud.deleted.contains(&victim), "{}", world.trace());
     assert_eq!(world.running(GANG), 4, "{}", world.trace());
     assert!(world.gangs.saved_ms.contains_key(GANG), "it had a checkpoint");
-    keep(&world, "gang_hanging_machine");
+    assert_trace(&world, "gang_hanging_machine");
 }
 
 #[test]
@@ -208,9 +208,9 @@
     let deaf = victim.clone();
     // Its reports arrive; answers and commands do not.
     world.meddle(move |l| match () {
-        () if l.to == deaf => Fate::Lost,
-        () if l.from == deaf => Fate::AnswerLost,
-        () => Fate::Pass,
+        () if l.to == deaf => Delivery::Lost,
+        () if l.from == deaf => Delivery::AnswerLost,
+        () => Delivery::Pass,
     });
     assert!(
         world.run_until(60_000, |w| w.trace().contains("exit: peers")
@@ -222,7 +222,7 @@
     world.calm();
     world.run(20_000);
     assert_eq!(world.running(GANG), 4, "{}", world.trace());
-    keep(&world, "gang_lease_ends");
+    assert_trace(&world, "gang_lease_ends");
 }
 
 /// Production work that needs the gang's processors.
@@ -251,7 +251,7 @@
     world.cloud.most = 20;
     world.run_ms = 15_000;
     assert!(done(&mut world, 120_000), "{}", world.trace());
-    keep(&world, "gang_orderly_stop");
+    assert_trace(&world, "gang_orderly_stop");
 }
 
 #[test]
@@ -261,7 +261,7 @@
     let silent = world.machines_of(GANG).last().cloned().expect("it runs");
     world.meddle(move |l| {
         let stop = l.to == silent && l.body.contains("kill");
-        if stop { Fate::Lost } else { Fate::Pass }
+        if stop { Delivery::Lost } else { Delivery::Pass }
     });
     crowd_out(&mut world);
     world.run(15_000);
@@ -269,7 +269,7 @@
     world.cloud.most = 20;
     world.run_ms = 15_000;
     assert!(done(&mut world, 120_000), "{}", world.trace());
-    keep(&world, "gang_stop_that_does_not_reach_all");
+    assert_trace(&world, "gang_stop_that_does_not_reach_all");
 }
 
 #[test]
@@ -280,14 +280,14 @@
     let silent = victim.clone();
     world.meddle(move |l| {
         let cut = l.from == silent || l.to == silent;
-        if cut { Fate::Lost } else { Fate::Pass }
+        if cut { Delivery::Lost } else { Delivery::Pass }
     });
     world.run_ms = 2000;
     assert!(done(&mut world, 4000), "{}", world.trace());
     world.calm();
     world.run(20_000);
     assert!(!world.trace().contains("went_back"));
-    keep(&world, "gang_done_of_one");
+    assert_trace(&world, "gang_done_of_one");
 }
 
 #[test]
@@ -304,7 +304,7 @@
     assert_eq!(world.said(told), "withdrawn", "{}", world.trace());
     world.run(40_000);
     assert!(world.machines_of(GANG).is_empty(), "{}", world.trace());
-    keep(&world, "gang_cancelled_while_gathering");
+    assert_trace(&world, "gang_cancelled_while_gathering");
 }
 
 #[test]
@@ -326,14 +326,14 @@
         .collect();
     world.meddle(move |l| {
         let cut = cut.iter().any(|m| m == l.from || m == l.to);
-        if cut { Fate::Lost } else { Fate::Pass }
+        if cut { Delivery::Lost } else { Delivery::Pass }
     });
     world.cloud.most_in_zone.insert(zone, 0);
     world.run(60_000);
     world.calm();
     world.run_ms = 1000;
     assert!(done(&mut world, 60_000), "{}", world.trace());
-    keep(&world, "gang_zone_rule");
+    assert_trace(&world, "gang_zone_rule");
 }
 
 /// The owner of the gang's team crashes at some time after its acceptance, and comes back.
@@ -351,7 +351,7 @@
         "after {after}, away {away}\n{}",
         world.trace()
     );
-    sound(&world);
+    assert_no_breaches(&world);
     world
 }
 
@@ -360,7 +360,7 @@
     let world = take_over(4000, 12_000);
     let starts = world.trace().matches("starts job-000001/").count();
     assert_eq!(starts, 4, "nothing is started twice\n{}", world.trace());
-    keep(&world, "gang_take_over_while_running");
+    assert_trace(&world, "gang_take_over_while_running");
 }
 
 #[test]
@@ -392,7 +392,7 @@
     world.cloud.most = 20;
     world.run_ms = 15_000;
     assert!(done(&mut world, 120_000), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -411,7 +411,7 @@
         assert!(world.run_until(60_000, over), "{id}\n{}", world.trace());
     }
     assert!(!world.trace().contains("incomplete"), "{}", world.trace());
-    keep(&world, "gang_two_for_one_room");
+    assert_trace(&world, "gang_two_for_one_room");
 }
 
 #[test]
@@ -425,7 +425,7 @@
         w.sick = true;
     }
     assert!(done(&mut world, 120_000), "{}", world.trace());
-    keep(&world, "gang_sick_machine");
+    assert_trace(&world, "gang_sick_machine");
 }
 
 #[test]
@@ -437,9 +437,9 @@
         n += 1;
         let copied = l.what == "POST /agent/beat" || l.what.starts_with("POST /commands");
         if copied && n.is_multiple_of(2) {
-            return Fate::Copied(2000 + n * 977 % 40_000);
+            return Delivery::Copied(2000 + n * 977 % 40_000);
         }
-        Fate::Pass
+        Delivery::Pass
     });
     for i in 1..4 {
         world.accepted(i as usize % 3, &gang(i, 0, 3));
@@ -451,7 +451,7 @@
         assert!(world.run_until(120_000, over), "{i}\n{}", world.trace());
     }
     world.run(60_000);
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -504,7 +504,7 @@
             .is_some_and(|j| j["st"] == "done")
     };
     assert!((20..28).any(|i| !over(i)), "others still had work\n{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -543,7 +543,7 @@
     );
     world.run_ms = 3000;
     assert!(done(&mut world, 60_000), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -560,7 +560,7 @@
     assert!(world.trace().contains("is saved at"), "{}", world.trace());
     world.run_ms = 6000;
     assert!(done(&mut world, 60_000), "{}", world.trace());
-    keep(&world, "gang_stop_of_an_earlier_owner");
+    assert_trace(&world, "gang_stop_of_an_earlier_owner");
 }
 
 #[test]
@@ -579,5 +579,5 @@
     assert_eq!(world.running(GANG), 4, "{}", world.trace());
     let starts = world.trace().matches("starts job-000001/").count();
     assert_eq!(starts, 4, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
--- a/crates/tidelatch-standin/tests/troubles.rs
+++ b/crates/tidelatch-standin/tests/partial_failures.rs
@@ -1,4 +1,4 @@
-//! Troubles that the operators added later: answers that do not reach a machine, late copies,
+//! Partial failures that the operators added later: answers that do not reach a machine, late copies,
 //! controllers without state service and peers, and processes that are back within a moment. Each
 //! test names the guard that it is there for.
 
@@ -6,13 +6,13 @@
 use std::rc::Rc;
 use tidelatch_core::Method;
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::support::{keep, sound, with_service};
-use tidelatch_standin::{Fate, Size, World, gang, job, troubles};
+use tidelatch_standin::support::{assert_no_breaches, assert_trace, with_service};
+use tidelatch_standin::{Delivery, Size, World, faults, gang, job};
 
 /// No answer and no command reaches a machine any more; its reports do, and it tells its state.
 fn deafen(world: &mut World, machine: &str) {
     world.note(&format!("nothing reaches {machine} any more; its reports arrive"));
-    world.meddle(troubles::deaf(machine));
+    world.meddle(faults::deaf(machine));
 }
 
 #[test]
@@ -36,7 +36,7 @@
         "{}",
         world.trace()
     );
-    keep(&world, "machine_that_no_answer_reaches");
+    assert_trace(&world, "machine_that_no_answer_reaches");
 }
 
 #[test]
@@ -65,7 +65,7 @@
     assert!(world.run_until(100_000, done), "{}", world.trace());
     assert!(world.cloud.deleted.contains(&deaf), "{}", world.trace());
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    keep(&world, "machine_that_takes_no_token");
+    assert_trace(&world, "machine_that_takes_no_token");
 }
 
 #[test]
@@ -80,7 +80,11 @@
         // Seconds, about a lease, and well over a lease.
         let late = [3_000, 17_000, 26_000, 44_000][n.get() as usize % 4] + 7 * (n.get() % 100);
         let repeated = l.what == "POST /agent/beat" || l.what == "POST /commands" || l.what == "POST /txn";
-        if repeated { Fate::Copied(late) } else { Fate::Pass }
+        if repeated {
+            Delivery::Copied(late)
+        } else {
+            Delivery::Pass
+        }
     });
     world.accepted(0, &job(1, 0, "standing", 2));
     for i in 0..6 {
@@ -118,7 +122,7 @@
     world.withdraw(0, "job-000001");
     world.run(60_000);
     assert!(world.roster().is_empty(), "{:?}\n{}", world.roster(), world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -138,9 +142,9 @@
     world.meddle(move |l| {
         if l.what == "POST /commands" && l.body.contains("\"start\"") {
             count.set(count.get() + 1);
-            return Fate::Copied(46_000);
+            return Delivery::Copied(46_000);
         }
-        Fate::Pass
+        Delivery::Pass
     });
     // It goes to the same machine, which has room, and goes there directly.
     world.accepted(0, &job(2, 0, "standing", 1));
@@ -161,7 +165,7 @@
         "{}",
         world.trace()
     );
-    keep(&world, "repeated_direct_start");
+    assert_trace(&world, "repeated_direct_start");
 }
 
 #[test]
@@ -176,9 +180,9 @@
         n.set(n.get() + 1);
         let beat = l.what == "POST /agent/beat";
         if beat {
-            Fate::Copied(30_000 + 900 * (n.get() % 20))
+            Delivery::Copied(30_000 + 900 * (n.get() % 20))
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     assert!(
@@ -198,7 +202,7 @@
     world.run(80_000);
     assert!(!world.trace().contains("taking it in"), "{}", world.trace());
     assert!(world.roster().is_empty(), "{}", world.trace());
-    keep(&world, "late_reports_of_a_deleted_machine");
+    assert_trace(&world, "late_reports_of_a_deleted_machine");
 }
 
 #[test]
@@ -211,10 +215,10 @@
     world.meddle(move |l| {
         if l.what == "POST /hosts" && !once.get() {
             once.set(true);
-            return Fate::Late(9000);
+            return Delivery::Late(9000);
         }
         // Whoever asked for it is gone by then.
-        Fate::Pass
+        Delivery::Pass
     });
     let owner = world.owner_of_team(0);
     let request = world.submit(owner, &job(1, 0, "standing", 1));
@@ -239,7 +243,7 @@
     roster.sort();
     let rented: Vec<String> = world.cloud.machines.keys().cloned().collect();
     assert_eq!(roster, rented, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -255,7 +259,7 @@
     world.meddle(move |l| {
         let cut = l.from == name && !l.to.starts_with("n-");
         let peers = l.to == name && l.from.starts_with("berth-");
-        if cut || peers { Fate::Lost } else { Fate::Pass }
+        if cut || peers { Delivery::Lost } else { Delivery::Pass }
     });
     world.run(16_000);
     assert_ne!(world.owner_of_team(0), owner, "{}", world.trace());
@@ -286,7 +290,7 @@
         world.trace()
     );
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    keep(&world, "only_its_workers_left");
+    assert_trace(&world, "only_its_workers_left");
 }
 
 /// One controller ends and is back after a moment, at some time after a submission; copies of what it
@@ -301,9 +305,9 @@
             "POST /agent/beat" | "POST /commands" | "POST /txn" | "POST /hosts"
         );
         if repeated && n.get().is_multiple_of(3) {
-            Fate::Copied(400 + 1300 * (n.get() % 17))
+            Delivery::Copied(400 + 1300 * (n.get() % 17))
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     // In the middle of the first election for the smallest of times.
@@ -375,9 +379,9 @@
     world.meddle(move |l| {
         if l.from == name && l.what == "POST /txn" && l.body.contains("t/c/member/") && count.get() < 1 {
             count.set(1);
-            return Fate::Copied(2500);
+            return Delivery::Copied(2500);
         }
-        Fate::Pass
+        Delivery::Pass
     });
     world.crash(owner);
     world.run(100);
@@ -392,7 +396,7 @@
     world.run(30_000);
     assert_eq!(world.epoch(), epoch, "{}", world.trace());
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -419,7 +423,7 @@
         "the large one has not begun\n{}",
         world.trace()
     );
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -452,7 +456,7 @@
         "{}",
         world.trace()
     );
-    keep(&world, "replicas_move_for_others");
+    assert_trace(&world, "replicas_move_for_others");
 }
 
 #[test]
@@ -487,7 +491,7 @@
     let done = |w: &World| w.store.get("t/j/job-000008").is_some_and(|j| j["st"] == "done");
     assert!(world.run_until(60_000, done), "{}", world.trace());
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    keep(&world, "stood_still_beyond_its_lease");
+    assert_trace(&world, "stood_still_beyond_its_lease");
 }
 
 #[test]
@@ -521,9 +525,9 @@
         n.set(n.get() + 1);
         match l.what {
             "POST /agent/beat" | "POST /commands" if n.get().is_multiple_of(5) => {
-                Fate::Copied(4000 + 900 * (n.get() % 40))
+                Delivery::Copied(4000 + 900 * (n.get() % 40))
             }
-            _ => Fate::Pass,
+            _ => Delivery::Pass,
         }
     });
     let names: Vec<String> = world.workers.keys().cloned().collect();
@@ -558,7 +562,7 @@
         (10..13).all(over) && all(w)
     };
     assert!(world.run_until(120_000, done), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -585,9 +589,9 @@
         let peers = l.from.starts_with("berth-") && l.to.starts_with("berth-");
         let refused = l.to == "state" && l.from == "berth-1";
         match () {
-            () if peers || refused => Fate::Lost,
-            () if l.to == "state" && n.get().is_multiple_of(7) => Fate::AnswerLost,
-            () => Fate::Pass,
+            () if peers || refused => Delivery::Lost,
+            () if l.to == "state" && n.get().is_multiple_of(7) => Delivery::AnswerLost,
+            () => Delivery::Pass,
         }
     });
     world.freeze(2);
@@ -625,7 +629,7 @@
         world.run(1500);
         assert_eq!(world.said(poll), "done", "{j}\n{}", world.trace());
     }
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -672,7 +676,7 @@
     assert!((2500..5000).contains(&longest), "{waits:?}\n{}", world.trace());
     assert!(world.cloud.deleted.contains(&dead), "{}", world.trace());
     assert!(world.run_until(10_000, all), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -705,5 +709,5 @@
     world.start(owner);
     let gone = |w: &World| w.cloud.deleted.contains(&dead);
     assert!(world.run_until(7000, gone), "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -4,8 +4,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::support::{keep, with_service};
-use tidelatch_standin::{Fate, World, job};
+use tidelatch_standin::support::{assert_trace, with_service};
+use tidelatch_standin::{Delivery, World, job};
 
 #[test]
 fn a_quiet_day_runs_a_service_and_an_array() {
@@ -25,7 +25,7 @@
     let unknown = world.poll(0, "job-999999");
     world.run(300);
     assert_eq!(world.status(unknown), 404);
-    keep(&world, "quiet_day");
+    assert_trace(&world, "quiet_day");
 }
 
 #[test]
@@ -34,8 +34,8 @@
     let mut world = World::new();
     world.run(3000);
     world.meddle(|l| match l.what {
-        "POST /txn" if l.body.contains("t/j/") => Fate::AnswerLost,
-        _ => Fate::Pass,
+        "POST /txn" if l.body.contains("t/j/") => Delivery::AnswerLost,
+        _ => Delivery::Pass,
     });
     let first = world.submit(0, &job(1, 0, "sweep", 1));
     world.run(3000);
@@ -45,7 +45,7 @@
     world.run(500);
     assert_eq!(world.status(again), 200, "{}", world.trace());
     assert_eq!(world.store.keys("t/j/").len(), 1);
-    keep(&world, "lost_answer_to_an_acceptance");
+    assert_trace(&world, "lost_answer_to_an_acceptance");
 }
 
 #[test]
@@ -55,7 +55,7 @@
     world.run(3000);
     world.meddle(|l| {
         let deaf = l.from == "berth-1" && l.what.starts_with("GET /changes");
-        if deaf { Fate::Lost } else { Fate::Pass }
+        if deaf { Delivery::Lost } else { Delivery::Pass }
     });
     world.run(10_000);
     world.accepted(0, &job(1, 0, "sweep", 1));
@@ -79,9 +79,9 @@
     let cut = silent.clone();
     world.meddle(move |l| {
         if l.from == cut || l.to == cut {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.crash(owner);
@@ -91,7 +91,7 @@
     world.run(40_000);
     assert!(world.cloud.deleted.contains(&silent), "{}", world.trace());
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    keep(&world, "take_over_with_a_silent_machine");
+    assert_trace(&world, "take_over_with_a_silent_machine");
 }
 
 #[test]
@@ -104,9 +104,9 @@
     // The owner alone is refused by the state service. Its workers still reach it.
     world.meddle(move |l| {
         if l.from == cut && l.to == "state" {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.run(4000);
@@ -123,7 +123,7 @@
     world.run(10_000);
     assert_eq!(world.owner_of_team(0), owner, "it comes home once it is well");
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    keep(&world, "deposed_controller");
+    assert_trace(&world, "deposed_controller");
 }
 
 #[test]
@@ -143,9 +143,9 @@
     world.meddle(move |l| {
         if l.what == "POST /agent/beat" && l.from == "n-000001" && count.get() < 1 {
             count.set(1);
-            return Fate::Late(32_700);
+            return Delivery::Late(32_700);
         }
-        Fate::Pass
+        Delivery::Pass
     });
     world.run(6000);
     world.accepted(0, &job(2, 0, "standing", 1));
@@ -164,7 +164,7 @@
     world.run(30_000);
     assert_eq!(delayed.get(), 1, "{}", world.trace());
     assert_eq!(world.running("job-000002"), 1, "{}", world.trace());
-    keep(&world, "late_beat");
+    assert_trace(&world, "late_beat");
 }
 
 #[test]
@@ -187,9 +187,9 @@
     let deaf = format!("berth-{guest}");
     world.meddle(move |l| {
         if l.from == deaf && l.what.starts_with("GET /changes") {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.run(4000);
@@ -212,7 +212,7 @@
         tries <= 12,
         "a leader that hears nothing must not burn the budget of changes: {tries} tries"
     );
-    keep(&world, "live_owner_is_waited_for");
+    assert_trace(&world, "live_owner_is_waited_for");
 }
 
 #[test]
@@ -225,9 +225,9 @@
     world.meddle(move |l| {
         if l.what == "POST /agent/beat" && l.at > 5000 && count.get() < 4 {
             count.set(count.get() + 1);
-            return Fate::AnswerLost;
+            return Delivery::AnswerLost;
         }
-        Fate::Pass
+        Delivery::Pass
     });
     world.accepted(0, &job(1, 0, "standing", 3));
     assert!(
@@ -282,7 +282,7 @@
         assert_eq!(starts(&world), begun, "{}", world.trace());
         assert!(world.machines_of(&name).is_empty(), "{}", world.trace());
     }
-    keep(&world, "withdrawal_races_a_start");
+    assert_trace(&world, "withdrawal_races_a_start");
 }
 
 #[test]
@@ -298,8 +298,8 @@
     // Ends are carried out, but their answers are lost for a while.
     let until = world.now + 12_000;
     world.meddle(move |l| match l.what {
-        "POST /txn" if l.at < until && l.body.contains("\"st\":") => Fate::AnswerLost,
-        _ => Fate::Pass,
+        "POST /txn" if l.at < until && l.body.contains("\"st\":") => Delivery::AnswerLost,
+        _ => Delivery::Pass,
     });
     world.run(5200);
     let owner = world.owner_of_team(0);
@@ -311,7 +311,7 @@
     assert!(matches!(world.status(request), 200 | 503));
     assert_eq!(world.status(again), 200, "{}", world.trace());
     assert_eq!(world.said(again), world.said(poll));
-    keep(&world, "withdrawal_races_the_last_completion");
+    assert_trace(&world, "withdrawal_races_the_last_completion");
 }
 
 #[test]
@@ -340,7 +340,7 @@
         world.workers.values().all(|w| w.session == 1),
         "no worker's lease ended"
     );
-    keep(&world, "short_state_outage");
+    assert_trace(&world, "short_state_outage");
 }
 
 #[test]
@@ -367,7 +367,7 @@
         "no worker's lease ended"
     );
     assert_eq!(world.running("job-000001") + world.running("job-000002"), 4);
-    keep(&world, "long_state_outage");
+    assert_trace(&world, "long_state_outage");
 }
 
 #[test]
@@ -395,7 +395,13 @@
     let owner = world.owner_of_team(0);
     let name = format!("berth-{owner}");
     world.note("every controller is refused by the state service, each by itself");
-    world.meddle(|l| if l.to == "state" { Fate::Lost } else { Fate::Pass });
+    world.meddle(|l| {
+        if l.to == "state" {
+            Delivery::Lost
+        } else {
+            Delivery::Pass
+        }
+    });
     world.run(20_000);
     if restart_others {
         for other in (0..3).filter(|i| *i != owner) {
@@ -406,9 +412,9 @@
     world.note("all but the owner are served again, and the owner is cut off from them");
     world.meddle(move |l| {
         if l.from == name || l.to == name {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.run(30_000);
@@ -422,13 +428,13 @@
 #[test]
 fn a_promise_is_kept_by_those_who_are_served_again() {
     // Guard: whoever has promised neither leads nor raises an epoch until that is over.
-    keep(&refused_one_by_one(false), "promises_are_kept");
+    assert_trace(&refused_one_by_one(false), "promises_are_kept");
 }
 
 #[test]
 fn a_promise_is_kept_even_if_it_may_be_forgotten() {
     // Guard: a new process leads only once all peers rely on nothing, or the longest promise is over.
-    keep(&refused_one_by_one(true), "promises_may_be_forgotten");
+    assert_trace(&refused_one_by_one(true), "promises_may_be_forgotten");
 }
 
 #[test]
@@ -444,7 +450,11 @@
     world.meddle(move |l| {
         let without_state = l.to == "state" && (l.from == name || l.from == refused);
         let cut = (l.from == name && l.to == served) || (l.from == served && l.to == name);
-        if without_state || cut { Fate::Lost } else { Fate::Pass }
+        if without_state || cut {
+            Delivery::Lost
+        } else {
+            Delivery::Pass
+        }
     });
     world.run(30_000);
     assert_eq!(world.owner_of_team(0), (owner + 2) % 3, "{}", world.trace());
@@ -465,7 +475,7 @@
     assert_eq!(world.owner_of_team(0), owner);
     world.run(20_000);
     assert_eq!(world.running("job-000001"), 2, "{}", world.trace());
-    keep(&world, "restart_within_the_lease");
+    assert_trace(&world, "restart_within_the_lease");
 }
 
 #[test]
@@ -482,9 +492,9 @@
     let cut = world.machines_of("job-000001").first().cloned().expect("a machine");
     world.meddle(move |l| {
         if l.from == cut || l.to == cut {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.accepted(1, &job(2, 0, "sweep", 2));
@@ -492,7 +502,7 @@
     world.calm();
     world.run(20_000);
     assert_eq!(world.running("job-000001"), 4, "{}", world.trace());
-    keep(&world, "full_team_with_a_machine_out_of_reach");
+    assert_trace(&world, "full_team_with_a_machine_out_of_reach");
 }
 
 #[test]
@@ -514,7 +524,7 @@
     let poll = world.poll(1, "job-000001");
     world.run(500);
     assert_eq!(world.said(poll), "running", "{}", world.trace());
-    keep(&world, "all_controllers_crash");
+    assert_trace(&world, "all_controllers_crash");
 }
 
 #[test]
@@ -527,7 +537,7 @@
     world.meddle(move |l| {
         let between =
             (cut.iter().any(|m| m == l.from) && l.to == owner) || (cut.iter().any(|m| m == l.to) && l.from == owner);
-        if between { Fate::Lost } else { Fate::Pass }
+        if between { Delivery::Lost } else { Delivery::Pass }
     });
     world.run(60_000);
     assert_eq!(world.machines_of("job-000001"), machines, "{}", world.trace());
@@ -568,9 +578,9 @@
     world.meddle(move |l| {
         if l.what == "POST /commands" && l.body.contains("\"start\"") && count.get() < 1 {
             count.set(1);
-            return Fate::Late(25_000);
+            return Delivery::Late(25_000);
         }
-        Fate::Pass
+        Delivery::Pass
     });
     world.accepted(0, &job(3, 0, "sweep", 1));
     world.run(60_000);
@@ -587,7 +597,7 @@
         "{}",
         world.trace()
     );
-    keep(&world, "direct_start_without_an_answer");
+    assert_trace(&world, "direct_start_without_an_answer");
 }
 
 #[test]
@@ -599,9 +609,9 @@
     let name = format!("berth-{owner}");
     world.meddle(move |l| {
         if l.from == name && l.to == "state" {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.run(18_500);
@@ -641,7 +651,7 @@
         "the rest of the array goes on: {}",
         world.trace()
     );
-    keep(&world, "vacated_machine");
+    assert_trace(&world, "vacated_machine");
 }
 
 #[test]
@@ -672,7 +682,7 @@
     let mut world = with_service(0);
     world.meddle(|l| {
         let deaf = l.from == "berth-1" && l.what.starts_with("GET /changes");
-        if deaf { Fate::Lost } else { Fate::Pass }
+        if deaf { Delivery::Lost } else { Delivery::Pass }
     });
     world.run(10_000);
     world.accepted(0, &job(2, 1, "sweep", 1));
@@ -705,7 +715,7 @@
     world.run(3000);
     world.meddle(|l| {
         let deaf = l.from == "berth-1" && l.what.starts_with("GET /changes");
-        if deaf { Fate::AnswerLost } else { Fate::Pass }
+        if deaf { Delivery::AnswerLost } else { Delivery::Pass }
     });
     world.run(10_000);
     world.accepted(0, &job(1, 1, "sweep", 1));
--- a/crates/tidelatch-standin/tests/upgrade.rs
+++ b/crates/tidelatch-standin/tests/upgrade.rs
@@ -4,8 +4,8 @@
 use serde_json::{Value, json};
 use std::path::Path;
 use tidelatch_core::settings::{Features, Operator};
-use tidelatch_standin::support::{is_done, keep, sound};
-use tidelatch_standin::{Fate, Size, World, gang, job};
+use tidelatch_standin::support::{assert_no_breaches, assert_trace, is_done};
+use tidelatch_standin::{Delivery, Size, World, gang, job};
 
 /// Three controllers of the version before, with a service that runs.
 fn before(size: Size) -> World {
@@ -159,7 +159,7 @@
         };
         assert_eq!(fault, None, "{key}: {value}");
     }
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -199,7 +199,7 @@
             );
             let starts = world.trace().matches("starts job-000009/").count();
             assert_eq!(starts, 2, "the service ran on\n{}", world.trace());
-            sound(&world);
+            assert_no_breaches(&world);
         }
     }
 }
@@ -213,9 +213,9 @@
     // The leader by now is of the version before; it is cut off from the state service.
     world.meddle(|l| {
         if l.from == "berth-1" && l.to == "state" {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.run(9000);
@@ -243,7 +243,7 @@
         world.trace()
     );
     assert_eq!(world.running("job-000009"), 2, "{}", world.trace());
-    keep(&world, "upgrade_with_a_crash_and_a_cut");
+    assert_trace(&world, "upgrade_with_a_crash_and_a_cut");
 }
 
 #[test]
@@ -258,7 +258,7 @@
     submitted(&mut world, &gang(1, 0, 2), 20_000);
     assert!(world.store.get("t/j/job-000001").is_some(), "{}", world.trace());
     assert!(world.now < gone + 9000, "{} ms after it went", world.now - gone);
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -294,7 +294,7 @@
         "{}",
         world.trace()
     );
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -382,7 +382,7 @@
         world.roster().len(),
         world.trace()
     );
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -395,7 +395,7 @@
     let request = world.submit(0, &long);
     world.run(500);
     assert_eq!(world.status(request), 422, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -473,7 +473,7 @@
         world.trace()
     );
     assert!(world.store.refused.is_empty(), "{:?}", world.store.refused.first());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -498,7 +498,7 @@
     assert!(world.run_until(120_000, |w| w.roster().is_empty()), "{}", world.trace());
     let refused = world.store.refused.len();
     assert!((1..20).contains(&refused), "{refused}");
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -532,7 +532,7 @@
         "{slowed} of {} requests got 429",
         world.sent.state_requests
     );
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 /// The records of the version before gangs, field by field.
