--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -4,11 +4,14 @@
 //! The world is written from the protocol's text alone. It checks the rules as it goes: a broken one
 //! is listed in [`World::broken`]. What happens is written down in a trace that people can read.
 
+#![warn(clippy::too_many_lines)]
+
 pub mod checker;
 mod cloud;
+pub mod faults;
 mod gang;
 mod state;
-pub mod troubles;
+pub mod support;
 mod worker;
 mod world;
 
@@ -16,4 +19,8 @@
 pub use cloud::Cloud;
 pub use state::Store;
 pub use worker::Worker;
-pub use world::{Fate, Letter, Sent, Size, World, gang, job};
+pub use world::{CANCEL_MS, Delivery, Message, Sent, Size, World, gang, job};
+
+// Earlier names, for tests that still use them.
+pub use faults as troubles;
+pub use world::{Delivery as Fate, Message as Letter};
--- a/crates/tidelatch-standin/tests/upgrade.rs
+++ b/crates/tidelatch-standin/tests/upgrade.rs
@@ -4,27 +4,8 @@
 use serde_json::{Value, json};
 use std::path::Path;
 use tidelatch_core::settings::{Features, Operator};
-use tidelatch_standin::{Fate, Size, World, gang, job};
-
-fn sound(world: &World) {
-    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
-}
-
-fn keep(world: &World, name: &str) {
-    sound(world);
-    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("traces")
-        .join(format!("{name}.txt"));
-    if std::env::var_os("UPDATE_TRACES").is_some() {
-        std::fs::write(&path, world.trace()).expect("the trace is written");
-    }
-    let kept = std::fs::read_to_string(&path).expect("the trace is kept");
-    assert_eq!(
-        kept,
-        world.trace(),
-        "the trace {name} differs; UPDATE_TRACES=1 writes it anew"
-    );
-}
+use tidelatch_standin::support::{assert_no_breaches, assert_trace, is_done};
+use tidelatch_standin::{Delivery, Size, World, gang, job};
 
 /// Three controllers of the version before, with a service that runs.
 fn before(size: Size) -> World {
@@ -52,10 +33,6 @@
     world.start(node);
 }
 
-fn is_over(world: &World, id: &str) -> bool {
-    world.store.get(&format!("t/j/{id}")).is_some_and(|j| j["st"] == "done")
-}
-
 /// Submits until the job is taken; what was said before that.
 fn submitted(world: &mut World, body: &Value, ms: u64) -> Vec<u16> {
     let until = world.now + ms;
@@ -182,7 +159,7 @@
         };
         assert_eq!(fault, None, "{key}: {value}");
     }
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -216,13 +193,13 @@
             }
             submitted(&mut world, &gang(2, 1, 2), 20_000);
             assert!(
-                world.run_until(60_000, |w| is_over(w, "job-000002")),
+                world.run_until(60_000, |w| is_done(w, "job-000002")),
                 "{order:?}\n{}",
                 world.trace()
             );
             let starts = world.trace().matches("starts job-000009/").count();
             assert_eq!(starts, 2, "the service ran on\n{}", world.trace());
-            sound(&world);
+            assert_no_breaches(&world);
         }
     }
 }
@@ -236,9 +213,9 @@
     // The leader by now is of the version before; it is cut off from the state service.
     world.meddle(|l| {
         if l.from == "berth-1" && l.to == "state" {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     world.run(9000);
@@ -256,17 +233,17 @@
     replace(&mut world, 2, Features::default(), 6000);
     submitted(&mut world, &gang(2, 2, 3), 30_000);
     assert!(
-        world.run_until(60_000, |w| is_over(w, "job-000002")),
+        world.run_until(60_000, |w| is_done(w, "job-000002")),
         "{}",
         world.trace()
     );
     assert!(
-        world.run_until(60_000, |w| is_over(w, "job-000003")),
+        world.run_until(60_000, |w| is_done(w, "job-000003")),
         "{}",
         world.trace()
     );
     assert_eq!(world.running("job-000009"), 2, "{}", world.trace());
-    keep(&world, "upgrade_with_a_crash_and_a_cut");
+    assert_trace(&world, "upgrade_with_a_crash_and_a_cut");
 }
 
 #[test]
@@ -281,7 +258,7 @@
     submitted(&mut world, &gang(1, 0, 2), 20_000);
     assert!(world.store.get("t/j/job-000001").is_some(), "{}", world.trace());
     assert!(world.now < gone + 9000, "{} ms after it went", world.now - gone);
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -313,11 +290,11 @@
     replace(&mut world, owner, Features::default(), 500);
     world.run_ms = 3000;
     assert!(
-        world.run_until(90_000, |w| is_over(w, "job-000001")),
+        world.run_until(90_000, |w| is_done(w, "job-000001")),
         "{}",
         world.trace()
     );
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -388,7 +365,7 @@
     let over = |w: &World| {
         (0..16)
             .filter(|i| i % 4 != 0)
-            .all(|i| is_over(w, &format!("job-{:06}", i + 1)))
+            .all(|i| is_done(w, &format!("job-{:06}", i + 1)))
     };
     assert!(world.run_until(240_000, over), "{}", world.trace());
     world.run(9000);
@@ -405,7 +382,7 @@
         world.roster().len(),
         world.trace()
     );
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -418,7 +395,7 @@
     let request = world.submit(0, &long);
     world.run(500);
     assert_eq!(world.status(request), 422, "{}", world.trace());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -496,7 +473,7 @@
         world.trace()
     );
     assert!(world.store.refused.is_empty(), "{:?}", world.store.refused.first());
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -521,7 +498,7 @@
     assert!(world.run_until(120_000, |w| w.roster().is_empty()), "{}", world.trace());
     let refused = world.store.refused.len();
     assert!((1..20).contains(&refused), "{refused}");
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 #[test]
@@ -546,7 +523,7 @@
         };
         submitted(&mut world, &body, 30_000);
     }
-    let over = |w: &World| (1..40).all(|i| is_over(w, &format!("job-{i:06}")));
+    let over = |w: &World| (1..40).all(|i| is_done(w, &format!("job-{i:06}")));
     assert!(world.run_until(240_000, over), "{}", world.trace());
     assert!(!world.trace().contains("lease lost"), "{}", world.trace());
     let slowed = world.store.slowed;
@@ -555,7 +532,7 @@
         "{slowed} of {} requests got 429",
         world.sent.state_requests
     );
-    sound(&world);
+    assert_no_breaches(&world);
 }
 
 /// The records of the version before gangs, field by field.
--- a/crates/tidelatch/src/settings.rs
+++ b/crates/tidelatch/src/settings.rs
@@ -7,7 +7,7 @@
 
 /// A fault that keeps the program from starting.
 #[derive(Debug, thiserror::Error)]
-pub enum Fault {
+pub enum SettingsError {
     /// A file cannot be read.
     #[error("{path}: {source}")]
     Read {
@@ -37,8 +37,8 @@
     Level(String),
 }
 
-fn read(path: &Path) -> Result<String, Fault> {
-    std::fs::read_to_string(path).map_err(|source| Fault::Read {
+fn read(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
         path: path.display().to_string(),
         source,
     })
@@ -47,18 +47,18 @@
 fn parse_platform(text: &str) -> Result<Platform, String> {
     let input = toml::Deserializer::parse(text).map_err(|fault| fault.message().to_owned())?;
     serde_path_to_error::deserialize(input)
-        .map_err(|fault| format!("{}: {}", shown(fault.path()), fault.inner().message()))
+        .map_err(|fault| format!("{}: {}", display_path(fault.path()), fault.inner().message()))
 }
 
 fn parse_operator(text: &str) -> Result<Operator, String> {
     let mut input = serde_json::Deserializer::from_str(text);
     let operator = serde_path_to_error::deserialize(&mut input)
-        .map_err(|fault| format!("{}: {}", shown(fault.path()), fault.inner()))?;
+        .map_err(|fault| format!("{}: {}", display_path(fault.path()), fault.inner()))?;
     input.end().map_err(|fault| fault.to_string())?;
     Ok(operator)
 }
 
-fn shown(path: &serde_path_to_error::Path) -> String {
+fn display_path(path: &serde_path_to_error::Path) -> String {
     let path = path.to_string();
     if path == "." {
         "(the whole file)".to_owned()
@@ -68,83 +68,62 @@
 }
 
 /// Reads both files and reports everything that is wrong with them.
-pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<Fault>> {
-    let mut faults = Vec::new();
-    let shown = platform.display().to_string();
-    let platform = match read(platform) {
-        Err(fault) => {
-            faults.push(fault);
-            None
-        }
-        Ok(text) => match parse_platform(&text) {
-            Ok(p) => {
-                faults.extend(p.faults().into_iter().map(|fault| Fault::Value {
-                    path: shown.clone(),
-                    fault,
-                }));
-                Some(p)
-            }
-            Err(fault) => {
-                faults.push(Fault::Form {
-                    path: shown,
-                    text: fault,
-                });
-                None
-            }
-        },
-    };
+pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<SettingsError>> {
+    let platform = load_file(platform, parse_platform, Platform::faults);
     let operator = match operator {
-        None => Some(Operator::default()),
-        Some(path) => {
-            let shown = path.display().to_string();
-            match read(path) {
-                Err(fault) => {
-                    faults.push(fault);
-                    None
-                }
-                Ok(text) => match parse_operator(&text) {
-                    Ok(o) => {
-                        faults.extend(o.faults().into_iter().map(|fault| Fault::Value {
-                            path: shown.clone(),
-                            fault,
-                        }));
-                        Some(o)
-                    }
-                    Err(fault) => {
-                        faults.push(Fault::Form {
-                            path: shown,
-                            text: fault.to_string(),
-                        });
-                        None
-                    }
-                },
-            }
-        }
+        None => Ok(Operator::default()),
+        Some(path) => load_file(path, parse_operator, Operator::faults),
     };
     match (platform, operator) {
-        (Some(platform), Some(operator)) if faults.is_empty() => Ok(Settings {
+        (Ok(platform), Ok(operator)) => Ok(Settings {
             platform,
             operator,
             features: tidelatch_core::settings::Features::default(),
         }),
-        _ => Err(faults),
+        (platform, operator) => {
+            let mut errors = platform.err().unwrap_or_default();
+            errors.extend(operator.err().unwrap_or_default());
+            Err(errors)
+        }
     }
 }
 
+/// Reads one file, and checks its values.
+fn load_file<T>(
+    path: &Path,
+    parse: fn(&str) -> Result<T, String>,
+    check: fn(&T) -> Vec<tidelatch_core::settings::Fault>,
+) -> Result<T, Vec<SettingsError>> {
+    let text = read(path).map_err(|error| vec![error])?;
+    let path = path.display().to_string();
+    let settings = match parse(&text) {
+        Ok(settings) => settings,
+        Err(text) => return Err(vec![SettingsError::Form { path, text }]),
+    };
+    let errors: Vec<SettingsError> = check(&settings)
+        .into_iter()
+        .map(|fault| SettingsError::Value {
+            path: path.clone(),
+            fault,
+        })
+        .collect();
+    if errors.is_empty() { Ok(settings) } else { Err(errors) }
+}
+
 /// The schema of the operators' own settings.
 pub fn schema() -> schemars::Schema {
     schemars::schema_for!(Operator)
 }
 
 /// Starts logging to standard error, as much as `LOG_LEVEL` says.
-pub fn start_logging() -> Result<(), Fault> {
+pub fn start_logging() -> Result<(), SettingsError> {
     let level = match std::env::var("LOG_LEVEL") {
         Err(_) => tracing::Level::INFO,
         Ok(text) => match text.as_str() {
             "error" => tracing::Level::ERROR,
             "info" => tracing::Level::INFO,
             "debug" => tracing::Level::DEBUG,
-            _ => return Err(Fault::Level(text)),
+            _ => return Err(SettingsError::Level(text)),
         },
     };
     // Libraries speak up for errors only: their own detail would drown this program's.
