Machines change hands with their tasks when another partition's work waits

The roster names the partitions whose tasks may be on a machine; their owners ask its worker what becomes of them.

Excluded: more than one controller starting on a machine (the roster names one), and a task counted as gone without a report that says so.

--- a/crates/tidelatch-core/src/capacity/lending.rs
+++ b/crates/tidelatch-core/src/capacity/lending.rs
@@ -1,15 +1,131 @@
 //! Sharing machines out: what partitions need and have to spare, and machines that change hands.
 
 use super::{Kind, Lane, Lent, Wish, YIELDING, absorb, plan, room_for, wants};
-use crate::controller::{Controller, Digest, Idle, Level, Move, Need, PeerReply, PeerRequest, Purpose};
+use crate::controller::{
+    Controller, Digest, Idle, Level, Move, Need, PeerReply, PeerRequest, Purpose, SpareRoom, Want,
+};
 use crate::ids::{ControllerId, MachineId, Partition};
 use crate::membership::Stage;
 use crate::picture::Machine;
 use crate::placement::Amounts;
-use crate::protocol::{Priority, Shape};
+use crate::protocol::{MachineType, Priority, Shape};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
+/// How a machine changes hands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum How {
+    /// Nothing is on it.
+    Empty,
+    /// What is on it is stopped first.
+    Vacated,
+    /// With the tasks that run on it.
+    Occupied,
+}
+
+/// A machine that the leader has chosen to change hands.
+#[derive(Debug)]
+struct HandOver {
+    from: Partition,
+    machine: Idle,
+    to: Partition,
+    how: How,
+}
+
+/// Most machines of one kind that a digest offers for their spare room.
+const SPARE_ROOM_PER_KIND: usize = 2;
+
+/// The machines with the most free room of each kind.
+fn largest_of_each_kind(mut offers: Vec<SpareRoom>) -> Vec<SpareRoom> {
+    let room = |offer: &SpareRoom| (offer.free[1], offer.free[0]);
+    offers.sort_by(|a, b| room(b).partial_cmp(&room(a)).unwrap_or(Ordering::Equal));
+    let mut taken: BTreeMap<Kind, usize> = BTreeMap::new();
+    offers.retain(|offer| {
+        let machine = &offer.machine;
+        let count = taken
+            .entry((machine.model.clone(), machine.zone.clone(), machine.spot))
+            .or_default();
+        *count += 1;
+        *count <= SPARE_ROOM_PER_KIND
+    });
+    offers
+}
+
 impl Controller {
+    /// What a machine in use has free, if it could change hands with its tasks.
+    fn spare_room(&self, id: &MachineId, machine: &Machine) -> Option<SpareRoom> {
+        if machine.held.is_empty() || !self.may_share_machines() || !self.may_go_occupied(machine) {
+            return None;
+        }
+        let model = self.types.iter().find(|t| t.name == machine.model)?;
+        let mut free = [model.cpus, model.gpus, model.memory_gb];
+        free.iter_mut().zip(machine.taken()).for_each(|(f, used)| *f -= used);
+        let machine = Idle {
+            machine: id.clone(),
+            model: machine.model.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+        };
+        Some(SpareRoom { machine, free })
+    }
+
+    /// The spare room that partitions offer, of machines that are not on their way already.
+    fn spare_room_offered(&self, digests: &[Digest]) -> Vec<(Partition, SpareRoom)> {
+        let moving = |room: &SpareRoom| {
+            self.cloud
+                .lent
+                .iter()
+                .any(|l| l.machine.machine == room.machine.machine)
+        };
+        let offers = digests
+            .iter()
+            .flat_map(|d| d.spare_room.iter().map(|room| (d.partition, room.clone())));
+        offers.filter(|(_, room)| !moving(room)).collect()
+    }
+
+    /// Where the cloud has no more machines, work that waits gets a machine of another partition with room for it.
+    /// One at a time for a partition: each costs a change of the roster, and the next round sees what came of it.
+    fn take_spare_room(
+        &self,
+        to: Partition,
+        want: &Want,
+        offers: &mut Vec<(Partition, SpareRoom)>,
+    ) -> Option<HandOver> {
+        let under_way = |l: &Lent| l.to == to && want.takes(&l.machine);
+        if self.cloud.lent.iter().any(under_way) || !self.all_kinds_refused(want) {
+            return None;
+        }
+        let fit = |(from, room): &(Partition, SpareRoom)| {
+            let takes = *from != to && want.takes(&room.machine);
+            if takes { want.fits(&room.free) } else { 0 }
+        };
+        let (at, _) = offers
+            .iter()
+            .enumerate()
+            .filter(|(_, offer)| fit(offer) > 0)
+            .max_by_key(|(_, offer)| fit(offer))?;
+        let (from, room) = offers.swap_remove(at);
+        Some(HandOver {
+            from,
+            machine: room.machine,
+            to,
+            how: How::Occupied,
+        })
+    }
+
+    /// Whether the cloud has lately refused every kind of machine that would do.
+    fn all_kinds_refused(&self, want: &Want) -> bool {
+        let fits = |t: &&MachineType| want.fits(&[t.cpus, t.gpus, t.memory_gb]) > 0;
+        let kinds = self.types.iter().filter(fits).flat_map(|t| {
+            let of_zone = |zone: &String| [false, true].map(|spot| (t.name.clone(), zone.clone(), spot));
+            t.zones.iter().flat_map(of_zone).collect::<Vec<Kind>>()
+        });
+        let mut allowed = kinds
+            .filter(|(model, zone, spot)| want.allows(model, zone, *spot))
+            .peekable();
+        allowed.peek().is_some() && allowed.all(|kind| self.cloud.is_refused(&kind, self.now.ms))
+    }
+
     /// What would be lost, in seconds of work, if a machine were vacated for production work; none if
     /// something on it does not yield.
     pub(super) fn yielding(&self, m: &Machine) -> Option<f64> {
@@ -86,6 +202,7 @@
             let mut lanes = Vec::new();
             let mut idle = Vec::new();
             let mut yielding = Vec::new();
+            let mut spare_room = Vec::new();
             let mut in_zones: BTreeMap<String, u32> = BTreeMap::new();
             let mut demand = 0.0;
             for (id, m) in self.machines.iter().filter(|(_, m)| m.partition == *p && !m.gone) {
@@ -103,6 +220,7 @@
                     };
                     yielding.push((loss, machine));
                 }
+                spare_room.extend(self.spare_room(id, m));
                 let spare = m
                     .idle_since
                     .is_some_and(|t| now.saturating_sub(t) > self.set.report_ms());
@@ -131,6 +249,12 @@
             absorb(&mut wishes, &mut lanes, &self.types, &refused, self.guarantee_s());
             let needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
             yielding.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let unwanted = |room: &SpareRoom| {
+                !wants
+                    .iter()
+                    .any(|want| want.takes(&room.machine) && want.fits(&room.free) > 0)
+            };
+            spare_room.retain(unwanted);
             digests.push(Digest {
                 partition: *p,
                 ledger: self.member.ledger,
@@ -139,6 +263,7 @@
                 wants,
                 idle,
                 yielding: yielding.into_iter().map(|(_, i)| i).take(YIELDING).collect(),
+                spare_room: largest_of_each_kind(spare_room),
             });
         }
         digests
@@ -271,6 +396,16 @@
             if m.clean() {
                 self.log(Level::Info, format!("{} goes to partition {}", mv.machine, mv.to));
                 self.hand_over(&mv.machine, mv.to);
+            } else if mv.occupied && self.may_share_machines() && self.may_go_occupied(m) {
+                let tasks = m.held.len();
+                self.log(
+                    Level::Info,
+                    format!(
+                        "{} goes to partition {} with the {tasks} tasks on it",
+                        mv.machine, mv.to
+                    ),
+                );
+                self.hand_over(&mv.machine, mv.to);
             } else if mv.vacate && self.yielding(m).is_some() {
                 self.vacate(&mv.machine, mv.to);
             }
@@ -357,7 +492,8 @@
             d.idle.iter().filter(spare).cloned().collect()
         });
         let mut yielding = offers(&|d| d.yielding.clone());
-        let mut moves: Vec<(Partition, Idle, Partition, bool)> = Vec::new();
+        let mut spare_room = self.spare_room_offered(&fresh);
+        let mut moves: Vec<HandOver> = Vec::new();
         let mut wanted: BTreeMap<Kind, Vec<(Partition, bool)>> = BTreeMap::new();
         // Shares by demand: whoever has most demand to its name is served first where kinds run out.
         let mut order: Vec<&Digest> = fresh.iter().collect();
@@ -388,12 +524,20 @@
                     let Some(at) = at else { break };
                     let (from, i) = idle.swap_remove(at);
                     left = left.saturating_sub(fit(&i).unwrap_or(1));
-                    moves.push((from, i, d.partition, false));
+                    moves.push(HandOver {
+                        from,
+                        machine: i,
+                        to: d.partition,
+                        how: How::Empty,
+                    });
+                }
+                if left > 0 {
+                    moves.extend(self.take_spare_room(d.partition, want, &mut spare_room));
                 }
             }
         }
         let mut arriving: Vec<(Partition, Idle)> = self.cloud.lent.iter().map(|l| (l.to, l.machine.clone())).collect();
-        arriving.extend(moves.iter().map(|(_, i, to, _)| (*to, i.clone())));
+        arriving.extend(moves.iter().map(|m| (m.to, m.machine.clone())));
         for d in order {
             for need in &d.needs {
                 for _ in 0..need.count {
@@ -414,21 +558,27 @@
                             && (need.spot || !i.spot)
                     });
                     if let Some(at) = found.filter(|_| need.urgent) {
-                        let (from, i) = yielding.remove(at);
-                        moves.push((from, i, d.partition, true));
+                        let (from, machine) = yielding.remove(at);
+                        moves.push(HandOver {
+                            from,
+                            machine,
+                            to: d.partition,
+                            how: How::Vacated,
+                        });
                     }
                     wanted.entry(kind).or_default().push((d.partition, need.urgent));
                 }
             }
         }
-        for (from, machine, to, vacate) in moves {
+        for HandOver { from, machine, to, how } in moves {
             let Some(owner) = self.holding(from).map(|h| h.owner.clone()) else {
                 continue;
             };
             self.cloud.moves.entry(owner).or_default().push(Move {
                 machine: machine.machine.clone(),
                 to,
-                vacate,
+                vacate: how == How::Vacated,
+                occupied: how == How::Occupied,
             });
             self.cloud.lent.push(Lent { machine, to, at: now });
         }
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -1,7 +1,7 @@
 //! The state machine: inputs, outputs, and the table of calls that are under way.
 
 use crate::cancellations::{Cancellations, Told};
-use crate::capacity::{Cloud, Wish};
+use crate::capacity::{Cloud, Wish, room_for};
 use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
 use crate::jobs::{Job, Over, Purpose as JobPurpose};
 use crate::membership::{Membership, Tenure};
@@ -117,11 +117,30 @@
 impl Want {
     /// Whether a machine would do.
     pub fn takes(&self, machine: &Idle) -> bool {
+        self.allows(&machine.model, &machine.zone, machine.spot)
+    }
+
+    /// Whether a kind of machine would do.
+    pub fn allows(&self, model: &String, zone: &String, spot: bool) -> bool {
         let among = |list: &[String], name: &String| list.is_empty() || list.contains(name);
-        (self.spot || !machine.spot) && among(&self.models, &machine.model) && among(&self.zones, &machine.zone)
+        (self.spot || !spot) && among(&self.models, model) && among(&self.zones, zone)
+    }
+
+    /// How many of the tasks fit into some room.
+    pub fn fits(&self, room: &[f64; 3]) -> u32 {
+        room_for(&self.size, room)
     }
 }
 
+/// A machine that runs tasks and has room that its partition has no use for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SpareRoom {
+    /// The machine.
+    pub machine: Idle,
+    /// Processors, accelerators and memory that are free on it.
+    pub free: [f64; 3],
+}
+
 /// A machine with nothing on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Idle {
@@ -152,6 +171,8 @@
     pub idle: Vec<Idle>,
     /// Machines with nothing but work that yields to production, the least loss first.
     pub yielding: Vec<Idle>,
+    /// Machines in use with room that nothing of the partition's waits for.
+    pub spare_room: Vec<SpareRoom>,
 }
 
 /// The leader hands a machine to another partition.
@@ -163,6 +184,8 @@
     pub to: Partition,
     /// What is on it is stopped first.
     pub vacate: bool,
+    /// It goes with the tasks that run on it.
+    pub occupied: bool,
 }
 
 /// What one controller asks another.
@@ -634,6 +657,7 @@
             self.machines_due = self.now.ms + self.set.report_ms() / 16;
             self.tick_machines();
             self.finish_vacating();
+            self.tick_shared_machines();
             self.tick_gangs();
         }
         self.tick_roster();
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -21,5 +21,5 @@
 pub use cancellations::Told;
 pub use controller::{
     Answer, Controller, Digest, Idle, Input, Level, Method, Move, NOT_SENT, NOT_TRIED, Need, Now, Output, PeerReply,
-    PeerRequest, Target, Want,
+    PeerRequest, SpareRoom, Target, Want,
 };
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -14,6 +14,7 @@
 use crate::controller::{Controller, Level, Method, Purpose, Target, is_lost_lease};
 use crate::ids::{ControllerId, Epoch, Incarnation, Stamp};
 use crate::protocol::TxnAnswer;
+use crate::settings::SHARED_MACHINES_LEVEL;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -452,7 +453,8 @@
             return;
         }
         let old = self.member.epoch.as_ref().map(|(e, _)| e);
-        let Some(next) = next_epoch(&names, &self.member.members, old, self.set.partitions()) else {
+        let members = self.members_for_partitions();
+        let Some(next) = next_epoch(&names, &members, old, self.set.partitions()) else {
             return;
         };
         self.member.epoch_writing = true;
@@ -465,6 +467,16 @@
         self.txn(conditions, vec![change], Purpose::EpochWrite);
     }
 
+    /// The members that may own partitions: while a machine may hold tasks of a partition that does not own it,
+    /// only those that know such machines, for others would start those tasks a second time.
+    fn members_for_partitions(&self) -> BTreeMap<ControllerId, MemberRecord> {
+        let mut members = self.member.members.clone();
+        if self.any_shared_machine() {
+            members.retain(|_, member| member.knows >= SHARED_MACHINES_LEVEL);
+        }
+        members
+    }
+
     pub(crate) fn on_epoch_write(&mut self, result: Option<(u16, Vec<u8>)>) {
         self.member.epoch_writing = false;
         self.settle(&result);
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -6,10 +6,12 @@
 //! silent worker's lease is never taken as evidence: any entitled controller may have answered it.
 
 mod commands;
+mod shared_machines;
 mod silence;
 
 use crate::controller::{Answer, Asker, Controller, Level, PeerReply, PeerRequest, Purpose};
 use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, TaskId};
+use crate::jobs::Job;
 use crate::protocol::{Command, Orders, Report, Shape, TaskState};
 use crate::roster::RackRecord;
 use serde_json::json;
@@ -119,6 +121,12 @@
     pub(crate) storing: bool,
     /// It was in the roster, and up, when the tenure began: it may hold tasks not known of.
     may_hold: bool,
+    /// Other partitions whose tasks may be on it, by the roster.
+    pub(crate) also_holds: BTreeSet<Partition>,
+    /// Partitions of this controller's, other than the machine's, of whose tasks it is not known yet which are on it.
+    pub(crate) unaccounted: BTreeSet<Partition>,
+    /// Since when it holds nothing but tasks of other partitions.
+    only_others_since: Option<u64>,
     /// Starts sent with answers to its beats that a later beat came without, one after the other, and
     /// leases of its worker that ended though its beats were answered: answers do not reach it.
     missed: u32,
@@ -191,6 +199,9 @@
             gone: false,
             storing: false,
             may_hold: false,
+            also_holds: record.also_holds.clone(),
+            unaccounted: BTreeSet::new(),
+            only_others_since: None,
             missed: 0,
             answered: None,
             directs: BTreeMap::new(),
@@ -277,10 +288,17 @@
     /// At the start of a tenure nothing of the partition's machines and jobs is known any more.
     pub(crate) fn reset_partition(&mut self, partition: Partition) {
         let now = self.now.ms;
+        let (settings, tenures) = (&self.set, &self.tenures);
+        // Tasks that another partition of this controller's has on one of these machines stay known.
+        let of_another = |held: &Held| {
+            let owner = settings.partition_of_team(&held.team);
+            owner.is_some_and(|p| p != partition && tenures.contains_key(&p))
+        };
         for m in self.machines.values_mut().filter(|m| m.partition == partition) {
             m.confirmed = false;
             m.confirming = false;
-            m.held.clear();
+            m.held.retain(of_another);
+            m.only_others_since = None;
             m.ended.clear();
             // Older starts are fenced by the token of this tenure, without which nothing counts.
             m.pins.clear();
@@ -304,6 +322,7 @@
         }
         self.reset_roster(partition);
         self.reset_jobs(partition);
+        self.reset_shared_machines(partition);
     }
 
     fn hold(&mut self, machine: &MachineId, held: Held) {
@@ -603,6 +622,9 @@
         m.directs.retain(|_, (epoch, _)| *epoch >= report.epoch);
         let first = !m.confirmed;
         m.confirmed = true;
+        let tenures = &self.tenures;
+        m.unaccounted
+            .retain(|p| tenures.get(p).is_none_or(|tenure| report.epoch < tenure.since));
         if newer_session {
             // The worker has killed and forgotten all that it had.
             self.release_older_session(&id, report.session);
@@ -777,8 +799,8 @@
                 {
                     m.failures.clear();
                 }
-                let here = self.machines.get(id).map(|m| m.partition);
-                if let Some(job) = self.jobs.get(&task.job).filter(|j| Some(j.partition) == here) {
+                let own = |job: &&Job| self.acting(job.partition).is_some();
+                if let Some(job) = self.jobs.get(&task.job).filter(own) {
                     if let Some(began) = began.filter(|_| job.spec.shape != Shape::Service) {
                         self.learned.note(&job.spec, now.saturating_sub(began) as f64 / 1000.0);
                     }
--- a/crates/tidelatch-core/src/picture/commands.rs
+++ b/crates/tidelatch-core/src/picture/commands.rs
@@ -3,6 +3,7 @@
 use super::{HeldState, Machine, Stop};
 use crate::controller::{Controller, Method, NOT_SENT, NOT_TRIED, Purpose, Target};
 use crate::ids::{Attempt, Epoch, MachineId, TaskId};
+use crate::jobs::Job;
 use crate::protocol::{Command, Orders, Report, TaskState};
 
 impl Controller {
@@ -12,6 +13,7 @@
         let report = self.set.report_ms();
         let mut commands = Vec::new();
         let epoch = self.epoch();
+        let sharing = self.members_share_machines();
         // A direct command may come once more, after its answer, and so may those of whoever had the
         // machine before: while the worker lists the attempt it has no effect, once forgotten it would
         // start the task again. A newer token, or time, makes an end of that.
@@ -35,7 +37,9 @@
         }
         let mut dropped = Vec::new();
         for h in &mut m.held {
-            let job = self.jobs.get(&h.task.job).filter(|j| j.partition == m.partition);
+            let known_here =
+                |job: &&Job| job.partition == m.partition || (sharing && m.also_holds.contains(&job.partition));
+            let job = self.jobs.get(&h.task.job).filter(known_here);
             // A cancellation stops tasks from when it is asked for.
             let live = job.is_some_and(|j| !j.is_done(h.task.index)) && !self.cancellations.calls_off(&h.task.job);
             match h.state {
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -101,7 +101,10 @@
     pub(crate) fn unconfirmed(&self, partition: Partition) -> usize {
         self.machines
             .values()
-            .filter(|m| m.partition == partition && m.may_hold && !m.confirmed && !m.gone)
+            .filter(|m| {
+                let own = m.partition == partition && m.may_hold && !m.confirmed;
+                (own || m.unaccounted.contains(&partition)) && !m.gone
+            })
             .count()
     }
 
@@ -168,8 +171,8 @@
                 self.heard_directly(&id);
                 self.take_report(&report, false);
             }
+            Some(report) => self.take_shared_report(&report),
             None => self.note_no_answer(&id, sent, untried),
-            _ => {}
         }
     }
 
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -176,12 +176,14 @@
                 }
             }
             // Until it has reported, a machine that was taken over may be full of any one team.
-            if !m.confirmed
-                && m.may_hold()
+            let unknown = |p: Partition| {
+                (p == m.partition && !m.confirmed && m.may_hold()) || (m.unaccounted.contains(&p) && !m.gone)
+            };
+            if (!m.confirmed || !m.unaccounted.is_empty())
                 && let Some(t) = self.types.iter().find(|t| t.name == m.model)
             {
                 for (i, u) in used.iter_mut().enumerate() {
-                    if self.set.partitions() > 0 && i as u32 % self.set.partitions() == m.partition.0 {
+                    if unknown(Partition(i as u32 % self.set.partitions())) {
                         u.iter_mut()
                             .zip([t.cpus, t.gpus, t.memory_gb])
                             .for_each(|(u, s)| *u += s);
--- a/crates/tidelatch-core/src/queue/emptying.rs
+++ b/crates/tidelatch-core/src/queue/emptying.rs
@@ -58,6 +58,7 @@
                     let service = self
                         .jobs
                         .get(&h.task.job)
+                        .filter(|j| j.partition == partition)
                         .is_some_and(|j| j.spec.shape == Shape::Service && j.ending.is_none());
                     let old = h.running_since.is_some_and(|t| now.saturating_sub(t) > settled);
                     service && old && h.stop.is_none()
--- a/crates/tidelatch-core/src/roster.rs
+++ b/crates/tidelatch-core/src/roster.rs
@@ -35,6 +35,9 @@
     /// Time of day of their rental.
     #[serde(default)]
     pub at: u64,
+    /// Partitions other than `part` whose tasks may still be on them: each went to `part` while it ran those.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty", rename = "also")]
+    pub also_holds: BTreeSet<Partition>,
     /// The machines, each with its session and sequence number when it came into the rack: nothing
     /// older counts.
     pub m: BTreeMap<MachineId, (u64, u64)>,
@@ -169,7 +172,11 @@
         if self.roster.racks.get(name).is_some_and(|r| r.stamp >= stamp) {
             return;
         }
-        let record = value.and_then(|v| serde_json::from_value::<RackRecord>(v).ok());
+        let mut record = value.and_then(|v| serde_json::from_value::<RackRecord>(v).ok());
+        if let Some(record) = record.as_mut().filter(|_| !self.set.features.shared_machines) {
+            // The version before shared machines passes over the field.
+            record.also_holds.clear();
+        }
         let old = self.roster.racks.remove(name);
         let here = |c: &Self, id: &MachineId| c.machines.get(id).is_some_and(|m| m.rack == name);
         for id in old.iter().flat_map(|r| r.record.m.keys()) {
@@ -184,7 +191,10 @@
         };
         for (id, seen) in &record.m {
             match self.machines.get(id) {
-                Some(m) if m.rack == name => continue,
+                Some(m) if m.rack == name => {
+                    self.set_also_holds(id, &record.also_holds);
+                    continue;
+                }
                 // Handed over at a later revision than this one.
                 Some(m) if self.roster.racks.get(&m.rack).is_some_and(|r| r.stamp > stamp) => continue,
                 // A rack that had become too large was split: nothing has changed for its machines.
@@ -192,14 +202,12 @@
                     if let Some(m) = self.machines.get_mut(id) {
                         m.rack = name.to_owned();
                     }
+                    self.set_also_holds(id, &record.also_holds);
                     continue;
                 }
-                Some(_) => {
-                    // Handed over empty; whatever this controller thought of it is void.
-                    self.release_all(id, "it was handed to another partition");
-                }
-                None => {}
+                _ => {}
             }
+            let carried = self.take_carried_tasks(id);
             let kind = if record.spot { " (spot)" } else { "" };
             self.log(
                 Level::Debug,
@@ -211,7 +219,8 @@
             let book = self.roster.addresses.get(id);
             let floor = book.map_or(*seen, |b| b.seen.max(*seen));
             let addr = book.map_or(String::new(), |b| b.addr.clone());
-            let machine = Machine::new(name, &record, addr, floor, self.now.ms);
+            let mut machine = Machine::new(name, &record, addr, floor, self.now.ms);
+            machine.carry(carried);
             self.machines.insert(id.clone(), machine);
         }
         // Whatever change of it was under way has landed, or cannot land any more; what is still to be
@@ -340,7 +349,7 @@
         }
     }
 
-    /// Hands an empty machine to another partition.
+    /// Hands a machine to another partition, empty or with the tasks that run on it.
     pub(crate) fn hand_over(&mut self, id: &MachineId, to: Partition) {
         let acting = self
             .machines
@@ -551,7 +560,7 @@
             m: BTreeMap::new(),
             ..rest.clone()
         };
-        let mut moved: BTreeMap<Partition, RackRecord> = BTreeMap::new();
+        let mut moved: BTreeMap<(Partition, BTreeSet<Partition>), RackRecord> = BTreeMap::new();
         for id in rack.record.m.keys() {
             let machine = self.machines.get(id);
             let Some(m) = machine.filter(|m| m.rack == name) else {
@@ -565,12 +574,16 @@
             if m.gone {
                 rest.m.remove(id);
             } else if let Some(to) = m.moving {
+                let mut also_holds = self.partitions_on(m);
+                also_holds.remove(&to);
                 // What a change cannot hold goes with the next one.
-                if !moved.contains_key(&to) && moved.len() + 1 >= ops {
+                let target = (to, also_holds);
+                if !moved.contains_key(&target) && moved.len() + 1 >= ops {
                     continue;
                 }
-                let part = moved.entry(to).or_insert_with(|| RackRecord {
+                let part = moved.entry(target.clone()).or_insert_with(|| RackRecord {
                     part: to,
+                    also_holds: target.1,
                     ..empty.clone()
                 });
                 if part.m.is_empty() || bytes_of(part) + entry_bytes(id, &m.last()) <= fill {
@@ -579,7 +592,12 @@
                 }
             }
         }
-        if rest.m.len() == rack.record.m.len() {
+        rest.also_holds = self.partitions_beside_owner(&rest);
+        let empty = RackRecord {
+            also_holds: rest.also_holds.clone(),
+            ..empty
+        };
+        if rest.m.len() == rack.record.m.len() && rest.also_holds == rack.record.also_holds {
             self.roster.due.remove(name);
             return;
         }
@@ -614,7 +632,7 @@
         };
         let mut changes: Vec<(String, Option<RackRecord>)> = moved
             .into_iter()
-            .map(|(to, record)| (key(&record, &to.to_string()), Some(record)))
+            .map(|((to, _), record)| (key(&record, &to.to_string()), Some(record)))
             .collect();
         let rest = match in_steps {
             true => None,
@@ -745,6 +763,7 @@
                         zone: r.kind.1.clone(),
                         spot: r.kind.2,
                         at: rented,
+                        also_holds: BTreeSet::new(),
                         m: BTreeMap::new(),
                     };
                     bytes.push(bytes_of(&record));
--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -398,6 +398,9 @@
     pub features: Features,
 }
 
+/// [`Features::level`] from which on a controller knows machines that hold tasks of several partitions.
+pub const SHARED_MACHINES_LEVEL: u32 = 3;
+
 /// What a version of this program knows, as it tells the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Features {
@@ -405,6 +408,8 @@
     pub gangs: bool,
     /// Cancellations are told between controllers.
     pub cancellations: bool,
+    /// A machine may change hands with the tasks that run on it.
+    pub shared_machines: bool,
 }
 
 impl Features {
@@ -415,7 +420,10 @@
             Self {
                 cancellations: false, ..
             } => 1,
-            _ => 2,
+            Self {
+                shared_machines: false, ..
+            } => 2,
+            _ => SHARED_MACHINES_LEVEL,
         }
     }
     /// As the version before gangs was: for tests.
@@ -423,6 +431,7 @@
         Self {
             gangs: false,
             cancellations: false,
+            shared_machines: false,
         }
     }
 }
@@ -432,6 +441,7 @@
         Self {
             gangs: true,
             cancellations: true,
+            shared_machines: true,
         }
     }
 }
--- a/crates/tidelatch/src/peers/convert.rs
+++ b/crates/tidelatch/src/peers/convert.rs
@@ -2,7 +2,7 @@
 
 use super::wire;
 use tidelatch_core::ids::{JobId, MachineId, Partition};
-use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, Told, Want};
+use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, SpareRoom, Told, Want};
 
 /// The core has answered a request in the form of another kind of request.
 #[derive(Debug, thiserror::Error)]
@@ -154,6 +154,7 @@
             machine: machine_move.machine.as_str().to_owned(),
             to: machine_move.to.0,
             vacate: machine_move.vacate,
+            occupied: machine_move.occupied,
         }
     }
 }
@@ -164,6 +165,7 @@
             machine: MachineId::new(machine_move.machine),
             to: Partition(machine_move.to),
             vacate: machine_move.vacate,
+            occupied: machine_move.occupied,
         }
     }
 }
@@ -194,6 +196,23 @@
     }
 }
 
+impl From<SpareRoom> for wire::SpareRoom {
+    fn from(room: SpareRoom) -> Self {
+        Self {
+            machine: Some(room.machine.into()),
+            free: room.free.to_vec(),
+        }
+    }
+}
+
+/// Room without a machine, or in another number of amounts, comes from no version of this program.
+fn spare_room(room: wire::SpareRoom) -> Option<SpareRoom> {
+    Some(SpareRoom {
+        machine: room.machine?.into(),
+        free: room.free.try_into().ok()?,
+    })
+}
+
 impl From<Idle> for wire::Idle {
     fn from(idle: Idle) -> Self {
         Self {
@@ -254,6 +273,7 @@
             idle: convert_all(digest.idle),
             yielding: convert_all(digest.yielding),
             wants: convert_all(digest.wants),
+            spare_room: convert_all(digest.spare_room),
         }
     }
 }
@@ -268,6 +288,7 @@
             idle: convert_all(digest.idle),
             yielding: convert_all(digest.yielding),
             wants: convert_all(digest.wants),
+            spare_room: digest.spare_room.into_iter().filter_map(spare_room).collect(),
         }
     }
 }
