A team's lower work is stopped for its production work at the limit

Cause: a production task without room under its team's limit was only given the next place that came free, so it waited until a task of the team ended.

Now the team's own work of lower priority yields (queue/limits.rs): what loses least, no more than is needed, a gang only as a whole, with time to save, and only once there is a machine for the production task (one with room, or the one that is left); otherwise a machine is wished for first. Stops under way count as room to come, except on machines that are silent. Patience is that of other preemption. Nothing is stopped for jobs that fail everywhere, nor while machines have not reported to a new owner, for those count as full.

Excluded: a team below its limit, work of the same priority.

--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -1,6 +1,7 @@
 //! The queues: one for each team, served in turn by shares, and the batches that are drawn from them.
 
 mod emptying;
+mod limits;
 mod room;
 
 use crate::capacity::Wish;
@@ -10,6 +11,7 @@
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
 use crate::protocol::{JobSpec, Priority, Shape};
 use crate::settings::Objective;
+use limits::OverLimit;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One team's claim in a round: what it uses, and the share by which it is served.
@@ -131,6 +133,15 @@
     tasks: Vec<u32>,
 }
 
+/// What a partition has to place.
+#[derive(Default)]
+struct Queued {
+    /// Jobs with tasks that have room under their teams' limits.
+    waiting: Vec<Waiting>,
+    /// Production jobs that have none, the longest waiting first.
+    over_limit: Vec<OverLimit>,
+}
+
 impl Controller {
     /// Something may be placed that could not be before: a batch closes after the usual wait.
     pub(crate) fn want_batch(&mut self) {
@@ -223,10 +234,10 @@
         }
     }
 
-    fn collect(&mut self, partition: Partition, room: &[Amounts]) -> Vec<Waiting> {
+    fn collect(&mut self, partition: Partition, room: &[Amounts]) -> Queued {
         let now = self.now;
         let Some(tenure) = self.tenures.get(&partition) else {
-            return Vec::new();
+            return Queued::default();
         };
         let since = tenure.since;
         let open = self.unconfirmed(partition) > 0;
@@ -241,6 +252,7 @@
             .collect();
         let mut waiting = Vec::new();
         let mut without_room: BTreeMap<usize, Amounts> = BTreeMap::new();
+        let mut over_limit = Vec::new();
         let learned = &self.learned;
         let objectives = &self.set.platform.facts.objectives;
         for (id, job) in &mut self.jobs {
@@ -267,8 +279,23 @@
                 .map(|(s, l)| ((l + 1e-6) / s).max(0.0) as usize)
                 .min()
                 .unwrap_or(usize::MAX);
+            let age_s = now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
+            let slack_s = job
+                .spec
+                .deadline_s
+                .map_or(f64::MAX, |d| d - age_s - learned.run_s(&job.spec));
             if most == 0 && job.spec.priority >= Priority::Prod && job.waiting_count() > 0 {
                 without_room.entry(team).or_insert(size);
+                if job.spec.shape != Shape::Gang && job.failed_on.len() < limits::FAILS_EVERYWHERE {
+                    over_limit.push(OverLimit {
+                        id: id.clone(),
+                        team,
+                        at: job.at_wall,
+                        slack_s,
+                        size,
+                        count: job.waiting_count(),
+                    });
+                }
             }
             // A gang enters a batch whole, or not at all.
             let gang = job.spec.shape == Shape::Gang;
@@ -276,11 +303,6 @@
             if tasks.is_empty() || (gang && (!job.gang_may_start() || tasks.len() < job.waiting_count() as usize)) {
                 continue;
             }
-            let age_s = now.wall_ms.saturating_sub(job.at_wall) as f64 / 1000.0;
-            let slack_s = job
-                .spec
-                .deadline_s
-                .map_or(f64::MAX, |d| d - age_s - learned.run_s(&job.spec));
             // Nobody is starved: what nothing has been started of for long comes before all else of its
             // priority, however late or large it is; with one task, for the rest has its own place.
             let starved = job.placed.is_empty()
@@ -332,7 +354,8 @@
             .retain(|team, _| team % partitions != partition.0 as usize);
         // What has no room now is to have the next place.
         self.kept_room.extend(without_room);
-        waiting
+        over_limit.sort_by(|a, b| (a.at, &a.id).cmp(&(b.at, &b.id)));
+        Queued { waiting, over_limit }
     }
 
     /// What comes free under a team's limit is kept for its production work that found no machine or no room.
@@ -380,8 +403,8 @@
             .zip(&used)
             .map(|(l, u)| [l[0] - u[0], l[1] - u[1], l[2]])
             .collect();
-        let waiting = self.collect(partition, &room);
-        if waiting.is_empty() {
+        let Queued { waiting, over_limit } = self.collect(partition, &room);
+        if waiting.is_empty() && over_limit.is_empty() {
             return Vec::new();
         }
         // Machines without room for the smallest of what waits need not be looked at: most are full.
@@ -502,7 +525,9 @@
                 })
                 .count += 1;
         }
-        self.preempt(partition, &needy, &waiting, &jobs, &used);
+        let mut made = self.preempt(partition, &needy, &waiting, &jobs, &used);
+        let limited = self.yield_under_limits(partition, &over_limit, &room, &mut made.yards);
+        self.swap_replicas(partition, &made.stuck, &jobs, made.yards.unwrap_or_default());
         if *budget == 0 {
             // What found no machine rests for a while, so that the next slice gets to the others; its
             // wishes stand meanwhile.
@@ -513,7 +538,7 @@
                 }
             }
         }
-        wishes.into_values().collect()
+        wishes.into_values().chain(limited).collect()
     }
 
     /// The jobs that fit into their teams' guarantees, each along with its team's earlier unfinished jobs.
--- a/crates/tidelatch-core/src/queue/room.rs
+++ b/crates/tidelatch-core/src/queue/room.rs
@@ -12,33 +12,45 @@
 const EQUAL_COST: f64 = 1e6;
 
 /// A task that might be stopped to make room.
-struct Victim {
-    task: TaskId,
-    attempt: Attempt,
-    team: usize,
-    size: Amounts,
+pub(super) struct Victim {
+    pub(super) task: TaskId,
+    pub(super) attempt: Attempt,
+    pub(super) team: usize,
+    pub(super) size: Amounts,
     /// What it takes, in its team's measure.
     measure: f64,
-    priority: Priority,
+    pub(super) priority: Priority,
     /// Seconds of work lost with it; for a gang's task with the whole gang.
-    lost_s: f64,
+    pub(super) lost_s: f64,
     /// It is stopped with all others of its gang, or not at all.
-    gang: bool,
+    pub(super) gang: bool,
     /// It has been chosen.
-    taken: bool,
+    pub(super) taken: bool,
 }
 
+/// A task to be stopped: its machine, its name and its attempt.
+pub(super) type StopOrder = (MachineId, TaskId, Attempt);
+
 /// A machine, and room on it.
 type Room = (MachineId, Amounts);
 
 /// A machine on which room could be made.
-struct Yard {
-    id: MachineId,
-    model: String,
-    zone: String,
-    spot: bool,
-    free: Amounts,
-    victims: Vec<Victim>,
+pub(super) struct Yard {
+    pub(super) id: MachineId,
+    pub(super) model: String,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+    pub(super) free: Amounts,
+    pub(super) victims: Vec<Victim>,
+}
+
+/// What [`Controller::preempt`] has found out.
+#[derive(Default)]
+pub(super) struct Preempted {
+    /// The machines as they will be after the stops, if they were looked at.
+    pub(super) yards: Option<Vec<Yard>>,
+    /// Replicas of production work for which no room can be made.
+    pub(super) stuck: Vec<usize>,
 }
 
 impl Controller {
@@ -51,10 +63,10 @@
         waiting: &[Waiting],
         jobs: &[JobTerms],
         used: &[Amounts],
-    ) {
+    ) -> Preempted {
         let teams = self.set.platform.facts.teams.clone();
         let patience = 3 * self.set.report_ms();
-        let boot_s = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let boot_s = self.longest_boot_s();
         let guarantee = |team: usize| {
             teams.get(team).map_or(0.0, |t| {
                 if t.gpus > 0.0 || t.gpus_max > 0.0 {
@@ -66,7 +78,7 @@
         };
         let mut used: Vec<f64> = used.iter().enumerate().map(|(i, u)| self.measure(i, u)).collect();
         let mut yards: Option<Vec<Yard>> = None;
-        let mut stops: Vec<(MachineId, TaskId, Attempt)> = Vec::new();
+        let mut stops: Vec<StopOrder> = Vec::new();
         let mut stuck: Vec<usize> = Vec::new();
         // Jobs for which no room can be made: their other tasks need not be tried.
         let mut hopeless: BTreeSet<usize> = BTreeSet::new();
@@ -81,14 +93,7 @@
             let mine = self.measure(w.team, &terms.size);
             let within = used.get(w.team).is_some_and(|u| u + mine <= guarantee(w.team) + 1e-6);
             let waited_s = self.now.wall_ms.saturating_sub(w.at) as f64 / 1000.0;
-            // Where the class may wait for a machine to boot, nobody is stopped before that.
-            // The time for guaranteed work counts as well, for work that is.
-            let wait_s = match (self.wait_s(&w.id), terms.guaranteed) {
-                (wait_s, true) => wait_s.min(self.guarantee_s()),
-                (wait_s, false) => wait_s,
-            };
-            let patience_s = (wait_s - boot_s).max(0.0);
-            let urgent = w.priority >= Priority::Prod && waited_s >= patience_s;
+            let urgent = w.priority >= Priority::Prod && waited_s >= self.stop_patience_s(&w.id, terms.guaranteed);
             let due = within && waited_s > boot_s;
             if !urgent && !due {
                 continue;
@@ -187,8 +192,6 @@
             }
         }
         self.evaluated += looks as u64;
-        let soon: BTreeMap<MachineId, Amounts> =
-            yards.unwrap_or_default().into_iter().map(|y| (y.id, y.free)).collect();
         for (machine, task, attempt) in stops {
             self.log(Level::Info, format!("{machine}: stopping {task} to make room"));
             self.stop_held(&machine, &task, attempt);
@@ -196,11 +199,28 @@
                 self.stop_gang(&task.job);
             }
         }
-        self.swap_replicas(partition, &stuck, jobs, soon);
+        Preempted { yards, stuck }
+    }
+
+    /// Seconds for which production work waits before others are stopped for it. Where the class may wait
+    /// for a machine to boot, nobody is stopped before that.
+    pub(super) fn stop_patience_s(&self, id: &JobId, guaranteed: bool) -> f64 {
+        let wait_s = self.wait_s(id);
+        // The time for guaranteed work counts as well, for work that is.
+        let wait_s = if guaranteed {
+            wait_s.min(self.guarantee_s())
+        } else {
+            wait_s
+        };
+        (wait_s - self.longest_boot_s()).max(0.0)
+    }
+
+    fn longest_boot_s(&self) -> f64 {
+        self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max)
     }
 
     /// The machines of a partition on which room could be made, with all that could be stopped there.
-    fn yards(&self, partition: Partition, patience: u64) -> Vec<Yard> {
+    pub(super) fn yards(&self, partition: Partition, patience: u64) -> Vec<Yard> {
         let now = self.now.ms;
         let mut yards = Vec::new();
         for (id, m) in &self.machines {
@@ -258,13 +278,7 @@
     /// Spreading leaves the last replicas of a service only some zones, and those may be full of
     /// services that use less of the others than they could. A few at a time, for each is away for as
     /// long as it takes to fetch its image.
-    pub(super) fn swap_replicas(
-        &mut self,
-        partition: Partition,
-        stuck: &[usize],
-        jobs: &[JobTerms],
-        mut soon: BTreeMap<MachineId, Amounts>,
-    ) {
+    pub(super) fn swap_replicas(&mut self, partition: Partition, stuck: &[usize], jobs: &[JobTerms], yards: Vec<Yard>) {
         const AT_ONCE: usize = 4;
         let now = self.now.ms;
         let settled = self.set.worker_lease_ms();
@@ -275,6 +289,7 @@
         if stuck.is_empty() || lately {
             return;
         }
+        let mut soon: BTreeMap<MachineId, Amounts> = yards.into_iter().map(|y| (y.id, y.free)).collect();
         let fits = |size: &Amounts, free: &Amounts| size.iter().zip(free).all(|(s, f)| *s <= f + 1e-6);
         // Room that lower priority would yield counts: a replica that waits gets it at once. By kind, so that
         // what a job may not use is not looked at for each of its replicas.
