Check names a team that is listed twice, and a batch retry out of its range

Cause: Platform::faults took two teams of one name, of which only the first was ever used, and Operator::faults left out batch_retry_per_report, though the schema gives it a range.

Both are named with their paths now. tests/settings.rs guards each of the operators' figures, impossible teams, and that a team without a guarantee or with limits of 0 is valid (that was so before).

--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -287,6 +287,9 @@
             if t.name.is_empty() {
                 say(&format!("facts.teams[{i}].name"), "must not be empty");
             }
+            if f.teams.iter().take(i).any(|other| other.name == t.name) {
+                say(&format!("facts.teams[{i}].name"), "is the name of another team as well");
+            }
             for (field, low, high) in [("cpus", t.cpus, t.cpus_max), ("gpus", t.gpus, t.gpus_max)] {
                 if !(low.is_finite() && high.is_finite() && low >= 0.0 && high >= 0.0) {
                     say(&format!("facts.teams[{i}].{field}"), "must be a number, 0 or above");
@@ -354,6 +357,7 @@
         let checks = [
             ("batch_tasks", f64::from(self.batch_tasks), 1.0, 10_000.0),
             ("batch_wait_per_report", self.batch_wait_per_report, 0.01, 10.0),
+            ("batch_retry_per_report", self.batch_retry_per_report, 0.01, 10.0),
             (
                 "search_moves_per_task",
                 f64::from(self.search_moves_per_task),
--- /dev/null
+++ b/crates/tidelatch-core/tests/settings.rs
@@ -0,0 +1,65 @@
+//! Settings: what is valid, and that what is impossible is named with its path.
+
+use serde_json::{Value, json};
+use tidelatch_core::settings::{Operator, Platform};
+
+fn platform(teams: Value) -> Platform {
+    let platform = json!({
+        "host_name": "berth-0", "area": "a", "api_addr": "10.0.0.1:8080", "peer_listen": "10.0.0.1:8081",
+        "siblings": [], "outside": { "cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379" },
+        "facts": {
+            "nodes": 1, "zones": ["a", "b"], "skew_ms": 25.0, "teams": teams,
+            "workers": { "report_s": 2.5, "lease_s": 18.0, "cancel_s": 38.0 },
+            "state": { "rps": 250.0, "write_rps": 60.0, "value_kb": 32.0, "txn_ops": 16 },
+            "cloud": { "rps": 4.0, "list_lag_s": 8.0 },
+            "machine_limits": { "cores": 0.1, "ram_mb": 100.0, "sockets": 1000 }
+        }
+    });
+    serde_json::from_value(platform).expect("the settings are in form")
+}
+
+fn paths(platform: &Platform) -> Vec<String> {
+    platform.faults().into_iter().map(|f| f.path).collect()
+}
+
+#[test]
+fn a_team_may_have_no_guarantee_and_no_limit() {
+    let teams = json!([
+        { "name": "guests" },
+        { "name": "visitors", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0 },
+        { "name": "limited", "gpus_max": 4.0 },
+        { "name": "guaranteed", "gpus": 4.0 },
+    ]);
+    assert_eq!(paths(&platform(teams)), Vec::<String>::new());
+}
+
+#[test]
+fn impossible_teams_are_named_with_their_paths() {
+    let teams = json!([
+        { "name": "a", "gpus": 4.0, "gpus_max": 2.0 },
+        { "name": "b", "cpus": -1.0 },
+        { "name": "" },
+        { "name": "a" },
+    ]);
+    let expected = [
+        "facts.teams[0].gpus",
+        "facts.teams[1].cpus",
+        "facts.teams[2].name",
+        "facts.teams[3].name",
+    ];
+    let mut found = paths(&platform(teams));
+    found.sort();
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn each_of_the_operators_figures_is_checked() {
+    let figures = serde_json::to_value(Operator::default()).expect("JSON");
+    for (name, _) in figures.as_object().expect("an object") {
+        let mut wrong = figures.clone();
+        wrong[name] = json!(1_000_000);
+        let operator: Operator = serde_json::from_value(wrong).expect("in form");
+        let found: Vec<String> = operator.faults().into_iter().map(|f| f.path).collect();
+        assert_eq!(found, [name.as_str()]);
+    }
+}
