Replace late machines, and tell jobs with a mistake from faulty machines

Cause: a machine that did not come up counted as room to come until it was deleted after three nominal boots. An ended attempt stays in reports for up to three leases, and its error was counted with each report: the machine was avoided for all that time, also where the job was at fault. A job that failed on three machines was held, also when these were faulty; two jobs with a mistake condemned the machines that they shared.

Now: a machine later than the 0.9 quantile of recent boots of its type (1.5 nominal boots at least) is no room to come; without one that overtook it, a quarter of those that boot is replaced at a time. Given up after two of these limits once overtaken, else three. Failures are judged over jobs and machines (failures.rs); a suspected job is retried with one task at a time after doubling pauses.

The kept trace gang_sick_machine changes: two jobs that succeeded nowhere else condemn a machine only two reports later; by then it is idle and returned, 1.5 s later than before. The test now asserts that it is returned.

--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -4,10 +4,12 @@
 //! are idle. The leader lends idle machines to those who need them, rents the rest, and shares both
 //! out. An owner returns what stays idle and deletes what is lost.
 
+mod boot_times;
 mod lending;
 mod planning;
 mod renting;
 
+pub use boot_times::{BootTimes, BootingMachine};
 pub(crate) use planning::room_for;
 use planning::wants;
 pub use planning::{Coming, Kind, Lane, Wish, absorb, plan};
@@ -73,6 +75,8 @@
     lent: Vec<Lent>,
     moves: BTreeMap<ControllerId, Vec<Move>>,
     strangers: BTreeMap<MachineId, Stranger>,
+    /// How long machines took to boot lately.
+    pub(crate) boot_times: BootTimes,
     deleted: BTreeMap<MachineId, u64>,
     deleting: bool,
     due: u64,
@@ -105,6 +109,7 @@
             lent: Vec::new(),
             moves: BTreeMap::new(),
             strangers: BTreeMap::new(),
+            boot_times: BootTimes::default(),
             deleted: BTreeMap::new(),
             deleting: false,
             due: 0,
@@ -173,6 +178,7 @@
             return;
         }
         self.cloud.due = now + self.set.report_ms() / 5;
+        self.judge_machines();
         self.retire();
         self.send_deletes();
         let keep = 4 * self.set.worker_lease_ms();
--- a/crates/tidelatch-core/src/capacity/lending.rs
+++ b/crates/tidelatch-core/src/capacity/lending.rs
@@ -1,13 +1,13 @@
 //! Sharing machines out: what partitions need and have to spare, and machines that change hands.
 
-use super::{Kind, Lane, Lent, Wish, YIELDING, absorb, plan, room_for, wants};
+use super::{BootingMachine, Kind, Lane, Lent, Wish, YIELDING, absorb, plan, room_for, wants};
 use crate::controller::{Controller, Digest, Idle, Level, Move, Need, PeerReply, PeerRequest, Purpose};
 use crate::ids::{ControllerId, MachineId, Partition};
 use crate::membership::Stage;
 use crate::picture::Machine;
 use crate::placement::Amounts;
 use crate::protocol::{Priority, Shape};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Controller {
     /// What would be lost, in seconds of work, if a machine were vacated for production work; none if
@@ -40,7 +40,7 @@
         let now = self.now.ms;
         let t = self.types.iter().find(|t| t.name == m.model)?;
         let up = m.usable(now, 3 * self.set.report_ms());
-        let booting = !m.up() && !m.retiring && m.moving.is_none();
+        let booting = m.is_booting() && m.moving.is_none();
         if !up && !booting {
             return None;
         }
@@ -77,12 +77,31 @@
         })
     }
 
+    /// The machines of a partition that are so late that others are to be rented in their place.
+    fn late_machines(&self, partition: Partition) -> BTreeSet<MachineId> {
+        let booting: Vec<BootingMachine> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.partition == partition && m.is_booting())
+            .map(|(id, m)| BootingMachine {
+                id: id.clone(),
+                model: m.model.clone(),
+                since: m.known_since,
+            })
+            .collect();
+        let grace_ms = 2 * self.set.report_ms();
+        self.cloud
+            .boot_times
+            .discounted(&booting, &self.types, self.now.ms, grace_ms)
+    }
+
     /// What this controller's partitions need and have to spare.
     pub(super) fn own_digests(&self) -> Vec<Digest> {
         let now = self.now.ms;
         let acting = self.tenures.iter().filter(|(_, t)| t.stage == Stage::Active);
         let mut digests = Vec::new();
         for (p, _) in acting {
+            let late = self.late_machines(*p);
             let mut lanes = Vec::new();
             let mut idle = Vec::new();
             let mut yielding = Vec::new();
@@ -91,7 +110,7 @@
             for (id, m) in self.machines.iter().filter(|(_, m)| m.partition == *p && !m.gone) {
                 *in_zones.entry(m.zone.clone()).or_default() += 1;
                 demand += m.held.iter().map(|h| h.size[1].max(h.size[0] / 100.0)).sum::<f64>();
-                if let Some(lane) = self.lane(m) {
+                if let Some(lane) = self.lane(m).filter(|_| !late.contains(id)) {
                     lanes.push(lane);
                 }
                 if let Some(loss) = self.yielding(m) {
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs: accepting them, telling of them, cancelling them, and what is stored of them.
 
 use crate::controller::{Answer, Asker, Controller, Level, Method, PeerRequest, Purpose as Call, Target};
+use crate::failures::JobFailures;
 use crate::gangs::Gang;
 use crate::ids::{ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::JOB_PREFIX;
@@ -124,9 +125,7 @@
     pub(crate) ending: Option<Ending>,
     pub(crate) ending_sent: bool,
     pub(crate) askers: Vec<Asker>,
-    /// Distinct machines on which a task failed since one last ran through.
-    pub(crate) failed_on: BTreeSet<MachineId>,
-    pub(crate) hold_until: u64,
+    pub(crate) failures: JobFailures,
     /// A zone that a replica has just left for another job's, and until when none comes back.
     pub(crate) shunned: Option<(String, u64)>,
     /// A gang's attempt, if any of its tasks may be on a machine.
@@ -174,8 +173,7 @@
             ending: None,
             ending_sent: false,
             askers: Vec::new(),
-            failed_on: BTreeSet::new(),
-            hold_until: 0,
+            failures: JobFailures::default(),
             shunned: None,
             gang: None,
         }
@@ -276,7 +274,7 @@
 
     /// May tasks of this job be started?
     pub(crate) fn startable(&self, now: u64) -> bool {
-        self.ending.is_none() && now >= self.hold_until
+        self.ending.is_none() && !self.failures.is_held(now)
     }
 }
 
@@ -759,7 +757,6 @@
             task.index..task.index + 1
         };
         tasks.for_each(|i| job.mark_done(i, chunk_bits, piece_bits));
-        job.failed_on.clear();
         let complete = job.done_count >= job.spec.tasks && job.ending.is_none();
         if complete {
             self.end_job(&task.job.clone(), Ending::Done);
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -7,6 +7,7 @@
 mod cancellations;
 pub mod capacity;
 mod controller;
+pub mod failures;
 mod gangs;
 pub mod ids;
 pub mod jobs;
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -94,8 +94,11 @@
     /// No direct commands before this: the last one got no answer.
     direct_from: u64,
     pub(crate) notice: bool,
-    pub(crate) failures: BTreeSet<JobId>,
-    failed_at: u64,
+    /// Jobs of which tasks have failed on it, and whether they are known to succeed elsewhere.
+    pub(crate) failures: BTreeMap<JobId, bool>,
+    pub(crate) failed_at: u64,
+    /// How often it has failed tasks again after a pause, with none that succeeded between.
+    pub(crate) failed_rounds: u32,
     /// Status calls without an answer since it was last heard.
     probes_failed: u32,
     probing: bool,
@@ -121,7 +124,7 @@
     may_hold: bool,
     /// Starts sent with answers to its beats that a later beat came without, one after the other, and
     /// leases of its worker that ended though its beats were answered: answers do not reach it.
-    missed: u32,
+    pub(crate) missed: u32,
     /// When a beat of its was last answered.
     answered: Option<u64>,
     /// Attempts started by direct command, with the token and the time of the command.
@@ -152,6 +155,11 @@
         !self.addr.is_empty()
     }
 
+    /// It has not come up yet, as far as is known, and is wanted.
+    pub(crate) fn is_booting(&self) -> bool {
+        !self.up() && !self.retiring && !self.gone
+    }
+
     /// A machine that has just come into the roster, or into a partition.
     pub(crate) fn new(rack: &str, record: &RackRecord, addr: String, last: (u64, u64), now: u64) -> Self {
         Self {
@@ -174,8 +182,9 @@
             commanding: None,
             direct_from: 0,
             notice: false,
-            failures: BTreeSet::new(),
+            failures: BTreeMap::new(),
             failed_at: 0,
+            failed_rounds: 0,
             probes_failed: 0,
             probing: false,
             probe_at: 0,
@@ -547,6 +556,7 @@
         }
         let first = self.machines.get(&id).is_some_and(|m| !m.up() && !m.storing && !m.gone);
         if first && !report.addr.is_empty() {
+            self.note_boot(&id);
             // It may hold tasks only once its entry says that it is up.
             self.store_first_beat(asker, report);
             return;
@@ -558,6 +568,17 @@
         self.answer_orders(asker, epoch, commands);
     }
 
+    /// Learns from a machine's first report how long machines of its type boot.
+    fn note_boot(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get(id) else { return };
+        // What was found at the take-over was rented at some earlier time.
+        let rented_before = self.acting(m.partition).is_none_or(|t| m.known_since <= t.active_at);
+        let machine_type = self.types.iter().find(|t| t.name == m.model);
+        if let Some(machine_type) = machine_type.filter(|_| !rented_before) {
+            self.cloud.boot_times.note(machine_type, m.known_since, self.now.ms);
+        }
+    }
+
     fn heard_directly(&mut self, id: &MachineId) {
         let now = self.now.ms;
         if let Some(m) = self.machines.get_mut(id) {
@@ -619,9 +640,14 @@
                     held.find(|h| h.task == task && h.attempt == t.attempt)
                 });
                 let began = held.and_then(|h| h.running_since);
+                let why = t.why.as_deref().unwrap_or("");
+                // An ended attempt stays in the reports for long: it fails once.
+                let failed_before = why == "error" && held.is_none();
                 self.release(&id, &task, t.attempt);
                 ended.push((task.clone(), t.attempt, done));
-                self.note_end(&id, &task, t.attempt, t.why.as_deref().unwrap_or(""), began);
+                if !failed_before {
+                    self.note_end(&id, &task, t.attempt, why, began);
+                }
             } else {
                 self.see(&id, task, t.attempt, t.state);
             }
@@ -721,6 +747,7 @@
                 h.running_since = Some(now);
             }
             h.state = HeldState::Seen(state);
+            let running_since = h.running_since;
             // A gang's task that waits for the others has its image.
             let has_image = began || state == TaskState::Gathering;
             if let Some((image, gb)) = image.filter(|_| has_image) {
@@ -729,6 +756,9 @@
             if let Some(text) = text {
                 self.log(Level::Debug, text);
             }
+            if let Some(since) = running_since {
+                self.note_running_replica(&task.job, id, since);
+            }
             return;
         }
         // Not booked in this tenure: found after a take-over, or a stray.
@@ -764,7 +794,6 @@
     /// A task has ended on a machine.
     fn note_end(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt, why: &str, began: Option<u64>) {
         let now = self.now.ms;
-        let report = self.set.report_ms();
         self.log(Level::Debug, format!("{id}: {task} ended: {why}"));
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.note_gang_end(attempt, why);
@@ -776,44 +805,21 @@
                     && began.is_some_and(|t| t > m.failed_at)
                 {
                     m.failures.clear();
+                    m.failed_rounds = 0;
                 }
                 let here = self.machines.get(id).map(|m| m.partition);
                 if let Some(job) = self.jobs.get(&task.job).filter(|j| Some(j.partition) == here) {
                     if let Some(began) = began.filter(|_| job.spec.shape != Shape::Service) {
                         self.learned.note(&job.spec, now.saturating_sub(began) as f64 / 1000.0);
                     }
+                    self.note_success(&task.job, id);
                     self.task_done(task);
                 }
             }
-            "error" => {
-                let Some(job) = self.jobs.get_mut(&task.job) else {
-                    return;
-                };
-                let fresh = job.failed_on.insert(id.clone());
-                if job.failed_on.len() >= 3 {
-                    // It fails wherever it runs: the job is at fault, and waits longer each time.
-                    let factor = 1 << job.failed_on.len().min(6);
-                    job.hold_until = now + report * factor;
-                }
-                let failing_everywhere = job.failed_on.len() >= 3;
-                let Some(m) = self.machines.get_mut(id) else { return };
-                m.avoid_until = now + 2 * report;
-                m.failed_at = now;
-                m.failures.insert(task.job.clone());
-                let suspect = m.failures.len() >= 2 && !m.suspect && !failing_everywhere;
-                if suspect {
-                    m.suspect = true;
-                    self.log(
-                        Level::Error,
-                        format!("{id}: tasks of several jobs fail on it: not used any more"),
-                    );
-                } else if fresh {
-                    self.log(Level::Info, format!("{id}: {task} failed"));
-                }
-            }
+            "error" => self.note_failure(id, task),
             "no_room" => {
                 if let Some(m) = self.machines.get_mut(id) {
-                    m.avoid_until = now + report;
+                    m.avoid_until = now + self.set.report_ms();
                 }
             }
             _ => {}
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -10,6 +10,8 @@
 
 /// Answers missed one after the other that make a machine one that no answer reaches.
 const DEAF: u32 = 4;
+/// Seconds after which a machine of an unknown type that has not come up is given up.
+const UNKNOWN_BOOT_S: f64 = 180.0;
 
 impl Controller {
     /// Asks the machines of a partition that was taken over what is on them.
@@ -272,8 +274,12 @@
             silent_ms
         };
         let slow_boot = |m: &Machine| {
-            let boot = self.types.iter().find(|t| t.name == m.model).map_or(60.0, |t| t.boot_s);
-            (boot * 3.0 * 1000.0) as u64
+            let machine_type = self.types.iter().find(|t| t.name == m.model);
+            let give_up_s = machine_type.map_or(UNKNOWN_BOOT_S, |t| {
+                self.cloud.boot_times.give_up_after_s(t, m.known_since)
+            });
+            // Once it is up, its first reports still have to arrive.
+            (give_up_s * 1000.0) as u64 + 2 * self.set.report_ms()
         };
         let report = self.set.report_ms();
         // Reports may arrive from a worker that no answer reaches. Its token stays old, so it would be
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -290,6 +290,13 @@
             if starved && job.spec.shape == Shape::Array {
                 tasks.truncate(1);
             }
+            if job.failures.is_suspected() && !gang {
+                // On little room: one task at a time shows whether the job has a mistake.
+                tasks.truncate(usize::from(job.placed.is_empty()));
+                if tasks.is_empty() {
+                    continue;
+                }
+            }
             waiting.push(Waiting {
                 work_s: f64::from(job.waiting_count()) * learned.run_s(&job.spec),
                 small: 1.0,
--- a/crates/tidelatch-standin/src/cloud.rs
+++ b/crates/tidelatch-standin/src/cloud.rs
@@ -1,7 +1,7 @@
 //! The cloud: one machine type in two zones.
 
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The cloud and what it rents.
 #[derive(Debug)]
@@ -16,6 +16,10 @@
     pub most: usize,
     /// Most machines at a time in a zone, where there is a limit.
     pub most_in_zone: BTreeMap<String, usize>,
+    /// Boot time of machines that `next_boots` says nothing of.
+    pub boot_ms: u64,
+    /// Boot times of the machines rented next, in order; none: the machine never comes up.
+    pub next_boots: VecDeque<Option<u64>>,
     /// All requests get 503.
     pub down: bool,
     /// What machines' names begin with.
@@ -31,6 +35,8 @@
             deleted: BTreeSet::new(),
             most: 20,
             most_in_zone: BTreeMap::new(),
+            boot_ms: Self::BOOT_MS,
+            next_boots: VecDeque::new(),
             down: false,
             prefix: "n-".to_owned(),
         }
@@ -38,11 +44,16 @@
 }
 
 impl Cloud {
-    /// Boot time of its machines.
+    /// Usual boot time of its machines.
     pub const BOOT_MS: u64 = 3000;
     /// Most machines in a page of its list.
     pub const PAGE: usize = 500;
 
+    /// Boot time of the machine that was rented next; none: it never comes up.
+    pub fn next_boot(&mut self) -> Option<u64> {
+        self.next_boots.pop_front().unwrap_or(Some(self.boot_ms))
+    }
+
     /// Carries out one request; the machines rented by it come second.
     pub fn request(&mut self, method: &str, path: &str, body: &str) -> (u16, Value, Vec<String>) {
         if self.down {
--- a/crates/tidelatch-standin/src/world.rs
+++ b/crates/tidelatch-standin/src/world.rs
@@ -1217,7 +1217,9 @@
             "cloud" => {
                 let (status, body, rented) = self.cloud.request(method, path, body);
                 for name in rented {
-                    self.push(Cloud::BOOT_MS, Event::Boot(name));
+                    if let Some(after) = self.cloud.next_boot() {
+                        self.push(after, Event::Boot(name));
+                    }
                 }
                 let gone: Vec<String> = self
                     .workers
@@ -1311,10 +1313,13 @@
                         let more = if uneven { number * 1300 % run_ms } else { 0 };
                         a.next = (!service).then_some(now + run_ms + more);
                     } else {
+                        let broken = job.is_some_and(|j| j["broken"] == true);
                         a.state = "ended";
-                        a.why = "done";
+                        a.why = if broken { "error" } else { "done" };
                         a.next = None;
-                        finished.push(task.clone());
+                        if !broken {
+                            finished.push(task.clone());
+                        }
                     }
                 }
             }
--- a/crates/tidelatch-standin/tests/gangs.rs
+++ b/crates/tidelatch-standin/tests/gangs.rs
@@ -446,6 +446,7 @@
         w.sick = true;
     }
     assert!(done(&mut world, 120_000), "{}", world.trace());
+    assert!(world.cloud.deleted.contains(&victim), "{}", world.trace());
     keep(&world, "sick_machine");
 }
 
