--- a/crates/tidelatch-core/src/picture/shared_machines.rs
+++ b/crates/tidelatch-core/src/picture/shared_machines.rs
@@ -210,9 +210,13 @@
             }
             listed.insert((task.clone(), reported.attempt));
             if reported.state == TaskState::Exited {
-                let began = self.release_ended(id, &task, reported.attempt);
+                let ended = self.release_ended(id, &task, reported.attempt);
                 let why = reported.why.as_deref().unwrap_or("");
-                self.note_end(id, &task, reported.attempt, why, began);
+                // An ended attempt stays in the reports for long: it fails once.
+                if why != "error" || ended.is_some() {
+                    let began = ended.and_then(|held| held.running_since);
+                    self.note_end(id, &task, reported.attempt, why, began);
+                }
             } else {
                 self.see(id, task, reported.attempt, reported.state);
             }
@@ -233,13 +237,13 @@
         self.set.partition_of_team(&over.team)
     }
 
-    /// Releases an attempt that has exited, if it is still held; since when it ran, if that is known.
-    fn release_ended(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt) -> Option<u64> {
+    /// Releases an attempt that has exited, and returns what was known of it if it was still held.
+    fn release_ended(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt) -> Option<Held> {
         let machine = self.machines.get(id)?;
         let mut held = machine.held.iter();
-        let began = held.find(|h| h.task == *task && h.attempt == attempt)?.running_since;
+        let ended = held.find(|h| h.task == *task && h.attempt == attempt)?.clone();
         self.release(id, task, attempt);
-        began
+        Some(ended)
     }
 
     /// Releases what a newer report of the machine does not list. All of it was listed before the machine
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -288,7 +288,7 @@
                 .map_or(f64::MAX, |d| d - age_s - learned.run_s(&job.spec));
             if most == 0 && job.spec.priority >= Priority::Prod && job.waiting_count() > 0 {
                 without_room.entry(team).or_insert(size);
-                if job.spec.shape != Shape::Gang && job.failed_on.len() < limits::FAILS_EVERYWHERE {
+                if job.spec.shape != Shape::Gang && !job.failures.is_suspected() {
                     over_limit.push(OverLimit {
                         id: id.clone(),
                         team,
@@ -314,6 +314,13 @@
             if starved && job.spec.shape == Shape::Array {
                 tasks.truncate(1);
             }
+            if job.failures.is_suspected() && !gang {
+                // On little room: one task at a time shows whether the job has a mistake.
+                tasks.truncate(usize::from(job.placed.is_empty()));
+                if tasks.is_empty() {
+                    continue;
+                }
+            }
             waiting.push(Waiting {
                 work_s: f64::from(job.waiting_count()) * learned.run_s(&job.spec),
                 small: 1.0,
--- a/crates/tidelatch-core/src/queue/limits.rs
+++ b/crates/tidelatch-core/src/queue/limits.rs
@@ -11,9 +11,6 @@
 /// Amounts below this are rounding errors.
 const ROUNDING: f64 = 1e-6;
 
-/// Machines on which a job has failed after which it is at fault: nothing is stopped for it.
-pub(super) const FAILS_EVERYWHERE: usize = 3;
-
 /// A production job whose next task has no room under its team's limit.
 pub(super) struct OverLimit {
     pub(super) id: JobId,
--- a/crates/tidelatch-standin/src/world/calls.rs
+++ b/crates/tidelatch-standin/src/world/calls.rs
@@ -3,7 +3,6 @@
 use super::World;
 use super::event::{Caller, Event, ServiceRequest, Watch};
 use super::network::Delivery;
-use crate::cloud::Cloud;
 use crate::state::Said;
 use serde_json::{Value, json};
 use tidelatch_core::{Input, Method, Target};
@@ -106,7 +105,9 @@
     fn request_at_cloud(&mut self, request: &ServiceRequest) -> (u16, String) {
         let (status, body, rented) = self.cloud.request(request.method, &request.path, &request.body);
         for name in rented {
-            self.schedule(Cloud::BOOT_MS, Event::Boot(name));
+            if let Some(after) = self.cloud.next_boot() {
+                self.schedule(after, Event::Boot(name));
+            }
         }
         let gone: Vec<String> = self
             .workers
--- a/crates/tidelatch-standin/src/world/workers.rs
+++ b/crates/tidelatch-standin/src/world/workers.rs
@@ -164,6 +164,8 @@
             let service = job.is_some_and(|j| j["shape"] == "standing");
             attempt.state = "running";
             attempt.next = (!service).then(|| now + pace.of(task));
+        } else if job.is_some_and(|j| j["broken"] == true) {
+            end(attempt, "error");
         } else {
             end(attempt, "done");
             finished.push(task.clone());
