--- a/crates/tidelatch-core/src/failures.rs
+++ b/crates/tidelatch-core/src/failures.rs
@@ -7,6 +7,7 @@
 
 use crate::controller::{Controller, Level};
 use crate::ids::{JobId, MachineId, TaskId};
+use crate::picture::Machine;
 use crate::protocol::Shape;
 use std::collections::BTreeSet;
 
@@ -14,9 +15,6 @@
 const SUSPICION_MACHINES: usize = 3;
 /// Distinct jobs that must have failed on a machine for it to be faulty.
 const FAULT_JOBS: usize = 2;
-/// Reports after which a machine is judged by failures of jobs that have not succeeded elsewhere either:
-/// those of a job with a mistake show on other machines by then.
-const SETTLING_REPORTS: u64 = 2;
 /// Reports through which a replica must have run for its job to count as one that succeeds.
 const SUCCESS_REPORTS: u64 = 4;
 /// Largest exponent of the pause between retries, in report intervals.
@@ -47,11 +45,6 @@
     pub(crate) fn is_held(&self, now: u64) -> bool {
         now < self.hold_until
     }
-
-    /// Whether no other machine than one is known to have failed the job.
-    fn failed_only_on(&self, machine: &MachineId) -> bool {
-        self.machines.iter().all(|m| m == machine)
-    }
 }
 
 /// The pause before a retry: doubled each time up to a bound, and up to half longer by a jitter that is
@@ -184,29 +177,16 @@
         }
     }
 
-    /// Takes machines out of use on which several jobs have failed that are not at fault themselves.
+    /// Takes machines out of use on which several jobs have failed that succeed elsewhere.
     pub(crate) fn judge_machines(&mut self) {
-        let now = self.now.ms;
-        let settling = SETTLING_REPORTS * self.set.report_ms();
+        let proven_jobs = |m: &Machine| m.failures.values().filter(|proven| **proven).count();
+        let is_faulty = |m: &Machine| !m.suspect && proven_jobs(m) >= FAULT_JOBS;
         let mut faulty = Vec::new();
-        for (id, machine) in &self.machines {
-            if machine.suspect || machine.failures.len() < FAULT_JOBS {
-                continue;
-            }
-            let settled = now.saturating_sub(machine.failed_at) >= settling;
-            let speaks = |job: &JobId, proven: bool| {
-                let only_here = || self.jobs.get(job).is_some_and(|j| j.failures.failed_only_on(id));
-                proven || (settled && only_here())
-            };
-            let jobs = machine.failures.iter().filter(|(job, proven)| speaks(job, **proven));
-            if jobs.count() >= FAULT_JOBS {
-                faulty.push(id.clone());
-            }
+        for (id, machine) in self.machines.iter_mut().filter(|(_, m)| is_faulty(m)) {
+            machine.suspect = true;
+            faulty.push(id.clone());
         }
         for id in faulty {
-            if let Some(machine) = self.machines.get_mut(&id) {
-                machine.suspect = true;
-            }
             self.log(
                 Level::Error,
                 format!("{id}: tasks of several jobs fail on it: not used any more"),
--- a/crates/tidelatch-standin/tests/failing_jobs.rs
+++ b/crates/tidelatch-standin/tests/failing_jobs.rs
@@ -103,6 +103,30 @@
     sound(&world);
 }
 
+#[test]
+fn two_broken_jobs_that_share_each_machine_condemn_none() {
+    // Guard: only jobs that succeed elsewhere speak against a machine, however long others take to fail.
+    let mut world = world();
+    world.accepted(0, &job(3, 0, "sweep", 12));
+    assert!(
+        world.run_until(40_000, |w| is_done(w, "job-000003")),
+        "{}",
+        world.trace()
+    );
+    for id in [1, 2] {
+        world.accepted(0, &broken(id, 1));
+    }
+    world.run(60_000);
+    assert!(!world.trace().contains(FAULTY), "{}", world.trace());
+    world.accepted(0, &job(4, 0, "sweep", 12));
+    assert!(
+        world.run_until(40_000, |w| is_done(w, "job-000004")),
+        "{}",
+        world.trace()
+    );
+    sound(&world);
+}
+
 #[test]
 fn two_broken_arrays_condemn_no_machine_that_they_share() {
     // Guard: jobs that succeed nowhere say nothing of a machine (`judge_machines`).
