A suspected job's retries go to machines on which it has not failed

Cause: a job of one task that fails on three sick machines is taken for one with a mistake; its failures then no longer mark those machines, so its retries could go back to them. Excluded: the job's own fault (it was done on the sources before). Test: a_small_job_that_fails_on_sick_machines_is_retried_on_others. Whether it fails without the mend was not tried.

--- a/crates/tidelatch-core/src/failures.rs
+++ b/crates/tidelatch-core/src/failures.rs
@@ -17,6 +17,8 @@
 const FAULT_JOBS: usize = 2;
 /// Reports through which a replica must have run for its job to count as one that succeeds.
 const SUCCESS_REPORTS: u64 = 4;
+/// Part of the machines at hand on which a job may have failed for its retries still to go to others only.
+const RETRY_ELSEWHERE_PART: f64 = 0.5;
 /// Largest exponent of the pause between retries, in report intervals.
 const MAX_BACKOFF_EXPONENT: u32 = 6;
 
@@ -41,6 +43,11 @@
         self.suspected
     }
 
+    /// Whether a task of it has failed on a machine since one last succeeded.
+    pub(crate) fn failed_on(&self, machine: &MachineId) -> bool {
+        self.machines.contains(machine)
+    }
+
     /// Whether its next retry is not due yet.
     pub(crate) fn is_held(&self, now: u64) -> bool {
         now < self.hold_until
@@ -65,6 +72,25 @@
 }
 
 impl Controller {
+    /// The places, among the machines at hand, of those on which a job has failed: its retries go elsewhere, for
+    /// only another machine can tell whether the job is at fault. None once it has failed on most of them.
+    pub(crate) fn failed_places(&self, job_id: &JobId, machines: &[MachineId]) -> BTreeSet<usize> {
+        let Some(job) = self.jobs.get(job_id) else {
+            return BTreeSet::new();
+        };
+        let failed = |at: &usize| machines.get(*at).is_some_and(|id| job.failures.failed_on(id));
+        let places: BTreeSet<usize> = (0..machines.len()).filter(failed).collect();
+        if places.len() as f64 > RETRY_ELSEWHERE_PART * machines.len() as f64 {
+            return BTreeSet::new();
+        }
+        places
+    }
+
+    /// Whether any task of a job has failed since one last succeeded.
+    pub(crate) fn has_failures(&self, job_id: &JobId) -> bool {
+        self.jobs.get(job_id).is_some_and(|j| !j.failures.machines.is_empty())
+    }
+
     /// A task has failed on a machine.
     pub(crate) fn note_failure(&mut self, id: &MachineId, task: &TaskId) {
         let now = self.now.ms;
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -448,6 +448,11 @@
         for (w, terms) in waiting.iter().zip(jobs.iter_mut()).filter(|(_, t)| t.gang) {
             self.bar_listed(&w.id, &ids, terms);
         }
+        for (w, terms) in waiting.iter().zip(jobs.iter_mut()) {
+            if self.has_failures(&w.id) {
+                terms.barred.extend(self.failed_places(&w.id, &ids));
+            }
+        }
         if let Some((gang, machines)) = self.reserve(partition, &waiting, &jobs) {
             let kept: BTreeSet<usize> = (0..ids.len())
                 .filter(|i| ids.get(*i).is_some_and(|m| machines.contains(m)))
--- a/crates/tidelatch-standin/tests/failing_jobs.rs
+++ b/crates/tidelatch-standin/tests/failing_jobs.rs
@@ -174,3 +174,37 @@
     );
     sound(&world);
 }
+
+#[test]
+fn a_small_job_that_fails_on_sick_machines_is_retried_on_others() {
+    // Guard: a job of one task that fails on three sick machines looks like one with a mistake, and its few
+    // retries must not go back to those (`failed_places`).
+    let mut world = world();
+    world.cloud.most = 8;
+    world.accepted(0, &job(2, 0, "sweep", 16));
+    let machines = |w: &World| w.machines_of("job-000002");
+    assert!(world.run_until(40_000, |w| machines(w).len() == 8), "{}", world.trace());
+    let all = machines(&world);
+    assert!(
+        world.run_until(40_000, |w| is_done(w, "job-000002")),
+        "{}",
+        world.trace()
+    );
+    // Whichever four of them the first tries go to.
+    for sick in [[0, 1, 2, 3], [4, 5, 6, 7], [0, 2, 4, 6], [1, 3, 5, 7]] {
+        for (at, name) in all.iter().enumerate() {
+            if let Some(worker) = world.workers.get_mut(name) {
+                worker.sick = sick.contains(&at);
+            }
+        }
+        let id = 10 + sick[0] * 10 + sick[1];
+        world.accepted(0, &job(id as u32, 0, "sweep", 1));
+        let key = format!("job-{id:06}");
+        assert!(
+            world.run_until(60_000, |w| is_done(w, &key)),
+            "{sick:?}\n{}",
+            world.trace()
+        );
+    }
+    sound(&world);
+}
