The log tells why a lease was lost; waking trusts nothing older; polls share reads

Excluded: refusals, cuts, a busy processor, an ended process. The log said 'lease lost' and no more; now it names failed extensions, standstills and how the others stand.

On waking, machines' silence is counted from then on (a tick came before the reports in the buffers), and a peer's answer from before the standstill is no news of the peer.

Reads for questions: one under way for each job; who asks later waits for the next one, for an answer may not be older than the question; at most a quarter of a second's requests under way; a quarter of the budget stays for leases, acceptances and cancellations. Before, each question had its own read, and a flood of questions refused the next submission.

Traces: only lines about leases and standstills are new.

--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -3,7 +3,7 @@
 use crate::cancellations::{Cancellations, Told};
 use crate::capacity::{Cloud, Wish};
 use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
-use crate::jobs::{Job, Over, Purpose as JobPurpose};
+use crate::jobs::{Job, Over, Purpose as JobPurpose, StatusReads};
 use crate::membership::{Membership, Tenure};
 use crate::picture::{Guest, Machine};
 use crate::placement::Amounts;
@@ -505,6 +505,7 @@
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) over: BTreeMap<JobId, Over>,
     pub(crate) over_order: VecDeque<JobId>,
+    pub(crate) status_reads: StatusReads,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) cloud: Cloud,
     pub(crate) roster: Roster,
@@ -559,6 +560,7 @@
             jobs: BTreeMap::new(),
             over: BTreeMap::new(),
             over_order: VecDeque::new(),
+            status_reads: StatusReads::default(),
             machines: BTreeMap::new(),
             cloud,
             roster: Roster::default(),
@@ -589,11 +591,13 @@
 
     /// Takes one input and returns what is to be done.
     pub fn step(&mut self, now: Now, input: Input) -> Vec<Output> {
-        if now.ms.saturating_sub(self.stepped) > self.set.report_ms() / 4 {
-            self.stale_below = self.next_call;
-        }
+        let still_ms = now.ms.saturating_sub(self.stepped);
         self.stepped = now.ms;
         self.now = now;
+        if still_ms > self.set.report_ms() / 4 {
+            self.stale_below = self.next_call;
+            self.note_standstill(still_ms);
+        }
         self.stale = match &input {
             Input::Reply { call, .. } | Input::PeerReply { call, .. } => *call < self.stale_below,
             _ => false,
@@ -837,8 +841,13 @@
                     told: news,
                 }),
             ) => {
-                self.note_peer(&to, true, entitled);
-                self.note_reliance(&to, relies);
+                if self.stale {
+                    // How the peer stood before this process stood still says nothing of how it stands now.
+                    self.ask_peer_again(&to);
+                } else {
+                    self.note_peer(&to, true, entitled);
+                    self.note_reliance(&to, relies);
+                }
                 // What a promise's giver knows is taken in before the promise counts.
                 self.take_cancellations(&to, &news);
                 self.note_taken(&to, news.life, told);
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -1,5 +1,9 @@
 //! Jobs: accepting them, telling of them, cancelling them, and what is stored of them.
 
+mod status_reads;
+
+pub(crate) use status_reads::StatusReads;
+
 use crate::controller::{Answer, Asker, Controller, Level, Method, PeerRequest, Purpose as Call, Target};
 use crate::gangs::Gang;
 use crate::ids::{ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
@@ -342,8 +346,8 @@
     },
     /// Whether a submission is known, when its acceptance has no clear outcome or its body a fault.
     Known { asker: Asker, id: JobId, absent: Answer },
-    /// A fresh read for a poll.
-    Status { asker: Asker, id: JobId },
+    /// A fresh read for those who poll a job.
+    Status { id: JobId },
     /// A fresh read for a withdrawal of a job that is not known here.
     WithdrawRead { asker: Asker, id: JobId },
     /// A job's end.
@@ -618,14 +622,6 @@
         );
     }
 
-    pub(crate) fn read_status(&mut self, asker: Asker, id: JobId) {
-        if !self.state_reads.take(self.now.ms, 0.0, -1.0) {
-            self.answer(asker, Answer::later(503, 1, "too many requests at present"));
-            return;
-        }
-        self.read_job(&id.clone(), Purpose::Status { asker, id });
-    }
-
     pub(crate) fn on_status(&mut self, asker: Asker, id: &str, may_forward: bool) {
         let Some(id) = JobId::parse(id) else {
             // No job can have such an id.
@@ -790,18 +786,16 @@
             } => self.on_accepted(asker, id, *spec, (epoch, at), tries, result),
             // By the time at which a read comes back, this controller may know more: it may have accepted the job,
             // or read its end. What lay in its buffers while it stood still is asked anew.
-            Purpose::Known { asker, id, .. } | Purpose::Status { asker, id } if self.knows(&id) => {
+            Purpose::Status { id } => self.on_status_read(id, result),
+            Purpose::Known { asker, id, .. } if self.knows(&id) => {
                 self.on_status(asker, id.as_str(), true);
             }
             Purpose::WithdrawRead { asker, id } if self.knows(&id) || self.stale => {
                 self.on_withdraw(asker, id.as_str(), true);
             }
             Purpose::Known { asker, id, absent } if self.stale => self.known(asker, id, absent),
-            Purpose::Status { asker, id } if self.stale => self.read_status(asker, id),
             // A 404 is from before the watch told of the job.
-            Purpose::Known { asker, id, .. } | Purpose::Status { asker, id }
-                if matches!(result, Some((404, _))) && self.jobs.contains_key(&id) =>
-            {
+            Purpose::Known { asker, id, .. } if matches!(result, Some((404, _))) && self.jobs.contains_key(&id) => {
                 self.on_status(asker, id.as_str(), true);
             }
             Purpose::WithdrawRead { asker, id } if matches!(result, Some((404, _))) && self.jobs.contains_key(&id) => {
@@ -811,10 +805,6 @@
                 Some((404, _)) => self.answer(asker, absent),
                 result => self.answer_read(asker, &id, result),
             },
-            Purpose::Status { asker, id } => match result {
-                Some((404, _)) => self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#)),
-                result => self.answer_read(asker, &id, result),
-            },
             Purpose::WithdrawRead { asker, id } => match result {
                 Some((404, _)) => self.answer(asker, Answer::new(404, r#"{"error":"no such job"}"#)),
                 Some((200, body)) => {
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -6,6 +6,7 @@
 //! condition: none of an older epoch can land after it.
 
 mod entitlement;
+mod lease_trouble;
 mod shared;
 mod tenure;
 
@@ -14,6 +15,7 @@
 use crate::controller::{Controller, Level, Method, Purpose, Target, is_lost_lease};
 use crate::ids::{ControllerId, Epoch, Incarnation, Stamp};
 use crate::protocol::TxnAnswer;
+use lease_trouble::LeaseTrouble;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -115,6 +117,10 @@
     extending: bool,
     extended_at: u64,
     entitled_until: u64,
+    /// When the last extension that was granted, or the lease itself, was asked for.
+    lease_since: u64,
+    /// What went wrong since then.
+    trouble: LeaseTrouble,
     written: Option<MemberRecord>,
     writing: bool,
     /// Revision of this controller's own key, as far as known: a late copy of an earlier life's write
@@ -162,6 +168,8 @@
             extending: false,
             extended_at: 0,
             entitled_until: 0,
+            lease_since: 0,
+            trouble: LeaseTrouble::default(),
             written: None,
             writing: false,
             own_stamp: Stamp(0),
@@ -349,6 +357,7 @@
         if self.member.listed && !self.member.watching && now >= self.member.retry_at {
             self.watch();
         }
+        self.log_lapse();
         self.write_member();
         self.seek_leadership();
         self.lead_epoch();
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -1,5 +1,6 @@
 //! Whether this controller may act: its lease, and the promises of its peers.
 
+use super::lease_trouble::LeaseFailure;
 use super::{Grant, Peer};
 use crate::controller::{Controller, Level};
 use crate::ids::{ControllerId, Incarnation};
@@ -92,6 +93,7 @@
 
     pub(crate) fn on_lease_new(&mut self, sent: u64, result: Option<(u16, Vec<u8>)>) {
         self.member.leasing = false;
+        let failure = LeaseFailure::of(result.as_ref());
         let granted = match result {
             Some((200, body)) => serde_json::from_slice::<Granted>(&body).ok(),
             _ => None,
@@ -102,6 +104,8 @@
                 self.member.permit = Some(g.permit);
                 self.member.extended_at = sent;
                 self.member.entitled_until = sent + self.set.entitlement_ms();
+                self.member.lease_since = sent;
+                self.clear_lease_trouble();
                 self.note_served(sent);
                 self.member.written = None;
                 self.member.was_entitled = true;
@@ -111,6 +115,7 @@
             }
             None => {
                 self.member.unserved = true;
+                self.note_lease_failure(failure);
                 self.back_off();
             }
         }
@@ -121,13 +126,23 @@
         if self.member.permit != Some(permit) {
             return;
         }
+        let failure = LeaseFailure::of(result.as_ref());
         match result {
             Some((200, _)) => {
                 let until = sent + self.set.entitlement_ms();
                 self.member.unserved = false;
-                if !self.entitled() {
-                    self.log(Level::Info, "lease extended again after a gap: acting again");
+                // An answer that lay in this process's buffers may be about a lease that is over by now.
+                if !self.entitled() && self.now.ms < until {
+                    let history = self.lease_history();
+                    self.log(
+                        Level::Info,
+                        format!("lease extended again after a gap: acting again; {history}"),
+                    );
                 }
+                if self.now.ms < until {
+                    self.clear_lease_trouble();
+                }
+                self.member.lease_since = self.member.lease_since.max(sent);
                 self.member.entitled_until = self.member.entitled_until.max(until);
                 self.note_served(sent);
                 if std::mem::take(&mut self.member.extend_failed) && self.member.listed {
@@ -142,9 +157,7 @@
                 // Try again soon: an extension that failed is worth more than a quiet line.
                 let soon = self.set.report_ms() / 4;
                 self.member.extended_at = (self.now.ms + soon).saturating_sub(self.set.lease_ms() / 4);
-                if !self.entitled() {
-                    self.log(Level::Debug, "not entitled: the lease could not be extended");
-                }
+                self.note_lease_failure(failure);
             }
         }
     }
@@ -152,10 +165,12 @@
     /// The lease has ended: all that was owned belongs to others from now on. The controller comes
     /// back as a new life, so that nothing of the old one counts for it.
     pub(super) fn lose_lease(&mut self) {
+        let history = self.lease_history();
         self.log(
             Level::Error,
-            "lease lost: stepping down from all partitions and joining anew",
+            format!("lease lost: stepping down from all partitions and joining anew; {history}"),
         );
+        self.clear_lease_trouble();
         self.member.permit = None;
         self.member.entitled_until = 0;
         self.member.grants.clear();
@@ -183,6 +198,14 @@
         }
     }
 
+    /// An answer of a peer came too late to say how it stands: it is asked again with the next tick.
+    pub(crate) fn ask_peer_again(&mut self, name: &ControllerId) {
+        let peer = self.member.peers.entry(name.clone()).or_default();
+        peer.asking = false;
+        peer.asked_grant = false;
+        peer.asked = 0;
+    }
+
     pub(crate) fn reachable(&self, name: &ControllerId) -> bool {
         let recently = 2 * self.set.report_ms();
         self.member
