Polls keep their turns with reports; the unproven change of silence is taken back

So the users' turn stays, and within it submissions and cancellations go before polls.

Reads and the log stay.

--- a/crates/tidelatch-core/src/membership/lease_trouble.rs
+++ b/crates/tidelatch-core/src/membership/lease_trouble.rs
@@ -74,18 +74,11 @@
 }
 
 impl Controller {
-    /// This process has not run for a while, though its clocks did.
-    ///
-    /// Its lease is looked at with each input in any case. What it knows of machines' silence is void: they may
-    /// have reported all the time.
+    /// This process has not run for a while, though its clocks did: the time counts as a cause of what follows.
     pub(crate) fn note_standstill(&mut self, ms: u64) {
         self.member.trouble.stood_still_ms += ms;
-        if ms <= self.set.report_ms() {
-            return;
-        }
-        self.log(Level::Info, format!("stood still for {ms} ms: going on"));
-        for tenure in self.tenures.values_mut() {
-            tenure.watched_since = self.now.ms;
+        if ms > self.set.report_ms() {
+            self.log(Level::Info, format!("stood still for {ms} ms: going on"));
         }
     }
 
--- a/crates/tidelatch-core/src/membership/tenure.rs
+++ b/crates/tidelatch-core/src/membership/tenure.rs
@@ -24,8 +24,6 @@
     pub(crate) since: Epoch,
     pub(crate) stage: Stage,
     pub(crate) active_at: u64,
-    /// Since when reports would have been heard: since `active_at`, or since this process last stood still.
-    pub(crate) watched_since: u64,
     pub(crate) next_attempt: u64,
     pub(crate) loading: bool,
     pub(crate) settled: bool,
@@ -87,7 +85,6 @@
                         since: holding.since,
                         stage: Stage::Waiting,
                         active_at: 0,
-                        watched_since: 0,
                         next_attempt: 0,
                         loading: false,
                         settled: false,
@@ -178,7 +175,6 @@
         }
         t.stage = Stage::Active;
         t.active_at = now;
-        t.watched_since = now;
         let bits = std::mem::take(&mut t.bits);
         let (chunk_bits, piece_bits) = (self.chunk_bits(), self.piece_bits());
         for (key, value) in bits {
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -111,19 +111,19 @@
         self.note_settled();
         let partitions: Vec<Partition> = self.tenures.keys().copied().collect();
         for p in partitions {
-            let Some((active_at, watched_since)) = self.acting(p).map(|t| (t.active_at, t.watched_since)) else {
+            let Some(active_at) = self.acting(p).map(|t| t.active_at) else {
                 continue;
             };
             self.confirm_machines(p);
-            self.probe_silent(p, watched_since);
-            self.give_up_silent(p, active_at, watched_since);
+            self.probe_silent(p, active_at);
+            self.give_up_silent(p, active_at);
         }
         let lease = self.set.worker_lease_ms();
         self.guests.retain(|_, g| now.saturating_sub(g.seen) < lease);
     }
 
     /// Asks machines whose report is overdue.
-    pub(super) fn probe_silent(&mut self, partition: Partition, watched_since: u64) {
+    pub(super) fn probe_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
         let report = self.set.report_ms();
         let due: Vec<(MachineId, String)> = self
@@ -131,7 +131,7 @@
             .iter_mut()
             .filter(|(_, m)| m.partition == partition && m.up() && !m.gone && !m.retiring && !m.probing)
             .filter(|(_, m)| now >= m.probe_at)
-            .filter(|(_, m)| now.saturating_sub(m.heard.unwrap_or(0).max(watched_since)) > report * 3 / 2)
+            .filter(|(_, m)| now.saturating_sub(m.heard.unwrap_or(0).max(active_at)) > report * 3 / 2)
             .map(|(id, m)| {
                 m.probing = true;
                 m.probe_at = now + report / 4;
@@ -190,8 +190,8 @@
         });
         let partition = self.machines.get(id).map(|m| m.partition);
         let tenure = partition.and_then(|p| self.tenures.get(&p));
-        // What was asked in an earlier tenure, or before this process stood still, says nothing of now.
-        let asked_now = tenure.is_some_and(|t| sent >= t.watched_since);
+        // What was asked in an earlier tenure says nothing of this one.
+        let asked_now = tenure.is_some_and(|t| sent >= t.active_at);
         if zone_heard
             && asked_now
             && !untried
@@ -252,11 +252,11 @@
         }
     }
 
-    pub(super) fn give_up_silent(&mut self, partition: Partition, active_at: u64, watched_since: u64) {
+    pub(super) fn give_up_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
         let silent_ms = self.set.silent_ms();
         let quiet = |m: &Machine, limit: u64| {
-            let since = m.heard.unwrap_or(m.known_since).max(watched_since);
+            let since = m.heard.unwrap_or(m.known_since).max(active_at);
             now.saturating_sub(since) > limit
         };
         let up: Vec<&Machine> = self
--- a/crates/tidelatch/src/inbox.rs
+++ b/crates/tidelatch/src/inbox.rs
@@ -1,9 +1,9 @@
 //! What has come in and waits for the core, in the order in which it is needed.
 //!
-//! Health checks and the ends of calls come first, for leases, watches and promises hang on them. Workers' reports
-//! and users' submissions and cancellations follow in turns. Polls come last: users ask many times as often when
-//! something is wrong, and that must not delay what puts it right. What has waited for as long as its sender waits
-//! is refused unread, and a poll while its sender still waits, so that it learns when to come back.
+//! Health checks, other controllers' questions and the ends of calls come first, for leases, watches and promises
+//! hang on them. Workers' reports and users' requests follow in turns; of users' requests submissions and
+//! cancellations go before polls, for users ask many times as often when something is wrong. What has waited for
+//! longer than its sender does is refused unread.
 
 use crate::daemon::Event;
 use std::collections::VecDeque;
@@ -19,8 +19,6 @@
 const POLL_PATIENCE: Duration = Duration::from_secs(2);
 const REPORT_PATIENCE: Duration = Duration::from_secs(4);
 const SUBMIT_PATIENCE: Duration = Duration::from_secs(5);
-/// A poll that has waited for this part of its patience is refused, so that the refusal still arrives.
-const POLL_PART: f64 = 0.75;
 
 /// An event and the time of its coming.
 type Waiting = VecDeque<(Instant, Event)>;
@@ -43,12 +41,11 @@
                 method: Method::Get, ..
             } => Self::Poll,
             Event::Request { .. } => Self::Change,
-            Event::Peer { request, .. } => match request {
-                PeerRequest::Relay { .. } => Self::Report,
-                PeerRequest::Forward { withdraw: false, .. } => Self::Poll,
-                PeerRequest::Forward { withdraw: true, .. } | PeerRequest::Hello { .. } => Self::First,
-            },
-            Event::Reply { .. } | Event::PeerReply { .. } => Self::First,
+            Event::Peer {
+                request: PeerRequest::Relay { .. },
+                ..
+            } => Self::Report,
+            Event::Peer { .. } | Event::Reply { .. } | Event::PeerReply { .. } => Self::First,
         }
     }
 }
@@ -60,7 +57,7 @@
     reports: Waiting,
     changes: Waiting,
     polls: Waiting,
-    /// Whose turn it is of reports and changes.
+    /// Whose turn it is of reports and users.
     turn: bool,
 }
 
@@ -75,40 +72,27 @@
         }
     }
 
-    /// The next event, and whether it is to be refused, for its sender waits no longer, or not for long.
+    /// The next event, and whether its sender waits for an answer no longer.
     pub fn take(&mut self, now: Instant) -> Option<(Event, bool)> {
         if let Some(event) = self.first.pop_front() {
             return Some((event, false));
         }
-        // A refusal costs next to nothing, and one that is held back tells nobody when to come back.
-        if let Some(poll) = self.take_overdue_poll(now) {
-            return Some((poll, true));
-        }
         self.turn = !self.turn;
-        let (one, other) = if self.turn {
-            (&mut self.reports, &mut self.changes)
+        let (at, event) = if self.turn {
+            self.reports.pop_front().or_else(|| self.take_of_user())?
         } else {
-            (&mut self.changes, &mut self.reports)
-        };
-        let next = one.pop_front().or_else(|| other.pop_front());
-        let Some((at, event)) = next else {
-            return self.polls.pop_front().map(|(_, poll)| (poll, false));
+            self.take_of_user().or_else(|| self.reports.pop_front())?
         };
         let patience = match Kind::of(&event) {
+            Kind::Poll => POLL_PATIENCE,
             Kind::Report => REPORT_PATIENCE,
-            _ => SUBMIT_PATIENCE,
+            Kind::First | Kind::Change => SUBMIT_PATIENCE,
         };
         Some((event, now.saturating_duration_since(at) > patience))
     }
 
-    fn take_overdue_poll(&mut self, now: Instant) -> Option<Event> {
-        let (at, _) = self.polls.front()?;
-        let overdue = now.saturating_duration_since(*at) > POLL_PATIENCE.mul_f64(POLL_PART);
-        if overdue {
-            self.polls.pop_front().map(|(_, poll)| poll)
-        } else {
-            None
-        }
+    fn take_of_user(&mut self) -> Option<(Instant, Event)> {
+        self.changes.pop_front().or_else(|| self.polls.pop_front())
     }
 }
 
