--- a/crates/tidelatch/src/daemon/inbox.rs
+++ b/crates/tidelatch/src/daemon/inbox.rs
@@ -1,4 +1,9 @@
 //! Events that wait for the core, and the order in which it gets them.
+//!
+//! Health checks, other controllers' questions and the ends of calls come first, for leases, watches and promises
+//! hang on them. Workers' reports and users' requests follow in turns; of users' requests submissions and
+//! cancellations go before polls, for users ask many times as often when something is wrong. What has waited for
+//! longer than its sender does is refused unread.
 
 use super::Event;
 use std::collections::VecDeque;
@@ -13,14 +18,54 @@
 const REPORT_PATIENCE: Duration = Duration::from_secs(4);
 const SUBMIT_PATIENCE: Duration = Duration::from_secs(5);
 
+/// Events, each with the time of its coming.
+type WaitingEvents = VecDeque<(Instant, Event)>;
+
+/// What an event is, for the order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EventKind {
+    Urgent,
+    Report,
+    /// A submission or a cancellation.
+    Change,
+    Poll,
+}
+
+impl EventKind {
+    fn of(event: &Event) -> Self {
+        match event {
+            Event::Request { path, .. } if path == REPORT_PATH => Self::Report,
+            Event::Request { path, .. } if path == "/up" => Self::Urgent,
+            Event::Request {
+                method: Method::Get, ..
+            } => Self::Poll,
+            Event::Request { .. } => Self::Change,
+            Event::Peer {
+                request: PeerRequest::Relay { .. },
+                ..
+            } => Self::Report,
+            Event::Peer { .. } | Event::Reply { .. } | Event::PeerReply { .. } => Self::Urgent,
+        }
+    }
+
+    /// How long the sender waits for an answer.
+    fn patience(self) -> Duration {
+        match self {
+            Self::Poll => POLL_PATIENCE,
+            Self::Report => REPORT_PATIENCE,
+            Self::Urgent | Self::Change => SUBMIT_PATIENCE,
+        }
+    }
+}
+
 /// What has come in and waits for the core, by how soon it is needed.
 #[derive(Default)]
 pub(super) struct Inbox {
-    /// Health checks, and the ends of calls: leases, watches and peers' promises hang on them.
     urgent: VecDeque<Event>,
-    /// Reports and users' requests, each with the time of its coming, in turns.
-    reports: VecDeque<(Instant, Event)>,
-    users: VecDeque<(Instant, Event)>,
+    reports: WaitingEvents,
+    changes: WaitingEvents,
+    polls: WaitingEvents,
+    /// Whose turn it is of reports and users' requests.
     reports_first: bool,
 }
 
@@ -34,14 +79,11 @@
 impl Inbox {
     /// Takes in an event.
     pub(super) fn push(&mut self, event: Event, now: Instant) {
-        match &event {
-            Event::Request { path, .. } if path == REPORT_PATH => self.reports.push_back((now, event)),
-            Event::Request { path, .. } if path != "/up" => self.users.push_back((now, event)),
-            Event::Peer {
-                request: PeerRequest::Relay { .. },
-                ..
-            } => self.reports.push_back((now, event)),
-            _ => self.urgent.push_back(event),
+        match EventKind::of(&event) {
+            EventKind::Urgent => self.urgent.push_back(event),
+            EventKind::Report => self.reports.push_back((now, event)),
+            EventKind::Change => self.changes.push_back((now, event)),
+            EventKind::Poll => self.polls.push_back((now, event)),
         }
     }
 
@@ -51,21 +93,19 @@
             return Some(QueuedEvent { event, expired: false });
         }
         self.reports_first = !self.reports_first;
-        let (preferred, other) = if self.reports_first {
-            (&mut self.reports, &mut self.users)
+        let (at, event) = if self.reports_first {
+            self.reports.pop_front().or_else(|| self.pop_of_user())?
         } else {
-            (&mut self.users, &mut self.reports)
+            self.pop_of_user().or_else(|| self.reports.pop_front())?
         };
-        let (at, event) = preferred.pop_front().or_else(|| other.pop_front())?;
         let waited = now.saturating_duration_since(at);
-        let expired = match &event {
-            Event::Request { method, .. } if *method == Method::Get => waited > POLL_PATIENCE,
-            Event::Request { path, .. } if path == REPORT_PATH => waited > REPORT_PATIENCE,
-            Event::Request { .. } => waited > SUBMIT_PATIENCE,
-            _ => waited > REPORT_PATIENCE,
-        };
+        let expired = waited > EventKind::of(&event).patience();
         Some(QueuedEvent { event, expired })
     }
+
+    fn pop_of_user(&mut self) -> Option<(Instant, Event)> {
+        self.changes.pop_front().or_else(|| self.polls.pop_front())
+    }
 }
 
 /// Answers who has given up by now, with no other work.
@@ -127,9 +167,9 @@
                 ("/up", false),
                 ("reply", false),
                 (REPORT_PATH, false),
-                ("/submissions/job-000001", true),
-                (REPORT_PATH, false),
                 ("/submissions", false),
+                (REPORT_PATH, false),
+                ("/submissions/job-000001", true),
             ]
         );
         for queued in taken {
@@ -140,4 +180,29 @@
         let answer = polled.try_recv().expect("an answer at once");
         assert_eq!((answer.status, answer.retry_after_s), (503, Some(1)));
     }
+
+    #[test]
+    fn submissions_and_cancellations_go_before_any_number_of_polls() {
+        // Guard: users who ask ten times as often must not delay what their jobs wait for.
+        const CANCEL: &str = "/submissions/job-000001/withdraw";
+        let mut inbox = Inbox::default();
+        let now = Instant::now();
+        for _ in 0..100 {
+            inbox.push(request(Method::Get, "/submissions/job-000001").0, now);
+        }
+        for (method, path) in [
+            (Method::Post, REPORT_PATH),
+            (Method::Post, "/submissions"),
+            (Method::Post, CANCEL),
+            (Method::Get, "/up"),
+        ] {
+            inbox.push(request(method, path).0, now);
+        }
+        let taken: Vec<QueuedEvent> = std::iter::from_fn(|| inbox.pop(now)).collect();
+        let order: Vec<&str> = taken.iter().map(|q| path(&q.event)).collect();
+        let first = ["/up", REPORT_PATH, "/submissions", CANCEL, "/submissions/job-000001"];
+        assert_eq!(order[..5], first);
+        assert_eq!(taken.len(), 104);
+        assert!(taken.iter().all(|q| !q.expired));
+    }
 }
