Admission bounded by memory and processor, not by 400 jobs a team

The limit protected nothing that was near its bound.

Now the queue's capacity follows from the controller's memory and processor share; half of it is reserved in equal parts for the teams. Acceptances share the write rate the same way, and leave half of its burst to ends, done bits and machines that come up. Retry-After follows from the rate at which the team's jobs end. The operators' queue_jobs_per_team stays as an override without a default.

Excluded: sharing transactions between acceptances. write_rps counts puts and is what binds; requests do not.

Submission handling moved from jobs.rs to submissions.rs. tests/rules.rs: Some(2) in place of 2, since the setting is an option now. All four tests of acceptance.rs fail on the sources before.

--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -1,5 +1,6 @@
 //! The state machine: inputs, outputs, and the table of calls that are under way.
 
+use crate::admission::Admission;
 use crate::cancellations::{Cancellations, Told};
 use crate::capacity::{Cloud, Wish};
 use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
@@ -458,6 +459,9 @@
         self.fill(now);
         self.level = self.level.min(0.0);
     }
+    pub(crate) fn rate(&self) -> f64 {
+        self.rate
+    }
     pub(crate) fn set_rate(&mut self, rate: f64, burst: f64) {
         self.rate = rate;
         self.burst = burst;
@@ -511,6 +515,7 @@
     pub(crate) state_reads: Bucket,
     pub(crate) state_writes: Bucket,
     pub(crate) limits: Limits,
+    pub(crate) admission: Admission,
     pub(crate) batch_due: Option<u64>,
     pub(crate) learned: Learned,
     /// Jobs that a slice of the search left out, with what they would need, until when.
@@ -568,6 +573,7 @@
                 value: set.value_bytes(),
                 ops: set.txn_ops(),
             },
+            admission: Admission::new(&set),
             batch_due: None,
             learned: Learned::default(),
             resting: BTreeMap::new(),
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -4,7 +4,7 @@
 use crate::gangs::Gang;
 use crate::ids::{ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::JOB_PREFIX;
-use crate::protocol::{Item, JobSpec, Malformed, Shape, TaskState, TxnAnswer, parse_submission, submission_id};
+use crate::protocol::{Item, JobSpec, Shape, TaskState};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -383,7 +383,7 @@
         self.set.features.gangs || !gang
     }
 
-    fn learn_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
+    pub(crate) fn learn_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
         if self.over.contains_key(&id) {
             return;
         }
@@ -405,6 +405,7 @@
         };
         let gang = spec.shape == Shape::Gang;
         let job = Job::new(spec, (record.epoch, record.at, stamp), partition);
+        self.admission.job_opened(&job.spec);
         self.jobs.insert(id, job);
         if self.tenures.contains_key(&partition) {
             self.want_batch();
@@ -434,6 +435,7 @@
     fn job_over(&mut self, id: &JobId, over: Over) {
         self.remember_over(id, over);
         if let Some(job) = self.jobs.remove(id) {
+            self.admission.job_closed(self.now.ms, &job.spec);
             for asker in job.askers {
                 self.tell_over(asker, id);
             }
@@ -461,146 +463,7 @@
         }
     }
 
-    fn fits_some_type(&self, spec: &JobSpec) -> bool {
-        self.types.iter().any(|t| {
-            spec.models.as_ref().is_none_or(|m| m.contains(&t.name))
-                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
-                && t.cpus >= spec.cpus
-                && t.gpus >= spec.gpus
-                && t.memory_gb >= spec.memory_gb
-        })
-    }
-
-    pub(crate) fn on_submission(&mut self, asker: Asker, body: &[u8]) {
-        let id = submission_id(body);
-        // A job that is known gets its state, whatever the body says.
-        if let Some(id) = &id
-            && (self.over.contains_key(id) || self.jobs.contains_key(id))
-        {
-            self.on_status(asker, id.as_str(), true);
-            return;
-        }
-        if !self.entitled() || self.member.epoch.is_none() {
-            self.answer(asker, Answer::later(503, 1, "not entitled to act at present"));
-            return;
-        }
-        let refusal = match parse_submission(body) {
-            Err(fault) => Err(Answer::new(400, json!({ "error": fault.to_string() }).to_string())),
-            Ok((id, spec)) => match self.never_runs(&spec).or_else(|| self.no_gangs(&spec)) {
-                Some(answer) => Err(answer),
-                None => Ok((id, spec)),
-            },
-        };
-        let (id, spec) = match (refusal, id) {
-            (Ok(job), _) => job,
-            (Err(answer), Some(id)) if answer.status != 503 => {
-                // Refused for good only if it has not been accepted before.
-                self.known(asker, id, answer);
-                return;
-            }
-            (Err(answer), _) => {
-                self.answer(asker, answer);
-                return;
-            }
-        };
-        let queued = self.jobs.values().filter(|j| j.spec.team == spec.team).count();
-        if queued >= self.set.operator.queue_jobs_per_team as usize {
-            self.answer(asker, Answer::later(429, 10, "the team's queue is full"));
-            return;
-        }
-        self.accept(asker, id, spec, 0);
-    }
-
-    /// 422 for what can never run, 503 while that cannot be told.
-    fn never_runs(&self, spec: &JobSpec) -> Option<Answer> {
-        let unfit = |why: &str| Some(Answer::new(422, json!({ "error": why }).to_string()));
-        let Some((_, team)) = self.set.team(&spec.team) else {
-            return unfit("unknown team");
-        };
-        let tasks = match spec.shape {
-            Shape::Service | Shape::Gang => f64::from(spec.tasks),
-            Shape::Array => 1.0,
-        };
-        for (one, most) in [(spec.cpus, team.cpus_max), (spec.gpus, team.gpus_max)] {
-            if most > 0.0 && one * tasks > most + 1e-9 {
-                return unfit("more than the team's limit");
-            }
-        }
-        if self.types.is_empty() {
-            return Some(Answer::later(503, 1, "the machine types are not known yet"));
-        }
-        if !self.fits_some_type(spec) {
-            return unfit("a task fits no allowed machine type");
-        }
-        // Half of the tasks, rounded up, is all of them for one task only.
-        if spec.shape == Shape::Gang && spec.one_zone && spec.spread && spec.tasks > 1 {
-            return unfit("a gang cannot be in one zone and spread over zones at the same time");
-        }
-        None
-    }
-
-    /// 400, 422 or 503 for a gang that cannot be accepted here, or not now.
-    fn no_gangs(&self, spec: &JobSpec) -> Option<Answer> {
-        if spec.shape != Shape::Gang {
-            return None;
-        }
-        let error = |status: u16, why: &str| Some(Answer::new(status, json!({ "error": why }).to_string()));
-        if !self.set.features.gangs {
-            return error(400, &Malformed::Field("shape").to_string());
-        }
-        if self.set.gang_ms().is_none() {
-            return error(422, "this deployment has no times set for gangs");
-        }
-        if !self.all_know_gangs() {
-            let lease_s = (self.set.lease_ms() / 1000).max(1) as u32;
-            return Some(Answer::later(
-                503,
-                lease_s,
-                "a controller that does not know gangs is still serving",
-            ));
-        }
-        None
-    }
-
-    fn accept(&mut self, asker: Asker, id: JobId, spec: JobSpec, tries: u32) {
-        let Some(epoch) = self.epoch() else { return };
-        if !self.state_writes.take(self.now.ms, 0.0, -0.5) || !self.state_reads.take(self.now.ms, 0.0, -0.5) {
-            self.answer(asker, Answer::later(503, 1, "too many requests at present"));
-            return;
-        }
-        let at = self.now.wall_ms;
-        let key = format!("{JOB_PREFIX}{id}");
-        let record = JobRecord {
-            epoch,
-            at,
-            st: Stored::Queued,
-            n: spec.tasks,
-            team: spec.team.clone(),
-            size: Self::size(&spec),
-            ended: None,
-            spec: Some(spec.clone()),
-        };
-        if bytes_of(&record) > self.set.value_bytes() {
-            let error = json!({ "error": "the description is longer than can be stored" });
-            self.known(asker, id, Answer::new(422, error.to_string()));
-            return;
-        }
-        let conditions = vec![json!({ "k": key, "stamp": 0 }), self.epoch_condition()];
-        self.txn(
-            conditions,
-            vec![json!({ "write": key, "value": record })],
-            Call::Job(Purpose::Accept {
-                asker,
-                id,
-                spec: Box::new(spec),
-                epoch,
-                at,
-                tries,
-            }),
-        );
-    }
-
-    fn known(&mut self, asker: Asker, id: JobId, absent: Answer) {
+    pub(crate) fn known(&mut self, asker: Asker, id: JobId, absent: Answer) {
         self.read_job(&id.clone(), Purpose::Known { asker, id, absent });
     }
 
@@ -876,63 +739,6 @@
         self.answer(asker, answer);
     }
 
-    fn on_accepted(
-        &mut self,
-        asker: Asker,
-        id: JobId,
-        spec: JobSpec,
-        under: (Epoch, u64),
-        tries: u32,
-        result: Option<(u16, Vec<u8>)>,
-    ) {
-        match result {
-            Some((200, body)) => {
-                let stamp = serde_json::from_slice::<TxnAnswer>(&body).map_or(0, |t| t.ledger);
-                let record = JobRecord {
-                    epoch: under.0,
-                    at: under.1,
-                    st: Stored::Queued,
-                    n: spec.tasks,
-                    team: spec.team.clone(),
-                    size: Self::size(&spec),
-                    ended: None,
-                    spec: Some(spec),
-                };
-                if let Some(spec) = &record.spec {
-                    let text = format!(
-                        "{id} accepted: {} tasks of {} for {}, {:.0} s each",
-                        spec.tasks, spec.class, spec.team, spec.estimate_s
-                    );
-                    self.log(Level::Debug, text);
-                }
-                self.learn_job(id.clone(), record, Stamp(stamp));
-                if self.over.contains_key(&id) || self.stale {
-                    // Others may have told of its end since.
-                    self.on_status(asker, id.as_str(), true);
-                    return;
-                }
-                let body = json!({ "uid": id, "status": "queued" }).to_string();
-                self.answer(asker, Answer::new(201, body));
-            }
-            Some((409, body)) => {
-                let failed = serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default().failed;
-                if failed.iter().any(|k| k.starts_with(JOB_PREFIX)) {
-                    self.known(asker, id, Answer::later(503, 1, "try again"));
-                } else if tries < 3 && self.epoch() > Some(under.0) && self.entitled() {
-                    // The epoch has moved on, and the new one is known by now.
-                    self.accept(asker, id, spec, tries + 1);
-                } else {
-                    self.answer(asker, Answer::later(503, 1, "membership is changing"));
-                }
-            }
-            None => {
-                // It may have been carried out: only a read can tell.
-                self.known(asker, id, Answer::later(503, 1, "the state service does not answer"));
-            }
-            Some(_) => self.answer(asker, Answer::later(503, 1, "the state service does not answer")),
-        }
-    }
-
     fn on_ended(&mut self, id: JobId, ending: Ending, result: Option<(u16, Vec<u8>)>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.ending_sent = false;
@@ -1085,6 +891,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::protocol::parse_submission;
 
     const CHUNK: u32 = 12_288;
     const PIECE: u32 = 6_144;
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Controller`] takes an [`Input`] with the time at which it came, and returns what is to be sent,
 //! stored and answered. The daemon puts sockets and timers round it; tests put stand-ins there.
 
+mod admission;
 mod cancellations;
 pub mod capacity;
 mod controller;
@@ -17,6 +18,7 @@
 pub mod queue;
 pub mod roster;
 pub mod settings;
+mod submissions;
 
 pub use cancellations::Told;
 pub use controller::{
--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -327,9 +327,10 @@
     /// A silent machine is given up after this part of the workers' lease.
     #[schemars(range(min = 0.3, max = 10.0))]
     pub silent_per_worker_lease: f64,
-    /// Most unfinished jobs of one team; beyond it submissions are put off.
+    /// Most unfinished jobs of one team; beyond it submissions are put off. Without it the limit follows from the
+    /// controller's memory and processor.
     #[schemars(range(min = 1, max = 100_000))]
-    pub queue_jobs_per_team: u32,
+    pub queue_jobs_per_team: Option<u32>,
 }
 
 impl Default for Operator {
@@ -343,7 +344,7 @@
             controller_lease_per_worker_lease: 0.4,
             idle_per_boot: 0.6,
             silent_per_worker_lease: 0.8,
-            queue_jobs_per_team: 400,
+            queue_jobs_per_team: None,
         }
     }
 }
@@ -371,7 +372,7 @@
             ("silent_per_worker_lease", self.silent_per_worker_lease, 0.3, 10.0),
             (
                 "queue_jobs_per_team",
-                f64::from(self.queue_jobs_per_team),
+                f64::from(self.queue_jobs_per_team.unwrap_or(1)),
                 1.0,
                 100_000.0,
             ),
--- /dev/null
+++ b/crates/tidelatch-standin/tests/acceptance.rs
@@ -0,0 +1,224 @@
+//! Acceptance of submissions: what a swarm of small jobs of one team does to itself and to the others.
+
+use std::collections::BTreeMap;
+use tidelatch_core::settings::Operator;
+use tidelatch_standin::{Size, World, job};
+
+/// How long a user retries.
+const USER_PATIENCE_MS: u64 = 60_000;
+/// How long a user waits for an answer.
+const ANSWER_MS: u64 = 5000;
+
+/// A user with a submission that has not been accepted.
+struct User {
+    body: serde_json::Value,
+    node: usize,
+    since: u64,
+    /// When the user submits (again).
+    due: u64,
+    request: Option<u64>,
+    attempts: u32,
+}
+
+/// Users who retry as the protocol says.
+#[derive(Default)]
+struct Users {
+    waiting: Vec<User>,
+    /// By job: milliseconds until its acceptance, and attempts.
+    accepted: BTreeMap<String, (u64, u32)>,
+    gave_up: Vec<String>,
+    /// `Retry-After` of every refusal, in order.
+    pauses: Vec<u64>,
+}
+
+impl Users {
+    fn come(&mut self, world: &World, node: usize, body: serde_json::Value) {
+        self.waiting.push(User {
+            body,
+            node,
+            since: world.now,
+            due: world.now,
+            request: None,
+            attempts: 0,
+        });
+    }
+
+    /// Lets time pass in steps, while users submit, read answers and retry.
+    fn run(&mut self, world: &mut World, ms: u64) {
+        let until = world.now + ms;
+        while world.now < until {
+            self.look(world);
+            world.run(50);
+        }
+    }
+
+    fn look(&mut self, world: &mut World) {
+        let mut waiting = Vec::new();
+        for mut user in std::mem::take(&mut self.waiting) {
+            if user.request.is_none() && world.now >= user.due {
+                user.request = Some(world.submit(user.node, &user.body));
+                user.attempts += 1;
+            }
+            if let Some(user) = self.read(world, user) {
+                waiting.push(user);
+            }
+        }
+        self.waiting = waiting;
+    }
+
+    /// Reads the answer, if there is one; the user is returned who goes on waiting.
+    fn read(&mut self, world: &World, mut user: User) -> Option<User> {
+        let Some(request) = user.request else { return Some(user) };
+        let id = user.body["uid"].as_str().expect("an id").to_owned();
+        let Some((at, answer)) = world.answers.get(&request) else {
+            assert!(world.now < user.due + ANSWER_MS, "{id}: no answer\n{}", world.trace());
+            return Some(user);
+        };
+        if matches!(answer.status, 200 | 201) {
+            self.accepted.insert(id, (at - user.since, user.attempts));
+            return None;
+        }
+        let pause_s = u64::from(answer.retry_after_s.expect("when to come back"));
+        self.pauses.push(pause_s);
+        user.due = at + 1000 * pause_s.clamp(1, 30);
+        user.request = None;
+        user.node = (user.node + 1) % 3;
+        if user.due > user.since + USER_PATIENCE_MS {
+            self.gave_up.push(id);
+            return None;
+        }
+        Some(user)
+    }
+}
+
+fn sound(world: &World) {
+    assert!(world.broken.is_empty(), "{:?}\n{}", world.broken, world.trace());
+}
+
+/// A deployment whose state service counts changes, as many a second as it is told to take.
+fn small_store(operator: &Operator) -> World {
+    let mut world = World::sized(
+        operator,
+        Size {
+            write_rps: 25.0,
+            ..Size::default()
+        },
+    );
+    world.store.rate = Some(25.0);
+    world
+}
+
+#[test]
+fn a_swarm_of_one_task_jobs_is_accepted_whole() {
+    // Guard: a queue of 400 jobs was full within a minute, and who got 429 gave up before it drained.
+    let mut world = small_store(&Operator::default());
+    world.run_ms = 20_000;
+    world.run(5000);
+    let mut users = Users::default();
+    for n in 0..700 {
+        users.come(&world, n % 3, job(n as u32, 0, "sweep", 1));
+        users.run(&mut world, 100);
+    }
+    users.run(&mut world, USER_PATIENCE_MS);
+    assert_eq!(users.gave_up, Vec::<String>::new());
+    assert_eq!(users.accepted.len(), 700);
+    let at_once = users.accepted.values().filter(|(ms, _)| *ms <= 1000).count();
+    assert!(at_once >= 690, "{at_once} of 700 within a second");
+    sound(&world);
+}
+
+#[test]
+fn a_swarm_delays_no_other_teams_acceptance() {
+    // Guard: the swarm's retries took every change that the state service could take, and the others'
+    // submissions were put off with them.
+    let mut world = small_store(&Operator::default());
+    world.run_ms = 20_000;
+    world.run(5000);
+    let mut users = Users::default();
+    let mut others = Users::default();
+    for step in 0..200u32 {
+        for n in 0..6 {
+            users.come(&world, n as usize % 3, job(1000 + step * 6 + n, 0, "sweep", 1));
+        }
+        if step % 20 == 10 {
+            others.come(&world, step as usize / 20 % 3, job(step, 1, "sweep", 1));
+        }
+        others.look(&mut world);
+        users.run(&mut world, 100);
+    }
+    others.run(&mut world, 1000);
+    assert!(users.pauses.len() > 100, "the swarm is more than can be taken");
+    let slow: Vec<_> = others.accepted.iter().filter(|(_, (_, tries))| *tries > 1).collect();
+    assert!(slow.is_empty(), "put off: {slow:?}");
+    assert_eq!(others.accepted.len(), 10);
+    sound(&world);
+}
+
+#[test]
+fn a_team_that_fills_the_queue_leaves_the_others_their_parts() {
+    // With so short a batch period the processor goes through 75 jobs in its part of it.
+    let mut world = World::with(&Operator {
+        batch_retry_per_report: 0.01,
+        ..Operator::default()
+    });
+    world.cloud.most = 1;
+    world.run_ms = 600_000;
+    world.run(3000);
+    let mut statuses = Vec::new();
+    for n in 0..150 {
+        let request = world.submit(n % 3, &job(n as u32, 0, "sweep", 1));
+        world.run(300);
+        statuses.push(world.status(request));
+    }
+    let accepted = statuses.iter().filter(|s| **s == 201).count();
+    assert!((40..=75).contains(&accepted), "{accepted} accepted");
+    assert_eq!(statuses.last(), Some(&429), "the queue has a bound");
+    for team in [1, 2] {
+        for n in 0..10 {
+            let request = world.submit(0, &job(200 + 10 * team + n, team, "sweep", 1));
+            world.run(300);
+            assert_eq!(world.status(request), 201, "{}", world.trace());
+        }
+    }
+    sound(&world);
+}
+
+#[test]
+fn users_come_back_one_after_the_other_as_the_queue_drains() {
+    // Guard: all were told to come back after ten seconds, together, however fast the queue drained.
+    let mut world = World::with(&Operator {
+        queue_jobs_per_team: Some(12),
+        ..Operator::default()
+    });
+    world.run_ms = 1500;
+    world.run(3000);
+    // A first wave ends, so that the rate at which jobs end is known.
+    let mut users = Users::default();
+    for n in 0..40 {
+        users.come(&world, n % 3, job(n as u32, 0, "sweep", 1));
+    }
+    for _ in 0..100 {
+        if users.waiting.is_empty() {
+            break;
+        }
+        users.run(&mut world, 1000);
+    }
+    let settled = users.pauses.len();
+    for n in 0..30 {
+        users.come(&world, n % 3, job(100 + n as u32, 0, "sweep", 1));
+        if n % 3 == 2 {
+            users.run(&mut world, 100);
+        }
+    }
+    let pauses = users.pauses.get(settled..).unwrap_or_default().to_vec();
+    assert!(pauses.len() >= 10, "{pauses:?}");
+    assert!(pauses.iter().all(|s| (1..=30).contains(s)), "{pauses:?}");
+    let first = pauses.iter().min().copied().unwrap_or(0);
+    let last = pauses.iter().max().copied().unwrap_or(0);
+    assert!(first < 10 && last >= first + 3, "not together: {pauses:?}");
+    users.run(&mut world, USER_PATIENCE_MS);
+    let second = |id: &String| users.gave_up.contains(id);
+    let gave_up: Vec<String> = (100..130).map(|n| format!("job-{n:06}")).filter(second).collect();
+    assert_eq!(gave_up, Vec::<String>::new(), "{pauses:?}");
+    sound(&world);
+}
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -677,7 +677,7 @@
 #[test]
 fn a_full_queue_is_told_at_once_when_to_come_back() {
     let mut world = World::with(&Operator {
-        queue_jobs_per_team: 2,
+        queue_jobs_per_team: Some(2),
         ..Operator::default()
     });
     world.run(3000);
