--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -598,8 +598,10 @@
         if now.ms.saturating_sub(self.stepped) > self.set.report_ms() / 4 {
             self.stale_below = self.next_call;
         }
+        let paused_ms = now.ms.saturating_sub(self.stepped);
         self.stepped = now.ms;
         self.now = now;
+        self.note_pause(paused_ms);
         self.stale = match &input {
             Input::Reply { call, .. } | Input::PeerReply { call, .. } => *call < self.stale_below,
             _ => false,
@@ -624,6 +626,16 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Tells the operators of a pause: ticks come many times in a quarter of a lease, so the process was stopped.
+    fn note_pause(&mut self, paused_ms: u64) {
+        if paused_ms > self.set.lease_ms() / 4 {
+            self.log(
+                Level::Info,
+                format!("no input for {paused_ms} ms: this process was paused"),
+            );
+        }
+    }
+
     /// How often this controller has looked at a machine for a task: the search's cost.
     pub fn evaluations(&self) -> u64 {
         self.evaluated
