--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -1,5 +1,6 @@
 //! The state machine: inputs, outputs, and the table of calls that are under way.
 
+use crate::admission::Admission;
 use crate::cancellations::{Cancellations, Told};
 use crate::capacity::{Cloud, Wish, room_for};
 use crate::ids::{ControllerId, Epoch, Incarnation, JobId, MachineId, Partition, Stamp};
@@ -481,6 +482,9 @@
         self.fill(now);
         self.level = self.level.min(0.0);
     }
+    pub(crate) fn rate(&self) -> f64 {
+        self.rate
+    }
     pub(crate) fn set_rate(&mut self, rate: f64, burst: f64) {
         self.rate = rate;
         self.burst = burst;
@@ -535,6 +539,7 @@
     pub(crate) state_reads: Bucket,
     pub(crate) state_writes: Bucket,
     pub(crate) limits: Limits,
+    pub(crate) admission: Admission,
     pub(crate) batch_due: Option<u64>,
     pub(crate) learned: Learned,
     /// Jobs that a slice of the search left out, with what they would need, until when.
@@ -593,6 +598,7 @@
                 value: set.value_bytes(),
                 ops: set.txn_ops(),
             },
+            admission: Admission::new(&set),
             batch_due: None,
             learned: Learned::default(),
             resting: BTreeMap::new(),
@@ -614,12 +620,12 @@
 
     /// Takes one input and returns what is to be done.
     pub fn step(&mut self, now: Now, input: Input) -> Vec<Output> {
-        let still_ms = now.ms.saturating_sub(self.stepped);
+        let paused_ms = now.ms.saturating_sub(self.stepped);
         self.stepped = now.ms;
         self.now = now;
-        if still_ms > self.set.report_ms() / 4 {
+        if paused_ms > self.set.report_ms() / 4 {
             self.stale_below = self.next_call;
-            self.note_standstill(still_ms);
+            self.note_pause(paused_ms);
         }
         self.stale = match &input {
             Input::Reply { call, .. } | Input::PeerReply { call, .. } => *call < self.stale_below,
--- a/crates/tidelatch-core/src/membership/lease_trouble.rs
+++ b/crates/tidelatch-core/src/membership/lease_trouble.rs
@@ -1,4 +1,4 @@
-//! What kept the lease from being extended, this process's own standstills included: kept for the log, so that
+//! What kept the lease from being extended, this process's own pauses included: kept for the log, so that
 //! operators find the cause there.
 
 use crate::controller::{Controller, Level, NOT_SENT, NOT_TRIED};
@@ -44,7 +44,7 @@
     unanswered: u32,
     unconnected: u32,
     /// Time in which this process did not run at all.
-    stood_still_ms: u64,
+    paused_ms: u64,
     /// The end of the entitlement has been logged.
     lapse_logged: bool,
 }
@@ -67,18 +67,18 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} refused, {} unanswered, {} not connected, stood still for {} ms",
-            self.refused, self.unanswered, self.unconnected, self.stood_still_ms
+            "{} refused, {} unanswered, {} not connected, paused for {} ms",
+            self.refused, self.unanswered, self.unconnected, self.paused_ms
         )
     }
 }
 
 impl Controller {
     /// This process has not run for a while, though its clocks did: the time counts as a cause of what follows.
-    pub(crate) fn note_standstill(&mut self, ms: u64) {
-        self.member.trouble.stood_still_ms += ms;
+    pub(crate) fn note_pause(&mut self, ms: u64) {
+        self.member.trouble.paused_ms += ms;
         if ms > self.set.report_ms() {
-            self.log(Level::Info, format!("stood still for {ms} ms: going on"));
+            self.log(Level::Info, format!("no input for {ms} ms: this process was paused"));
         }
     }
 
--- a/crates/tidelatch-standin/tests/on_call.rs
+++ b/crates/tidelatch-standin/tests/on_call.rs
@@ -68,7 +68,7 @@
 const READ_OF_A_JOB: &str = "GET /store/t/j/";
 
 #[test]
-fn the_log_tells_that_a_lease_was_lost_by_a_standstill() {
+fn the_log_tells_that_a_lease_was_lost_by_a_pause() {
     // Guard: two leases lost at night could not be explained from the log (inc-6e9b).
     let mut world = with_service(2);
     let owner = world.owner_of_team(0);
@@ -76,11 +76,11 @@
     world.run(9000);
     world.thaw(owner);
     world.run(5000);
-    let still = log_line(&world, owner, "stood still for");
+    let still = log_line(&world, owner, "this process was paused");
     assert!(!still.is_empty(), "{}", world.trace());
     let lost = log_line(&world, owner, "lease lost");
     assert!(
-        lost.contains("0 refused, 0 unanswered, 0 not connected, stood still for 9"),
+        lost.contains("0 refused, 0 unanswered, 0 not connected, paused for 9"),
         "{lost}\n{}",
         world.trace()
     );
@@ -105,7 +105,7 @@
     world.run(5000);
     let lost = log_line(&world, owner, "lease lost");
     assert!(
-        lost.contains("0 unanswered, 0 not connected, stood still for 0 ms"),
+        lost.contains("0 unanswered, 0 not connected, paused for 0 ms"),
         "{lost}"
     );
     assert!(!lost.contains("; 0 refused"), "{lost}");
