Split controller.rs: messages, calls and limits in modules of their own

The typed inputs, outputs and peer messages are in messages.rs, the calls that are under way in calls.rs, the request budget in rate_limit.rs and the limits of one change in write_limits.rs. The public paths at the crate's root stay.

--- a/crates/tidelatch-core/src/admission.rs
+++ b/crates/tidelatch-core/src/admission.rs
@@ -4,8 +4,8 @@
 //! What bounds the queue is this controller's memory and processor, for it keeps every unfinished job and goes
 //! through all of them for each batch. The state service is no bound: it keeps any number of keys.
 
-use crate::controller::Bucket;
 use crate::protocol::JobSpec;
+use crate::rate_limit::Bucket;
 use crate::settings::Settings;
 use std::collections::BTreeMap;
 
--- a/crates/tidelatch-core/src/cancellations.rs
+++ b/crates/tidelatch-core/src/cancellations.rs
@@ -6,8 +6,10 @@
 //! no user is told that a job is cancelled before a second controller knows it: if the one that told it ends,
 //! whoever acts under promises has the other's, and takes that in first.
 
-use crate::controller::{Answer, Asker, Controller};
+use crate::calls::Asker;
+use crate::controller::Controller;
 use crate::ids::{ControllerId, Incarnation, JobId};
+use crate::messages::Answer;
 use std::collections::BTreeMap;
 
 /// Most cancellations in one greeting. A promise is given only if all that its asker lacks fit.
--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -14,10 +14,13 @@
 use planning::wants;
 pub use planning::{Coming, Kind, Lane, Wish, absorb, plan};
 
-use crate::controller::{Bucket, Controller, Digest, Idle, Method, Move, Purpose, Target};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{ControllerId, Epoch, MachineId, Partition};
 use crate::membership::TYPES_KEY;
+use crate::messages::{Digest, Idle, Method, Move, Target};
 use crate::protocol::{MachineTypes, Rental, Report};
+use crate::rate_limit::Bucket;
 use crate::roster::Rented;
 use crate::settings::Settings;
 use serde_json::json;
--- a/crates/tidelatch-core/src/capacity/lending.rs
+++ b/crates/tidelatch-core/src/capacity/lending.rs
@@ -1,11 +1,11 @@
 //! Sharing machines out: what partitions need and have to spare, and machines that change hands.
 
 use super::{BootingMachine, Kind, Lane, Lent, Wish, YIELDING, absorb, plan, room_for, wants};
-use crate::controller::{
-    Controller, Digest, Idle, Level, Move, Need, PeerReply, PeerRequest, Purpose, SpareRoom, Want,
-};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{ControllerId, MachineId, Partition};
 use crate::membership::Stage;
+use crate::messages::{Digest, Idle, Level, Move, Need, PeerReply, PeerRequest, SpareRoom, Want};
 use crate::picture::Machine;
 use crate::placement::Amounts;
 use crate::protocol::{MachineType, Priority, Shape};
@@ -375,7 +375,7 @@
         }
         let entitled = self.entitled();
         let relies = self.relies_on(&from);
-        self.out.push(crate::controller::Output::Tell {
+        self.out.push(crate::messages::Output::Tell {
             id,
             reply: PeerReply::Hello {
                 entitled,
--- a/crates/tidelatch-core/src/capacity/planning.rs
+++ b/crates/tidelatch-core/src/capacity/planning.rs
@@ -1,7 +1,7 @@
 //! What machines would do for what waits: pure functions over wishes and lanes.
 
-use crate::controller::{Need, Want};
 use crate::ids::Partition;
+use crate::messages::{Need, Want};
 use crate::placement::{Amounts, JobTerms};
 use crate::protocol::MachineType;
 use std::cmp::{Ordering, Reverse};
--- a/crates/tidelatch-core/src/capacity/renting.rs
+++ b/crates/tidelatch-core/src/capacity/renting.rs
@@ -1,8 +1,10 @@
 //! Renting, returning, and finding what stands in no roster.
 
 use super::{Kind, RENTAL};
-use crate::controller::{Controller, Level, Method, Purpose};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{MachineId, Partition};
+use crate::messages::{Level, Method};
 use crate::protocol::{MachineList, MachineNames, Rental};
 use crate::roster::Rented;
 use std::collections::BTreeMap;
--- a/crates/tidelatch-core/src/failures.rs
+++ b/crates/tidelatch-core/src/failures.rs
@@ -5,8 +5,9 @@
 //! such doubt themselves. A suspected job is retried with one task at a time, after exponentially growing
 //! pauses, until it is cancelled or a task of it succeeds; its failures say nothing of machines.
 
-use crate::controller::{Controller, Level};
+use crate::controller::Controller;
 use crate::ids::{JobId, MachineId, TaskId};
+use crate::messages::Level;
 use crate::picture::Machine;
 use crate::protocol::Shape;
 use std::collections::BTreeSet;
--- a/crates/tidelatch-core/src/gangs.rs
+++ b/crates/tidelatch-core/src/gangs.rs
@@ -5,9 +5,10 @@
 //! second time, while an older one is left. What a gang does is read off what its machines report; after
 //! a take-over the same reading tells whether it goes on, is completed, or has to start afresh.
 
-use crate::controller::{Controller, Level};
+use crate::controller::Controller;
 use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
 use crate::jobs::Job;
+use crate::messages::Level;
 use crate::picture::{HeldState, Stop};
 use crate::protocol::{Shape, TaskState};
 
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -4,11 +4,13 @@
 
 pub(crate) use status_reads::StatusReads;
 
-use crate::controller::{Answer, Asker, Controller, Level, Method, PeerRequest, Purpose as Call, Target};
+use crate::calls::{Asker, Purpose as Call};
+use crate::controller::Controller;
 use crate::failures::JobFailures;
 use crate::gangs::Gang;
 use crate::ids::{ControllerId, Epoch, JobId, MachineId, Partition, Stamp, TaskId};
 use crate::membership::JOB_PREFIX;
+use crate::messages::{Answer, Level, Method, PeerRequest, Target};
 use crate::protocol::{Item, JobSpec, Shape, TaskState};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
--- a/crates/tidelatch-core/src/jobs/status_reads.rs
+++ b/crates/tidelatch-core/src/jobs/status_reads.rs
@@ -5,8 +5,10 @@
 //! next one, which all of them share. Only a final state is told to them at once, for it never changes.
 
 use super::Purpose;
-use crate::controller::{Answer, Asker, Controller};
+use crate::calls::Asker;
+use crate::controller::Controller;
 use crate::ids::JobId;
+use crate::messages::Answer;
 use serde_json::json;
 use std::collections::BTreeMap;
 
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! stored and answered. The daemon puts sockets and timers round it; tests put stand-ins there.
 
 mod admission;
+mod calls;
 mod cancellations;
 pub mod capacity;
 mod controller;
@@ -13,16 +14,20 @@
 pub mod ids;
 pub mod jobs;
 pub mod membership;
+mod messages;
 pub mod picture;
 pub mod placement;
 pub mod protocol;
 pub mod queue;
+mod rate_limit;
 pub mod roster;
 pub mod settings;
 mod submissions;
+mod write_limits;
 
 pub use cancellations::Told;
-pub use controller::{
-    Answer, Controller, Digest, Idle, Input, Level, Method, Move, NOT_SENT, NOT_TRIED, Need, Now, Output, PeerReply,
-    PeerRequest, SpareRoom, Target, Want,
+pub use controller::Controller;
+pub use messages::{
+    Answer, Digest, Idle, Input, Level, Method, Move, NOT_SENT, NOT_TRIED, Need, Now, Output, PeerReply, PeerRequest,
+    SpareRoom, Target, Want,
 };
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -12,8 +12,10 @@
 
 pub(crate) use tenure::{Stage, Tenure};
 
-use crate::controller::{Controller, Level, Method, Purpose, Target, is_lost_lease};
+use crate::calls::{Purpose, is_lost_lease};
+use crate::controller::Controller;
 use crate::ids::{ControllerId, Epoch, Incarnation, Stamp};
+use crate::messages::{Level, Method, Target};
 use crate::protocol::TxnAnswer;
 use crate::settings::SHARED_MACHINES_LEVEL;
 use lease_trouble::LeaseTrouble;
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -2,8 +2,9 @@
 
 use super::lease_trouble::LeaseFailure;
 use super::{Grant, Peer};
-use crate::controller::{Controller, Level};
+use crate::controller::Controller;
 use crate::ids::{ControllerId, Incarnation};
+use crate::messages::Level;
 use crate::protocol::Granted;
 
 impl Controller {
--- a/crates/tidelatch-core/src/membership/lease_trouble.rs
+++ b/crates/tidelatch-core/src/membership/lease_trouble.rs
@@ -1,8 +1,9 @@
 //! What kept the lease from being extended, this process's own pauses included: kept for the log, so that
 //! operators find the cause there.
 
-use crate::controller::{Controller, Level, NOT_SENT, NOT_TRIED};
+use crate::controller::Controller;
 use crate::ids::ControllerId;
+use crate::messages::{Level, NOT_SENT, NOT_TRIED};
 use std::fmt;
 
 /// Why one request about the lease brought no lease.
--- a/crates/tidelatch-core/src/membership/shared.rs
+++ b/crates/tidelatch-core/src/membership/shared.rs
@@ -4,8 +4,10 @@
     BOOK_PREFIX, EPOCH_KEY, EpochRecord, JOB_PREFIX, LEADER_KEY, MEMBER_PREFIX, MemberRecord, ROSTER_PREFIX, SHARED,
     STEP_PREFIX, TYPES_KEY,
 };
-use crate::controller::{Controller, Level, Method, Purpose, Target};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{ControllerId, JobId, Stamp};
+use crate::messages::{Level, Method, Target};
 use crate::protocol::{Changes, Items, MachineTypes};
 use serde_json::Value;
 
--- a/crates/tidelatch-core/src/membership/tenure.rs
+++ b/crates/tidelatch-core/src/membership/tenure.rs
@@ -1,9 +1,11 @@
 //! Partitions in this controller's hands: taking them over and giving them up.
 
 use super::Holding;
-use crate::controller::{Controller, Level, Method, Purpose, Target};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{Epoch, JobId, Partition};
 use crate::jobs::{Piece, bits_from_hex};
+use crate::messages::{Level, Method, Target};
 use crate::protocol::Items;
 use serde_json::Value;
 
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -9,9 +9,11 @@
 mod shared_machines;
 mod silence;
 
-use crate::controller::{Answer, Asker, Controller, Level, PeerReply, PeerRequest, Purpose};
+use crate::calls::{Asker, Purpose};
+use crate::controller::Controller;
 use crate::ids::{Attempt, ControllerId, Epoch, JobId, MachineId, Partition, TaskId};
 use crate::jobs::Job;
+use crate::messages::{Answer, Level, PeerReply, PeerRequest};
 use crate::protocol::{Command, Orders, Report, Shape, TaskState};
 use crate::roster::RackRecord;
 use serde_json::json;
--- a/crates/tidelatch-core/src/picture/commands.rs
+++ b/crates/tidelatch-core/src/picture/commands.rs
@@ -1,9 +1,11 @@
 //! Orders for machines: with answers to their beats, and by direct commands.
 
 use super::{HeldState, Machine, Stop};
-use crate::controller::{Controller, Method, NOT_SENT, NOT_TRIED, Purpose, Target};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{Attempt, Epoch, MachineId, TaskId};
 use crate::jobs::Job;
+use crate::messages::{Method, NOT_SENT, NOT_TRIED, Target};
 use crate::protocol::{Command, Orders, Report, TaskState};
 
 impl Controller {
--- a/crates/tidelatch-core/src/picture/shared_machines.rs
+++ b/crates/tidelatch-core/src/picture/shared_machines.rs
@@ -13,8 +13,10 @@
 //! [`RackRecord::also_holds`]: crate::roster::RackRecord::also_holds
 
 use super::{Held, HeldState, Machine};
-use crate::controller::{Controller, Level, Method, Purpose, Target};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{Attempt, MachineId, Partition, TaskId};
+use crate::messages::{Level, Method, Target};
 use crate::protocol::{Report, Shape, TaskState};
 use crate::roster::RackRecord;
 use crate::settings::SHARED_MACHINES_LEVEL;
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -1,9 +1,11 @@
 //! Machines that are not heard: asking what is on them, and giving them up.
 
 use super::Machine;
-use crate::controller::{Controller, Level, Method, NOT_TRIED, Purpose, Target};
+use crate::calls::Purpose;
+use crate::controller::Controller;
 use crate::ids::{Attempt, ControllerId, MachineId, Partition, TaskId};
 use crate::membership::Stage;
+use crate::messages::{Level, Method, NOT_TRIED, Target};
 use crate::picture::{Held, HeldState};
 use crate::protocol::{Orders, Report};
 use std::collections::BTreeMap;
--- a/crates/tidelatch-core/src/queue/emptying.rs
+++ b/crates/tidelatch-core/src/queue/emptying.rs
@@ -1,8 +1,9 @@
 //! Emptying machines that only a few replicas keep, so that they can be returned.
 
-use crate::controller::{Controller, Level};
+use crate::controller::Controller;
 use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
 use crate::membership::Stage;
+use crate::messages::Level;
 use crate::placement::{Batch, JobTerms, Slot};
 use crate::protocol::Shape;
 use std::collections::BTreeSet;
--- a/crates/tidelatch-core/src/queue/limits.rs
+++ b/crates/tidelatch-core/src/queue/limits.rs
@@ -2,8 +2,9 @@
 
 use super::room::{StopOrder, Victim, Yard};
 use crate::capacity::Wish;
-use crate::controller::{Controller, Level};
+use crate::controller::Controller;
 use crate::ids::{JobId, Partition};
+use crate::messages::Level;
 use crate::placement::{Amounts, JobTerms};
 use crate::protocol::{Priority, Shape};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/tidelatch-core/src/queue/room.rs
+++ b/crates/tidelatch-core/src/queue/room.rs
@@ -1,8 +1,9 @@
 //! Making room for tasks that found none: stopping others, and moving replicas for others.
 
 use super::Waiting;
-use crate::controller::{Controller, Level};
+use crate::controller::Controller;
 use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
+use crate::messages::Level;
 use crate::placement::{Amounts, JobTerms};
 use crate::protocol::{Priority, Shape};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/tidelatch-core/src/roster.rs
+++ b/crates/tidelatch-core/src/roster.rs
@@ -10,11 +10,13 @@
 //! revision; a machine that is handed over goes to a new rack in the same transaction. A book is never
 //! changed, and deleted once none of its machines is left.
 
+use crate::calls::{Asker, Purpose};
 use crate::capacity::Kind;
-use crate::controller::{Asker, Controller, Level, Purpose};
+use crate::controller::Controller;
 use crate::ids::{MachineId, Partition, Stamp};
 use crate::jobs::bytes_of;
 use crate::membership::{BOOK_PREFIX, ROSTER_PREFIX, STEP_PREFIX};
+use crate::messages::Level;
 use crate::picture::Machine;
 use crate::protocol::{Report, TxnAnswer};
 use serde::{Deserialize, Serialize};
@@ -328,7 +330,7 @@
 
     fn answer_newcomer(&mut self, asker: Asker, machine: Option<(&MachineId, (u64, u64))>) {
         let Some(epoch) = self.epoch().filter(|_| self.entitled()) else {
-            let later = crate::controller::Answer::later(503, 1, "not entitled to act at present");
+            let later = crate::messages::Answer::later(503, 1, "not entitled to act at present");
             self.answer(asker, later);
             return;
         };
--- a/crates/tidelatch-core/src/submissions.rs
+++ b/crates/tidelatch-core/src/submissions.rs
@@ -1,10 +1,12 @@
 //! Submissions: checking them, putting them off, and storing their acceptance.
 
 use crate::admission::Deferral;
-use crate::controller::{Answer, Asker, Controller, Level, Purpose as Call};
+use crate::calls::{Asker, Purpose as Call};
+use crate::controller::Controller;
 use crate::ids::{Epoch, JobId, Stamp};
 use crate::jobs::{JobRecord, Purpose, Stored, bytes_of};
 use crate::membership::JOB_PREFIX;
+use crate::messages::{Answer, Level};
 use crate::protocol::{JobSpec, Malformed, Shape, TxnAnswer, parse_submission, submission_id};
 use serde_json::json;
 
