--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -5,9 +5,12 @@
 //! out. An owner returns what stays idle and deletes what is lost.
 
 mod boot_times;
-mod lending;
+mod digests;
+mod hand_over;
+mod heartbeats;
 mod planning;
 mod renting;
+mod spare_room;
 
 pub use boot_times::{BootTimes, BootingMachine};
 pub(crate) use planning::room_for;
