--- a/crates/tidelatch-core/src/failures.rs
+++ b/crates/tidelatch-core/src/failures.rs
@@ -20,6 +20,8 @@
 const SUCCESS_REPORTS: u64 = 4;
 /// Part of the machines at hand on which a job may have failed for its retries still to go to others only.
 const RETRY_ELSEWHERE_PART: f64 = 0.5;
+/// Reports for which a machine is avoided after a failure. Longer pauses cost more machines than failures do.
+const AVOIDED_REPORTS: u64 = 2;
 /// Largest exponent of the pause between retries, in report intervals.
 const MAX_BACKOFF_EXPONENT: u32 = 6;
 
@@ -123,11 +125,7 @@
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        if now >= machine.avoid_until {
-            machine.failed_rounds += 1;
-        }
-        let pause_ms = report_ms << machine.failed_rounds.clamp(1, MAX_BACKOFF_EXPONENT);
-        machine.avoid_until = machine.avoid_until.max(now + pause_ms);
+        machine.avoid_until = machine.avoid_until.max(now + AVOIDED_REPORTS * report_ms);
         machine.failed_at = now;
         let proven = machine.failures.entry(task.job.clone()).or_default();
         *proven |= succeeds;
@@ -143,7 +141,6 @@
             let cleared = machine.failures.remove(job).is_some();
             if cleared && machine.failures.is_empty() && machine.missed == 0 {
                 machine.avoid_until = now;
-                machine.failed_rounds = 0;
             }
         }
         self.log(
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -101,8 +101,6 @@
     /// Jobs of which tasks have failed on it, and whether they are known to succeed elsewhere.
     pub(crate) failures: BTreeMap<JobId, bool>,
     pub(crate) failed_at: u64,
-    /// How often it has failed tasks again after a pause, with none that succeeded between.
-    pub(crate) failed_rounds: u32,
     /// Status calls without an answer since it was last heard.
     probes_failed: u32,
     probing: bool,
@@ -194,7 +192,6 @@
             notice: false,
             failures: BTreeMap::new(),
             failed_at: 0,
-            failed_rounds: 0,
             probes_failed: 0,
             probing: false,
             probe_at: 0,
@@ -829,7 +826,6 @@
                     && began.is_some_and(|t| t > m.failed_at)
                 {
                     m.failures.clear();
-                    m.failed_rounds = 0;
                 }
                 let own = |job: &&Job| self.acting(job.partition).is_some();
                 if let Some(job) = self.jobs.get(&task.job).filter(own) {
