--- a/crates/tidelatch-core/src/admission.rs
+++ b/crates/tidelatch-core/src/admission.rs
@@ -125,12 +125,12 @@
 }
 
 impl Admission {
-    pub(crate) fn new(set: &Settings) -> Self {
-        let facts = &set.platform.facts;
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let facts = &settings.platform.facts;
         let limits = &facts.machine_limits;
-        let period_s = set.batch_retry_ms() as f64 / 1000.0;
+        let period_s = settings.batch_retry_ms() as f64 / 1000.0;
         let reserve = RESERVED_PART / facts.teams.len().max(1) as f64;
-        let write_rate = facts.state.write_rps / f64::from(set.partitions());
+        let write_rate = facts.state.write_rps / f64::from(settings.partitions());
         let team = TeamLoad {
             jobs: 0,
             load: 0.0,
@@ -146,7 +146,7 @@
             reserve,
             most_jobs: (limits.cores * PROCESSOR_PART * JOBS_PER_CORE_SECOND * period_s).max(1.0),
             most_bytes: limits.ram_mb * 1e6 * MEMORY_PART,
-            most_of_team: set.operator.queue_jobs_per_team,
+            most_of_team: settings.operator.queue_jobs_per_team,
         }
     }
 
--- a/crates/tidelatch-core/src/cancellations.rs
+++ b/crates/tidelatch-core/src/cancellations.rs
@@ -141,12 +141,12 @@
 impl Controller {
     /// How long a stored cancellation is kept here and told of: beyond it no task of the job can be left.
     fn cancellations_kept_ms(&self) -> u64 {
-        2 * self.set.cancel_ms() + self.set.worker_lease_ms()
+        2 * self.settings.cancel_ms() + self.settings.worker_lease_ms()
     }
 
     /// A user asks for a job's cancellation: its tasks are stopped from now on, by whoever feeds them.
     pub(crate) fn note_asked(&mut self, id: &JobId) {
-        if self.set.features.cancellations && self.cancellations.learn(id, self.now.ms, false, false) {
+        if self.settings.features.cancellations && self.cancellations.learn(id, self.now.ms, false, false) {
             self.cancellations.urgent = true;
         }
     }
@@ -159,7 +159,7 @@
             None if was_open => 0,
             None => return,
         };
-        if !self.set.features.cancellations || age > self.cancellations_kept_ms() {
+        if !self.settings.features.cancellations || age > self.cancellations_kept_ms() {
             return;
         }
         let since = self.now.ms.saturating_sub(age);
@@ -178,11 +178,11 @@
 
     /// The earliest cancellation that is still of concern.
     pub(crate) fn oldest_cancellation(&self, partition: crate::ids::Partition) -> Option<u64> {
-        let keep = self.set.cancel_ms() + self.set.worker_lease_ms();
+        let keep = self.settings.cancel_ms() + self.settings.worker_lease_ms();
         let recent = |since: u64| self.now.ms.saturating_sub(since) <= keep;
         let of = |id: &JobId| {
             let team = self.over.get(id).map(|over| over.team.as_str());
-            team.is_none_or(|team| self.set.partition_of_team(team) == Some(partition))
+            team.is_none_or(|team| self.settings.partition_of_team(team) == Some(partition))
         };
         let known = self.cancellations.known.iter();
         known
@@ -193,7 +193,7 @@
 
     /// What is told to a peer, the span of numbers that it covers, and whether it is all that the peer lacks.
     pub(crate) fn tell_cancellations(&self, to: &ControllerId) -> (Told, (u64, u64), bool) {
-        if !self.set.features.cancellations {
+        if !self.settings.features.cancellations {
             return (Told::default(), (0, 0), true);
         }
         let untaken = self.cancellations.untaken(to);
@@ -208,7 +208,7 @@
 
     /// Takes in what a peer tells, before anything else that its message allows.
     pub(crate) fn take_cancellations(&mut self, from: &ControllerId, told: &Told) {
-        if !self.set.features.cancellations {
+        if !self.settings.features.cancellations {
             return;
         }
         if told.life == 0 {
@@ -291,7 +291,7 @@
         }
         self.cancellations.urgent = true;
         // Users wait 2 s for a poll.
-        let until = self.now.ms + (self.set.lease_ms() / 8).min(1500);
+        let until = self.now.ms + (self.settings.lease_ms() / 8).min(1500);
         self.cancellations.waiting.push((id.clone(), asker, until));
     }
 
@@ -315,7 +315,7 @@
         if !self.cancellations.waiting.is_empty() {
             self.answer_cancelled();
         }
-        let (stored, asked) = (self.cancellations_kept_ms(), self.set.cancel_ms() / 2);
+        let (stored, asked) = (self.cancellations_kept_ms(), self.settings.cancel_ms() / 2);
         let jobs = &self.jobs;
         self.cancellations.known.retain(|id, k| {
             let own = jobs.get(id).is_some_and(|j| j.ending.is_some());
--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -94,8 +94,8 @@
 }
 
 impl Cloud {
-    pub(crate) fn new(set: &Settings) -> Self {
-        let rate = set.platform.facts.cloud.rps / f64::from(set.partitions());
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let rate = settings.platform.facts.cloud.rps / f64::from(settings.partitions());
         Self {
             wishes: Vec::new(),
             stale_keys: Vec::new(),
@@ -159,8 +159,8 @@
 impl Controller {
     /// The leader, whose cloud calls are more, gets most of the budget.
     fn cloud_budget(&mut self, reserve: f64) -> bool {
-        let rps = self.set.platform.facts.cloud.rps;
-        let others = f64::from(self.set.partitions().saturating_sub(1));
+        let rps = self.settings.platform.facts.cloud.rps;
+        let others = f64::from(self.settings.partitions().saturating_sub(1));
         let part = if others == 0.0 {
             0.9
         } else if self.is_leader() {
@@ -173,7 +173,7 @@
     }
 
     fn cloud_call(&mut self, method: Method, path: impl Into<String>, body: String, purpose: Purpose) {
-        let timeout = 2 * self.set.report_ms();
+        let timeout = 2 * self.settings.report_ms();
         self.call(Target::Cloud, method, path, body, timeout, purpose);
     }
 
@@ -183,11 +183,11 @@
         if now < self.cloud.due || !self.entitled() {
             return;
         }
-        self.cloud.due = now + self.set.report_ms() / 5;
+        self.cloud.due = now + self.settings.report_ms() / 5;
         self.judge_machines();
         self.retire();
         self.send_deletes();
-        let keep = 4 * self.set.worker_lease_ms();
+        let keep = 4 * self.settings.worker_lease_ms();
         self.cloud.deleted.retain(|_, t| now.saturating_sub(*t) < keep);
         if self.is_leader() {
             for digest in self.own_digests() {
@@ -213,9 +213,9 @@
         let now = self.now.ms;
         let lead = self.is_leader();
         let every = if self.types.is_empty() {
-            self.set.report_ms()
+            self.settings.report_ms()
         } else if lead {
-            2 * self.set.worker_lease_ms()
+            2 * self.settings.worker_lease_ms()
         } else {
             return;
         };
@@ -242,9 +242,9 @@
             self.want_batch();
         }
         // Stored, so that a controller that starts while the cloud is down knows them.
-        let due = self.cloud.types_written == 0 || now > self.cloud.types_written + 4 * self.set.worker_lease_ms();
+        let due = self.cloud.types_written == 0 || now > self.cloud.types_written + 4 * self.settings.worker_lease_ms();
         // They are asked for anew by everybody; stored, they only bridge an outage of the cloud.
-        let fits = crate::jobs::bytes_of(&types) <= self.set.value_bytes();
+        let fits = crate::jobs::bytes_of(&types) <= self.settings.value_bytes();
         if self.is_leader() && due && fits && !self.cloud.types_writing {
             self.cloud.types_writing = true;
             self.cloud.types_written = now.max(1);
@@ -259,7 +259,7 @@
 
     /// Time within which guaranteed work should start, by the objectives.
     pub(crate) fn guarantee_s(&self) -> f64 {
-        let objectives = &self.set.platform.facts.objectives;
+        let objectives = &self.settings.platform.facts.objectives;
         objectives
             .iter()
             .filter(|o| o.kind == "guarantee")
--- a/crates/tidelatch-core/src/capacity/digests.rs
+++ b/crates/tidelatch-core/src/capacity/digests.rs
@@ -15,7 +15,7 @@
     /// What would be lost, in seconds of work, if a machine were vacated for production work; none if
     /// something on it does not yield.
     pub(super) fn yielding(&self, m: &Machine) -> Option<f64> {
-        if m.spot || m.held.is_empty() || !m.usable(self.now.ms, 2 * self.set.report_ms()) {
+        if m.spot || m.held.is_empty() || !m.usable(self.now.ms, 2 * self.settings.report_ms()) {
             return None;
         }
         let mut loss = 0.0;
@@ -41,7 +41,7 @@
     pub(super) fn lane(&self, m: &Machine) -> Option<Lane> {
         let now = self.now.ms;
         let t = self.types.iter().find(|t| t.name == m.model)?;
-        let up = m.usable(now, 3 * self.set.report_ms());
+        let up = m.usable(now, 3 * self.settings.report_ms());
         let booting = m.is_booting() && m.moving.is_none();
         if !up && !booting {
             return None;
@@ -91,7 +91,7 @@
                 since: m.known_since,
             })
             .collect();
-        let grace_ms = 2 * self.set.report_ms();
+        let grace_ms = 2 * self.settings.report_ms();
         self.cloud
             .boot_times
             .discounted(&booting, &self.types, self.now.ms, grace_ms)
@@ -128,8 +128,8 @@
                 spare_room.extend(self.spare_room(id, m));
                 let spare = m
                     .idle_since
-                    .is_some_and(|t| now.saturating_sub(t) > self.set.report_ms());
-                if spare && m.usable(now, 2 * self.set.report_ms()) {
+                    .is_some_and(|t| now.saturating_sub(t) > self.settings.report_ms());
+                if spare && m.usable(now, 2 * self.settings.report_ms()) {
                     idle.push(Idle {
                         machine: id.clone(),
                         model: m.model.clone(),
@@ -145,7 +145,7 @@
                 .filter(|w| w.partition == *p)
                 .cloned()
                 .collect();
-            let wants = wants(&wishes, &self.set.platform.facts.zones);
+            let wants = wants(&wishes, &self.settings.platform.facts.zones);
             demand += wishes
                 .iter()
                 .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
--- a/crates/tidelatch-core/src/capacity/hand_over.rs
+++ b/crates/tidelatch-core/src/capacity/hand_over.rs
@@ -110,7 +110,7 @@
     /// What was lent has arrived once the watch says so; until then it counts for whom it goes to.
     fn settle_lent(&mut self) {
         let now = self.now.ms;
-        let patience = 4 * self.set.report_ms();
+        let patience = 4 * self.settings.report_ms();
         let ledger = self.member.ledger;
         let mut lent = std::mem::take(&mut self.cloud.lent);
         lent.retain(|l| {
@@ -126,7 +126,7 @@
 
     /// The digests that came lately, from owners that know what has become of earlier rounds.
     fn fresh_digests(&self) -> Vec<Digest> {
-        let recent = 2 * self.set.report_ms();
+        let recent = 2 * self.settings.report_ms();
         let fresh = |(d, at): &&(Digest, u64)| {
             self.now.ms.saturating_sub(*at) < recent
                 && d.ledger >= self.cloud.fresh_from.get(&d.partition).copied().unwrap_or(0)
@@ -248,7 +248,7 @@
     pub(super) fn carry_out(&mut self, moves: Vec<Move>) {
         for mv in moves {
             let now = self.now.ms;
-            let patience = 2 * self.set.report_ms();
+            let patience = 2 * self.settings.report_ms();
             let Some(m) = self.machines.get(&mv.machine) else {
                 continue;
             };
@@ -298,7 +298,7 @@
             return;
         }
         let now = self.now.ms;
-        let patience = 2 * self.set.report_ms();
+        let patience = 2 * self.settings.report_ms();
         let mut ready = Vec::new();
         for (id, m) in &mut self.machines {
             let Some((to, since)) = m.vacating else { continue };
--- a/crates/tidelatch-core/src/capacity/heartbeats.rs
+++ b/crates/tidelatch-core/src/capacity/heartbeats.rs
@@ -13,10 +13,16 @@
     /// Greets the peers whose turn it is; with `at_once` all that lack a cancellation.
     pub(crate) fn greet(&mut self, at_once: bool) {
         let now = self.now.ms;
-        let every = 2 * self.set.report_ms() / 5;
+        let every = 2 * self.settings.report_ms() / 5;
         let leader = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
         let wants_grant = self.wants_grants();
-        let names: Vec<String> = self.set.platform.siblings.iter().map(|s| s.host_name.clone()).collect();
+        let names: Vec<String> = self
+            .settings
+            .platform
+            .siblings
+            .iter()
+            .map(|s| s.host_name.clone())
+            .collect();
         for name in names {
             let to = ControllerId::new(name);
             let urgent = at_once && self.lacks_cancellations(&to);
@@ -45,7 +51,7 @@
                 digests,
                 told,
             };
-            let timeout = self.set.report_ms() / 2;
+            let timeout = self.settings.report_ms() / 2;
             let purpose = Purpose::Hello {
                 to: to.clone(),
                 sent: now,
@@ -111,7 +117,7 @@
         if !leads || self.is_leader() {
             return;
         }
-        let until = self.now.ms + self.set.report_ms();
+        let until = self.now.ms + self.settings.report_ms();
         self.cloud.refused = refused
             .into_iter()
             .map(|n| ((n.model, n.zone, n.spot), until))
--- a/crates/tidelatch-core/src/capacity/renting.rs
+++ b/crates/tidelatch-core/src/capacity/renting.rs
@@ -34,7 +34,7 @@
             }
             for (n, chunk) in parts.chunks(RENTAL).enumerate() {
                 let scarce = self.cloud.scarce.get(&kind);
-                let scarce = scarce.is_some_and(|t| now.saturating_sub(*t) < 8 * self.set.worker_lease_ms());
+                let scarce = scarce.is_some_and(|t| now.saturating_sub(*t) < 8 * self.settings.worker_lease_ms());
                 if n > 0 && (scarce || !self.cloud_budget(0.0)) {
                     break;
                 }
@@ -63,7 +63,7 @@
         self.cloud.renting = self.cloud.renting.saturating_sub(1);
         let now = self.now.ms;
         let kind = (rental.model.clone(), rental.zone.clone(), rental.spot);
-        let pause = self.set.worker_lease_ms();
+        let pause = self.settings.worker_lease_ms();
         match result {
             Some((200, body)) => {
                 let names = serde_json::from_slice::<MachineNames>(&body).map_or(Vec::new(), |n| n.machines);
@@ -113,7 +113,7 @@
     /// Machines that report but are in nobody's roster: rentals that were carried out late.
     pub(super) fn adopt_strangers(&mut self) {
         let now = self.now.ms;
-        let patience = 2 * self.set.report_ms();
+        let patience = 2 * self.settings.report_ms();
         let known: Vec<MachineId> = self
             .cloud
             .strangers
@@ -159,7 +159,7 @@
     pub(super) fn retire(&mut self) {
         let now = self.now.ms;
         let acting = self.acting_partitions();
-        let idle_per_boot = self.set.operator.idle_per_boot;
+        let idle_per_boot = self.settings.operator.idle_per_boot;
         let mut log = Vec::new();
         for (id, m) in &mut self.machines {
             if !acting.contains(&m.partition) || m.retiring || m.gone || m.moving.is_some() || !m.up() {
@@ -240,7 +240,7 @@
                 self.cloud.deleted.insert(id.clone(), self.now.ms);
                 self.release_all(&id, "the cloud has deleted it");
                 // Several that go at about the same time cost one change.
-                let soon = self.now.ms + self.set.report_ms() / 2;
+                let soon = self.now.ms + self.settings.report_ms() / 2;
                 self.rack_due(&id, soon);
             }
         }
@@ -249,7 +249,7 @@
     /// Looks for machines that are paid for but in no roster.
     pub(super) fn list_hosts(&mut self) {
         let now = self.now.ms;
-        let every = (self.set.platform.facts.cloud.list_lag_s * 2000.0) as u64 + self.set.report_ms();
+        let every = (self.settings.platform.facts.cloud.list_lag_s * 2000.0) as u64 + self.settings.report_ms();
         // The pages of one list follow each other; a page is 500 machines at most.
         let between = self.cloud.hosts_since.is_empty();
         if (between && now < self.cloud.hosts_at + every) || !self.cloud_budget(0.3) {
@@ -274,7 +274,7 @@
         if !self.is_leader() || self.cloud.renting > 0 || !self.cloud.unlisted.is_empty() || self.cloud.deleting {
             return;
         }
-        let old = 4.0 * self.set.platform.facts.cloud.list_lag_s;
+        let old = 4.0 * self.settings.platform.facts.cloud.list_lag_s;
         let strays: Vec<MachineId> = list
             .machines
             .into_iter()
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -20,7 +20,7 @@
 
 /// One controller: its view of the cluster, the jobs and the machines.
 pub struct Controller {
-    pub(crate) set: Settings,
+    pub(crate) settings: Settings,
     pub(crate) me: ControllerId,
     pub(crate) now: Now,
     pub(crate) out: Vec<Output>,
@@ -73,13 +73,13 @@
 
 impl Controller {
     /// A controller that has just started. `incarnation` must differ from that of every earlier life.
-    pub fn new(set: Settings, incarnation: Incarnation, now: Now) -> Self {
-        let nodes = f64::from(set.partitions());
-        let state = &set.platform.facts.state;
+    pub fn new(settings: Settings, incarnation: Incarnation, now: Now) -> Self {
+        let nodes = f64::from(settings.partitions());
+        let state = &settings.platform.facts.state;
         let state_reads = Bucket::new(state.rps / nodes, state.rps / nodes);
         let state_writes = Bucket::new(state.write_rps / nodes, state.write_rps / nodes);
-        let cloud = Cloud::new(&set);
-        let me = ControllerId::new(set.platform.host_name.clone());
+        let cloud = Cloud::new(&settings);
+        let me = ControllerId::new(settings.platform.host_name.clone());
         Self {
             me,
             now,
@@ -89,7 +89,7 @@
             stale_below: 0,
             stale: false,
             pending: BTreeMap::new(),
-            member: Membership::new(incarnation, now.ms + set.lease_ms()),
+            member: Membership::new(incarnation, now.ms + settings.lease_ms()),
             tenures: BTreeMap::new(),
             types: Vec::new(),
             jobs: BTreeMap::new(),
@@ -102,10 +102,10 @@
             state_reads,
             state_writes,
             limits: Limits {
-                value: set.value_bytes(),
-                ops: set.txn_ops(),
+                value: settings.value_bytes(),
+                ops: settings.txn_ops(),
             },
-            admission: Admission::new(&set),
+            admission: Admission::new(&settings),
             batch_due: None,
             learned: Learned::default(),
             resting: BTreeMap::new(),
@@ -121,7 +121,7 @@
             guests: BTreeMap::new(),
             cancellations: Cancellations::default(),
             evaluated: 0,
-            set,
+            settings,
         }
     }
 
@@ -130,7 +130,7 @@
         let paused_ms = now.ms.saturating_sub(self.stepped);
         self.stepped = now.ms;
         self.now = now;
-        if paused_ms > self.set.report_ms() / 4 {
+        if paused_ms > self.settings.report_ms() / 4 {
             self.stale_below = self.next_call;
             self.note_pause(paused_ms);
         }
@@ -171,7 +171,7 @@
         // Looking through all machines with each tick would cost a controller of a thousand a good part of
         // its processor, and nothing there is due by less than this.
         if self.now.ms >= self.machines_due {
-            self.machines_due = self.now.ms + self.set.report_ms() / 16;
+            self.machines_due = self.now.ms + self.settings.report_ms() / 16;
             self.tick_machines();
             self.finish_vacating();
             self.tick_shared_machines();
@@ -307,7 +307,7 @@
             _ => return,
         };
         if *status == 429 {
-            let rate = self.set.write_rps() / f64::from(self.set.partitions());
+            let rate = self.settings.write_rps() / f64::from(self.settings.partitions());
             self.state_writes.set_rate(rate, rate);
             self.state_writes.empty(self.now.ms);
             self.log(
--- a/crates/tidelatch-core/src/failures.rs
+++ b/crates/tidelatch-core/src/failures.rs
@@ -97,7 +97,7 @@
     /// A task has failed on a machine.
     pub(crate) fn note_failure(&mut self, id: &MachineId, task: &TaskId) {
         let now = self.now.ms;
-        let report_ms = self.set.report_ms();
+        let report_ms = self.settings.report_ms();
         let succeeds = self.succeeds_elsewhere(&task.job, id);
         let sound = self.is_sound_for(id, &task.job);
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -187,7 +187,7 @@
 
     /// Whether a replica that has run since some time counts as a success.
     fn is_lasting(&self, running_since: u64) -> bool {
-        self.now.ms.saturating_sub(running_since) >= SUCCESS_REPORTS * self.set.report_ms()
+        self.now.ms.saturating_sub(running_since) >= SUCCESS_REPORTS * self.settings.report_ms()
     }
 
     /// A replica is reported as running: in time that speaks for its job.
--- a/crates/tidelatch-core/src/gangs.rs
+++ b/crates/tidelatch-core/src/gangs.rs
@@ -100,7 +100,7 @@
     /// that says nothing is of the version before. One that joins later raises the epoch, of which every
     /// acceptance is a condition.
     pub(crate) fn all_know_gangs(&self) -> bool {
-        self.set.features.gangs && self.member.members.values().all(|m| m.knows >= 1)
+        self.settings.features.gangs && self.member.members.values().all(|m| m.knows >= 1)
     }
 
     fn muster(&self, id: &JobId, job: &Job) -> Muster {
@@ -133,11 +133,11 @@
         }
         let now = self.now.ms;
         let acting = self.acting_partitions();
-        let lease = self.set.worker_lease_ms();
-        let wait = self.set.gang_ms().map_or(lease, |(wait, _)| wait);
+        let lease = self.settings.worker_lease_ms();
+        let wait = self.settings.gang_ms().map_or(lease, |(wait, _)| wait);
         // A replacement that is not found in two batches may not be found for long, and meanwhile the others
         // hold room that another gang may be waiting for.
-        let patience = 2 * self.set.batch_retry_ms();
+        let patience = 2 * self.settings.batch_retry_ms();
         let mut courses: Vec<(JobId, Muster, Course)> = Vec::new();
         for (id, job) in &self.jobs {
             let looked_at = job.spec.shape == Shape::Gang && !job.placed.is_empty() && job.ending.is_none();
@@ -234,7 +234,7 @@
             let m = self.machines.get(machine);
             m.is_some_and(|m| {
                 m.heard
-                    .is_some_and(|t| now.saturating_sub(t) <= 2 * self.set.report_ms())
+                    .is_some_and(|t| now.saturating_sub(t) <= 2 * self.settings.report_ms())
             })
         });
         if !whole || !reachable || muster.stopping || muster.lost || gang.over {
@@ -248,7 +248,7 @@
         } else {
             ran_s
         };
-        let again_s = self.set.report_ms() as f64 / 1000.0;
+        let again_s = self.settings.report_ms() as f64 / 1000.0;
         Some((lost_s + again_s) * f64::from(job.spec.tasks))
     }
 
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -161,7 +161,7 @@
     /// The version before gangs cannot read what it stores of one.
     fn readable(&self, record: &JobRecord) -> bool {
         let gang = record.spec.as_ref().is_some_and(|s| s.shape == Shape::Gang);
-        self.set.features.gangs || !gang
+        self.settings.features.gangs || !gang
     }
 
     pub(crate) fn learn_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
@@ -181,7 +181,7 @@
             return;
         }
         let Some(spec) = record.spec else { return };
-        let Some(partition) = self.set.partition_of_team(&spec.team) else {
+        let Some(partition) = self.settings.partition_of_team(&spec.team) else {
             return;
         };
         let gang = spec.shape == Shape::Gang;
@@ -203,7 +203,7 @@
     /// one of those is answered by a read.
     fn remember_over(&mut self, id: &JobId, over: Over) {
         // A fifth of the memory, at about 300 bytes for each.
-        let most = (self.set.platform.facts.machine_limits.ram_mb * 1e6 / 5.0 / 300.0) as usize;
+        let most = (self.settings.platform.facts.machine_limits.ram_mb * 1e6 / 5.0 / 300.0) as usize;
         self.over.insert(id.clone(), over);
         self.over_order.push_back(id.clone());
         while self.over_order.len() > most.max(1000) {
@@ -259,7 +259,7 @@
             n: job.spec.tasks,
             team: job.spec.team.clone(),
             size: Self::size(&job.spec),
-            ended: self.set.features.cancellations.then_some(self.now.wall_ms),
+            ended: self.settings.features.cancellations.then_some(self.now.wall_ms),
             spec: None,
         };
         let key = format!("{JOB_PREFIX}{id}");
@@ -404,7 +404,7 @@
         if !self.entitled() || self.now.ms < self.flush_due {
             return;
         }
-        self.flush_due = self.now.ms + self.set.report_ms() / 3;
+        self.flush_due = self.now.ms + self.settings.report_ms() / 3;
         let acting = self.acting_partitions();
         let again: Vec<(JobId, Ending)> = self
             .jobs
--- a/crates/tidelatch-core/src/jobs/bitmap.rs
+++ b/crates/tidelatch-core/src/jobs/bitmap.rs
@@ -148,12 +148,12 @@
 impl Controller {
     /// Bits in one stored chunk: four to a character, in three quarters of the largest value.
     pub(crate) fn chunk_bits(&self) -> u32 {
-        (self.set.platform.facts.state.value_kb * 1024.0 * 0.75) as u32 * 4
+        (self.settings.platform.facts.state.value_kb * 1024.0 * 0.75) as u32 * 4
     }
 
     /// Bits in one piece of a chunk: the same of the tighter limit.
     pub(crate) fn piece_bits(&self) -> u32 {
-        let bits = (self.set.value_bytes() as f64 * 0.75) as u32 * 4;
+        let bits = (self.settings.value_bytes() as f64 * 0.75) as u32 * 4;
         bits.clamp(4, self.chunk_bits().max(4))
     }
 
--- a/crates/tidelatch-core/src/jobs/requests.rs
+++ b/crates/tidelatch-core/src/jobs/requests.rs
@@ -17,7 +17,7 @@
     pub(super) fn read_job(&mut self, id: &JobId, purpose: Purpose) {
         self.state_reads.force(self.now.ms, 1.0);
         // Users wait 2 s for a poll.
-        let timeout = (self.set.lease_ms() / 4).min(1500);
+        let timeout = (self.settings.lease_ms() / 4).min(1500);
         self.call(
             Target::State,
             Method::Get,
@@ -99,7 +99,7 @@
                         job: id.as_str().to_owned(),
                         withdraw: true,
                     };
-                    let timeout = 4 * self.set.report_ms() / 5;
+                    let timeout = 4 * self.settings.report_ms() / 5;
                     self.ask(owner, request, timeout, Call::ForwardWithdraw { asker });
                 }
                 None => self.answer(asker, Answer::later(503, 1, "the job's controller cannot be reached")),
--- a/crates/tidelatch-core/src/jobs/status_reads.rs
+++ b/crates/tidelatch-core/src/jobs/status_reads.rs
@@ -62,7 +62,7 @@
 
     /// Requests a second that this controller may send to the state service.
     fn state_rate(&self) -> f64 {
-        self.set.platform.facts.state.rps / f64::from(self.set.partitions())
+        self.settings.platform.facts.state.rps / f64::from(self.settings.partitions())
     }
 
     /// A read has come back, or was given up.
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -284,7 +284,7 @@
         if now < until && self.member.ledger < revision {
             return false;
         }
-        let siblings = &self.set.platform.siblings;
+        let siblings = &self.settings.platform.siblings;
         let clear = |name: &str| self.member.cleared.contains(&ControllerId::new(name));
         let fresh = now < self.member.fresh_until && !siblings.iter().all(|s| clear(&s.host_name));
         now >= self.member.promised_until && !fresh
@@ -317,18 +317,18 @@
     pub(crate) fn txn(&mut self, conditions: Vec<Value>, changes: Vec<Value>, purpose: Purpose) {
         self.state_reads.force(self.now.ms, 1.0);
         self.state_writes.force(self.now.ms, changes.len() as f64);
-        let timeout = self.set.lease_ms() / 4;
+        let timeout = self.settings.lease_ms() / 4;
         let body = json!({ "if": conditions, "then": changes }).to_string();
         self.call(Target::State, Method::Post, "/txn", body, timeout, purpose);
     }
 
     pub(crate) fn tick_membership(&mut self) {
         let now = self.now.ms;
-        let quarter = self.set.lease_ms() / 4;
+        let quarter = self.settings.lease_ms() / 4;
         match self.member.permit {
             None if !self.member.leasing && now >= self.member.retry_at => {
                 self.member.leasing = true;
-                let body = json!({ "ttlMs": self.set.lease_ms() }).to_string();
+                let body = json!({ "ttlMs": self.settings.lease_ms() }).to_string();
                 self.state_reads.force(now, 1.0);
                 self.call(
                     Target::State,
@@ -375,7 +375,7 @@
         let record = MemberRecord {
             inc: self.member.inc,
             ack: self.epoch().map_or(0, |e| e.0),
-            knows: self.set.features.level(),
+            knows: self.settings.features.level(),
         };
         if self.member.written.as_ref() == Some(&record) {
             return;
@@ -402,7 +402,7 @@
             _ => {
                 // The watch tells what stands there now.
                 self.member.written = None;
-                self.member.write_from = self.now.ms + self.set.report_ms() / 16;
+                self.member.write_from = self.now.ms + self.settings.report_ms() / 16;
             }
         }
     }
@@ -449,23 +449,23 @@
             .as_ref()
             .and_then(|(_, body)| serde_json::from_slice::<TxnAnswer>(body).ok());
         let revision = answer.map_or(u64::MAX, |a| a.ledger);
-        self.member.settle = (self.now.ms + self.set.lease_ms() / 4, revision);
+        self.member.settle = (self.now.ms + self.settings.lease_ms() / 4, revision);
     }
 
     fn lead_epoch(&mut self) {
         if !self.is_leader() || self.member.epoch_writing || !self.member.watching || !self.may_change_membership() {
             return;
         }
-        let names = self.set.names();
+        let names = self.settings.names();
         // At the very first start the others get a moment to come up.
         let first = self.member.epoch.is_none();
-        let waited = self.now.ms.saturating_sub(self.member.leader_since) >= self.set.lease_ms() / 4;
+        let waited = self.now.ms.saturating_sub(self.member.leader_since) >= self.settings.lease_ms() / 4;
         if first && !waited && self.member.members.len() < names.len() {
             return;
         }
         let old = self.member.epoch.as_ref().map(|(e, _)| e);
         let members = self.members_for_partitions();
-        let Some(next) = next_epoch(&names, &members, old, self.set.partitions()) else {
+        let Some(next) = next_epoch(&names, &members, old, self.settings.partitions()) else {
             return;
         };
         self.member.epoch_writing = true;
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -22,7 +22,7 @@
     /// One of them at least has to come from a life that has read the store: those that have ended since then
     /// may have told users of cancellations that nobody else knows.
     pub(super) fn granted_until(&self) -> u64 {
-        let siblings = &self.set.platform.siblings;
+        let siblings = &self.settings.platform.siblings;
         let grant = |name: &str| self.member.grants.get(&ControllerId::new(name)).copied();
         let grants: Option<Vec<Grant>> = siblings.iter().map(|s| grant(&s.host_name)).collect();
         let grants = grants.unwrap_or_default();
@@ -42,7 +42,7 @@
         if !self.member.unserved {
             return false;
         }
-        let until = self.now.ms + self.set.lease_ms();
+        let until = self.now.ms + self.settings.lease_ms();
         self.member.promised_until = self.member.promised_until.max(until);
         true
     }
@@ -53,8 +53,8 @@
     /// there is no moment between its lease and the promises in which others could have moved on.
     pub(crate) fn note_grant(&mut self, from: &ControllerId, sent: u64, unread: bool) {
         if self.entitled() {
-            let until = sent + self.set.entitlement_ms();
-            if self.now.ms >= self.member.entitled_until.saturating_sub(self.set.lease_ms() / 4) {
+            let until = sent + self.settings.entitlement_ms();
+            if self.now.ms >= self.member.entitled_until.saturating_sub(self.settings.lease_ms() / 4) {
                 self.log(
                     Level::Debug,
                     format!("{from} promises to leave the membership as it is"),
@@ -84,11 +84,11 @@
         if self.entitled() {
             return self.member.ledger > 0;
         }
-        let recently = 2 * self.set.report_ms();
+        let recently = 2 * self.settings.report_ms();
         let heard = |p: &&Peer| p.heard.is_some_and(|t| self.now.ms.saturating_sub(t) < recently);
         let mut peers = self.member.peers.values().filter(heard).peekable();
         // Whoever hears neither the state service nor any peer is cut off from them: the cut is here.
-        let alone = peers.peek().is_none() && !self.set.platform.siblings.is_empty();
+        let alone = peers.peek().is_none() && !self.settings.platform.siblings.is_empty();
         self.member.was_entitled && self.member.permit.is_some() && !alone && !peers.any(|p| p.entitled)
     }
 
@@ -104,7 +104,7 @@
                 self.member.unserved = false;
                 self.member.permit = Some(g.permit);
                 self.member.extended_at = sent;
-                self.member.entitled_until = sent + self.set.entitlement_ms();
+                self.member.entitled_until = sent + self.settings.entitlement_ms();
                 self.member.lease_since = sent;
                 self.clear_lease_trouble();
                 self.note_served(sent);
@@ -130,7 +130,7 @@
         let failure = LeaseFailure::of(result.as_ref());
         match result {
             Some((200, _)) => {
-                let until = sent + self.set.entitlement_ms();
+                let until = sent + self.settings.entitlement_ms();
                 self.member.unserved = false;
                 // An answer that lay in this process's buffers may be about a lease that is over by now.
                 if !self.entitled() && self.now.ms < until {
@@ -156,8 +156,8 @@
                 self.member.extend_failed = true;
                 self.member.unserved = true;
                 // Try again soon: an extension that failed is worth more than a quiet line.
-                let soon = self.set.report_ms() / 4;
-                self.member.extended_at = (self.now.ms + soon).saturating_sub(self.set.lease_ms() / 4);
+                let soon = self.settings.report_ms() / 4;
+                self.member.extended_at = (self.now.ms + soon).saturating_sub(self.settings.lease_ms() / 4);
                 self.note_lease_failure(failure);
             }
         }
@@ -208,7 +208,7 @@
     }
 
     pub(crate) fn reachable(&self, name: &ControllerId) -> bool {
-        let recently = 2 * self.set.report_ms();
+        let recently = 2 * self.settings.report_ms();
         self.member
             .peers
             .get(name)
--- a/crates/tidelatch-core/src/membership/lease_trouble.rs
+++ b/crates/tidelatch-core/src/membership/lease_trouble.rs
@@ -78,7 +78,7 @@
     /// This process has not run for a while, though its clocks did: the time counts as a cause of what follows.
     pub(crate) fn note_pause(&mut self, ms: u64) {
         self.member.trouble.paused_ms += ms;
-        if ms > self.set.report_ms() {
+        if ms > self.settings.report_ms() {
             self.log(Level::Info, format!("no input for {ms} ms: this process was paused"));
         }
     }
@@ -121,8 +121,8 @@
 
     /// How the other controllers stand, as far as they are heard.
     fn peers_standing(&self) -> String {
-        let recently = 2 * self.set.report_ms();
-        let standing = self.set.platform.siblings.iter().map(|sibling| {
+        let recently = 2 * self.settings.report_ms();
+        let standing = self.settings.platform.siblings.iter().map(|sibling| {
             let name = ControllerId::new(sibling.host_name.clone());
             let peer = self.member.peers.get(&name);
             let heard = peer.filter(|p| p.heard.is_some_and(|t| self.now.ms.saturating_sub(t) < recently));
--- a/crates/tidelatch-core/src/membership/shared.rs
+++ b/crates/tidelatch-core/src/membership/shared.rs
@@ -19,7 +19,7 @@
         if !cursor.is_empty() {
             path.push_str(&format!("&since={cursor}"));
         }
-        let timeout = self.set.lease_ms() / 4;
+        let timeout = self.settings.lease_ms() / 4;
         self.call(
             Target::State,
             Method::Get,
@@ -35,7 +35,7 @@
         self.member.watch_number += 1;
         let number = self.member.watch_number;
         self.state_reads.force(self.now.ms, 1.0);
-        let wait = self.set.lease_ms();
+        let wait = self.settings.lease_ms();
         self.call(
             Target::State,
             Method::Get,
@@ -48,7 +48,7 @@
 
     /// How long to leave the state service alone after it failed to answer.
     pub(super) fn back_off(&mut self) {
-        self.member.retry_at = self.now.ms + self.set.report_ms() / 8;
+        self.member.retry_at = self.now.ms + self.settings.report_ms() / 8;
     }
 
     pub(crate) fn on_list(&mut self, cursor: String, first_ledger: u64, result: Option<(u16, Vec<u8>)>) {
--- a/crates/tidelatch-core/src/membership/tenure.rs
+++ b/crates/tidelatch-core/src/membership/tenure.rs
@@ -142,7 +142,7 @@
             path.push_str(&format!("&since={cursor}"));
         }
         self.state_reads.force(self.now.ms, 1.0);
-        let timeout = self.set.lease_ms() / 4;
+        let timeout = self.settings.lease_ms() / 4;
         self.call(
             Target::State,
             Method::Get,
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -296,7 +296,7 @@
     /// At the start of a tenure nothing of the partition's machines and jobs is known any more.
     pub(crate) fn reset_partition(&mut self, partition: Partition) {
         let now = self.now.ms;
-        let (settings, tenures) = (&self.set, &self.tenures);
+        let (settings, tenures) = (&self.settings, &self.tenures);
         // Tasks that another partition of this controller's has on one of these machines stay known.
         let of_another = |held: &Held| {
             let owner = settings.partition_of_team(&held.team);
@@ -479,8 +479,8 @@
     /// silent for a while already, and a redirection into the same cut would double that.
     fn foreign_beat(&mut self, asker: Asker, report: Report, owner: &ControllerId, body: &[u8]) {
         let now = self.now.ms;
-        let lease = self.set.worker_lease_ms();
-        let settle = 2 * self.set.report_ms();
+        let lease = self.settings.worker_lease_ms();
+        let settle = 2 * self.settings.report_ms();
         let reachable = self.reachable(owner);
         let up = self.machines.get(&report.machine).is_some_and(Machine::up);
         // The owner may be out of reach from here only: a third controller may do better.
@@ -505,7 +505,7 @@
             return;
         }
         let request = PeerRequest::Relay { report: body.to_vec() };
-        let timeout = self.set.report_ms() / 3;
+        let timeout = self.settings.report_ms() / 3;
         self.ask(
             owner.clone(),
             request,
@@ -627,7 +627,7 @@
             return false;
         }
         let newer_session = report.session > m.last.0 && m.last.0 > 0;
-        let lease = self.set.worker_lease_ms();
+        let lease = self.settings.worker_lease_ms();
         if newer_session && m.answered.is_some_and(|t| now.saturating_sub(t) < lease / 2) {
             // Its lease has ended though it was being answered: the answers did not arrive.
             m.missed += 2;
@@ -686,7 +686,7 @@
                 // It never saw the answer. Once is a lost packet; if it goes on, other machines get
                 // the work, for it would be lost here again and again.
                 m.missed += 1;
-                m.avoid_until = now + (self.set.report_ms() << m.missed.min(5));
+                m.avoid_until = now + (self.settings.report_ms() << m.missed.min(5));
             }
             let lost: Vec<(TaskId, Attempt)> = m
                 .held
@@ -839,7 +839,7 @@
             "error" => self.note_failure(id, task),
             "no_room" => {
                 if let Some(m) = self.machines.get_mut(id) {
-                    m.avoid_until = now + self.set.report_ms();
+                    m.avoid_until = now + self.settings.report_ms();
                 }
             }
             _ => {}
--- a/crates/tidelatch-core/src/picture/commands.rs
+++ b/crates/tidelatch-core/src/picture/commands.rs
@@ -12,14 +12,14 @@
     /// Orders for a machine: with the answer to one of its beats, or in a direct command.
     pub(crate) fn orders_for(&mut self, id: &MachineId, beat: Option<(u64, u64)>) -> Vec<Command> {
         let now = self.now.ms;
-        let report = self.set.report_ms();
+        let report = self.settings.report_ms();
         let mut commands = Vec::new();
         let epoch = self.epoch();
         let sharing = self.members_share_machines();
         // A direct command may come once more, after its answer, and so may those of whoever had the
         // machine before: while the worker lists the attempt it has no effect, once forgotten it would
         // start the task again. A newer token, or time, makes an end of that.
-        let late = 3 * self.set.worker_lease_ms();
+        let late = 3 * self.settings.worker_lease_ms();
         let Some(m) = self.machines.get_mut(id) else {
             return commands;
         };
@@ -123,7 +123,7 @@
             return;
         };
         let now = self.now.ms;
-        let patience = 2 * self.set.report_ms();
+        let patience = 2 * self.settings.report_ms();
         for id in std::mem::take(&mut self.poked) {
             let Some(m) = self.machines.get(&id) else { continue };
             let fit = m.confirmed
@@ -153,7 +153,7 @@
             if let Some(m) = self.machines.get_mut(&id) {
                 m.commanding = Some(number);
             }
-            let timeout = self.set.report_ms() / 2;
+            let timeout = self.settings.report_ms() / 2;
             self.call(
                 Target::Worker(addr),
                 Method::Post,
@@ -184,7 +184,7 @@
         }
         let (epoch, session) = under;
         let now = self.now.ms;
-        let lease = self.set.worker_lease_ms();
+        let lease = self.settings.worker_lease_ms();
         let partition = self.machines.get(&id).map(|m| m.partition);
         if partition.is_none_or(|p| self.acting(p).is_none()) {
             // The tenure has ended, or cannot act: whoever acts next finds out what is on the machine.
--- a/crates/tidelatch-core/src/picture/shared_machines.rs
+++ b/crates/tidelatch-core/src/picture/shared_machines.rs
@@ -41,14 +41,14 @@
     /// Whether every controller that is a member knows machines that hold tasks of several partitions.
     pub(crate) fn members_share_machines(&self) -> bool {
         let mut members = self.member.members.values();
-        self.set.features.shared_machines && members.all(|m| m.knows >= SHARED_MACHINES_LEVEL)
+        self.settings.features.shared_machines && members.all(|m| m.knows >= SHARED_MACHINES_LEVEL)
     }
 
     /// Whether machines may change hands with their tasks: every controller of the deployment is there and knows
     /// such machines. One that is away might come back as a version that does not.
     pub(crate) fn may_share_machines(&self) -> bool {
         let members = &self.member.members;
-        let names = self.set.names();
+        let names = self.settings.names();
         let present = |name: &String| members.keys().any(|member| member.as_str() == name);
         self.members_share_machines() && names.iter().all(present)
     }
@@ -60,7 +60,10 @@
 
     /// The partitions whose tasks are on a machine, those included whose results its worker still keeps.
     pub(crate) fn partitions_on(&self, machine: &Machine) -> BTreeSet<Partition> {
-        let held = machine.held.iter().filter_map(|h| self.set.partition_of_team(&h.team));
+        let held = machine
+            .held
+            .iter()
+            .filter_map(|h| self.settings.partition_of_team(&h.team));
         let ended = machine.ended.iter().filter_map(|(task, _, _)| self.jobs.get(&task.job));
         held.chain(ended.map(|job| job.partition)).collect()
     }
@@ -95,7 +98,7 @@
             held: Vec::new(),
             unaccounted: std::mem::take(&mut m.unaccounted),
         };
-        let (settings, tenures) = (&self.set, &self.tenures);
+        let (settings, tenures) = (&self.settings, &self.tenures);
         let own = |held: &Held| {
             let partition = settings.partition_of_team(&held.team);
             partition.is_some_and(|p| tenures.contains_key(&p))
@@ -111,7 +114,7 @@
         let tenured = self.tenures.contains_key(&partition);
         let mut placed: Vec<(TaskId, MachineId)> = Vec::new();
         for (id, m) in self.machines.iter_mut().filter(|(_, m)| m.partition != partition) {
-            let (settings, tenures) = (&self.set, &self.tenures);
+            let (settings, tenures) = (&self.settings, &self.tenures);
             let of_partition = |h: &Held| settings.partition_of_team(&h.team) == Some(partition);
             if tenures.contains_key(&m.partition) {
                 // The machine is this controller's, and so are the reports of what is on it.
@@ -144,7 +147,7 @@
         machine.pins.is_empty()
             && machine.commanding.is_none()
             && machine.unaccounted.is_empty()
-            && machine.usable(self.now.ms, 2 * self.set.report_ms())
+            && machine.usable(self.now.ms, 2 * self.settings.report_ms())
             && machine.held.iter().all(settled)
     }
 
@@ -160,7 +163,7 @@
 
     fn poll_shared_machines(&mut self) {
         let now = self.now.ms;
-        let every = self.set.report_ms() / 2;
+        let every = self.settings.report_ms() / 2;
         let acting = self.acting_partitions();
         let foreign = |m: &Machine| !acting.contains(&m.partition) && m.up() && !m.gone;
         let due = |m: &Machine| !m.probing && now >= m.probe_at && !(m.held.is_empty() && m.unaccounted.is_empty());
@@ -236,7 +239,7 @@
             return Some(job.partition);
         }
         let over = self.over.get(&task.job)?;
-        self.set.partition_of_team(&over.team)
+        self.settings.partition_of_team(&over.team)
     }
 
     /// Releases an attempt that has exited, and returns what was known of it if it was still held.
@@ -255,7 +258,7 @@
         let gone: Vec<(TaskId, Attempt)> = m
             .held
             .iter()
-            .filter(|h| self.set.partition_of_team(&h.team) == Some(partition))
+            .filter(|h| self.settings.partition_of_team(&h.team) == Some(partition))
             .map(|h| (h.task.clone(), h.attempt))
             .filter(|attempt| !listed.contains(attempt))
             .collect();
@@ -268,7 +271,7 @@
     /// empty and return them; where none are left, the roster is told so.
     fn return_shared_machines(&mut self) {
         let now = self.now.ms;
-        let patience = self.set.worker_lease_ms();
+        let patience = self.settings.worker_lease_ms();
         let acting = self.acting_partitions();
         let mut returned: Vec<(MachineId, Partition)> = Vec::new();
         let mut cleared: Vec<MachineId> = Vec::new();
@@ -291,7 +294,7 @@
             }
         }
         for id in cleared {
-            self.rack_due(&id, now + self.set.report_ms());
+            self.rack_due(&id, now + self.settings.report_ms());
         }
         for (id, to) in returned {
             self.log(
@@ -306,7 +309,7 @@
     /// Notes since when machines hold nothing but tasks of other partitions.
     fn note_only_others(&mut self) {
         let now = self.now.ms;
-        let settings = &self.set;
+        let settings = &self.settings;
         for m in self.machines.values_mut().filter(|m| !m.also_holds.is_empty()) {
             let partition = m.partition;
             let other = |h: &Held| settings.partition_of_team(&h.team).is_some_and(|p| p != partition);
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/picture/silence.rs
@@ -22,7 +22,7 @@
             return;
         };
         let now = self.now.ms;
-        let every = self.set.report_ms() / 2;
+        let every = self.settings.report_ms() / 2;
         let due: Vec<(MachineId, String, u64)> = self
             .machines
             .iter_mut()
@@ -125,14 +125,14 @@
             self.probe_silent(p, active_at);
             self.give_up_silent(p, active_at);
         }
-        let lease = self.set.worker_lease_ms();
+        let lease = self.settings.worker_lease_ms();
         self.guests.retain(|_, g| now.saturating_sub(g.seen) < lease);
     }
 
     /// Asks machines whose report is overdue.
     pub(super) fn probe_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
-        let report = self.set.report_ms();
+        let report = self.settings.report_ms();
         let due: Vec<(MachineId, String)> = self
             .machines
             .iter_mut()
@@ -187,7 +187,7 @@
     /// zone that is heard, or, where a partition has none, by the controller that stands there, as long as
     /// workers are heard at all. Two such questions rule out a cut that begins or ends just then.
     fn note_no_answer(&mut self, id: &MachineId, sent: u64, untried: bool) {
-        let from = sent.saturating_sub(self.set.report_ms() / 2);
+        let from = sent.saturating_sub(self.settings.report_ms() / 2);
         let zone_heard = self.machines.get(id).is_some_and(|m| {
             let others = self
                 .machines
@@ -213,10 +213,10 @@
     ///
     /// Just after a take-over few workers report here: the others are heard by their first answers only.
     fn zone_reached(&self, machine: &Machine, sent: u64) -> bool {
-        let (zone, report) = (&machine.zone, self.set.report_ms());
+        let (zone, report) = (&machine.zone, self.settings.report_ms());
         let holds_up = !machine.confirmed && machine.may_hold;
         let from = sent.saturating_sub(if holds_up { 2 * report } else { report / 2 });
-        let platform = &self.set.platform;
+        let platform = &self.settings.platform;
         let workers = self
             .machines
             .values()
@@ -239,9 +239,9 @@
     /// their workers' leases end in time by themselves unless they hang: they get until three quarters.
     fn give_up_cancelled(&self, partition: Partition, active_at: u64, lost: &mut BTreeMap<MachineId, &str>) {
         let now = self.now.ms;
-        let cancel_ms = self.set.cancel_ms();
+        let cancel_ms = self.settings.cancel_ms();
         let overdue = |since: u64, limit: u64| now.saturating_sub(since) > limit;
-        let asked_for = now.saturating_sub(active_at) > 2 * self.set.report_ms();
+        let asked_for = now.saturating_sub(active_at) > 2 * self.settings.report_ms();
         let oldest = self.oldest_cancellation(partition);
         let here = |m: &Machine| m.partition == partition && m.up() && !m.gone;
         let open = self.unconfirmed(partition);
@@ -261,7 +261,7 @@
 
     pub(super) fn give_up_silent(&mut self, partition: Partition, active_at: u64) {
         let now = self.now.ms;
-        let silent_ms = self.set.silent_ms();
+        let silent_ms = self.settings.silent_ms();
         let quiet = |m: &Machine, limit: u64| {
             let since = m.heard.unwrap_or(m.known_since).max(active_at);
             now.saturating_sub(since) > limit
@@ -274,7 +274,7 @@
         let silent = up.iter().filter(|m| quiet(m, silent_ms / 2)).count();
         // When most fall silent at once, the fault is more likely on this side of the network.
         let limit = if silent > 1 && silent * 2 > up.len() {
-            self.set.worker_lease_ms() + silent_ms
+            self.settings.worker_lease_ms() + silent_ms
         } else {
             silent_ms
         };
@@ -284,15 +284,15 @@
                 self.cloud.boot_times.give_up_after_s(t, m.known_since)
             });
             // Once it is up, its first reports still have to arrive.
-            (give_up_s * 1000.0) as u64 + 2 * self.set.report_ms()
+            (give_up_s * 1000.0) as u64 + 2 * self.settings.report_ms()
         };
-        let report = self.set.report_ms();
+        let report = self.settings.report_ms();
         // Reports may arrive from a worker that no answer reaches. Its token stays old, so it would be
         // unaccounted for without end, or it loses every start; only its deletion makes an end of that.
         // If it is more than a few, the fault is more likely on this side.
         let unheard = up.iter().filter(|m| m.missed >= DEAF).count();
         let few = unheard <= 1 || unheard * 8 <= up.len();
-        let token_ms = self.set.worker_lease_ms() + silent_ms;
+        let token_ms = self.settings.worker_lease_ms() + silent_ms;
         let mut lost: BTreeMap<MachineId, &str> = BTreeMap::new();
         for (id, m) in &self.machines {
             if m.partition != partition || m.gone || m.retiring {
@@ -305,7 +305,7 @@
                 lost.insert(id.clone(), "answers do not reach it");
             } else if m.up() {
                 // After a notice the machine is as good as gone once it stops to report.
-                let noticed = m.notice && quiet(m, 2 * self.set.report_ms());
+                let noticed = m.notice && quiet(m, 2 * self.settings.report_ms());
                 // One that was taken over holds up the older tasks of its whole partition, and it has been
                 // asked from the first moment on.
                 let holds_up = !m.confirmed && m.may_hold;
@@ -317,7 +317,7 @@
                 lost.insert(id.clone(), "never came up");
             }
         }
-        let cancel_ms = self.set.cancel_ms();
+        let cancel_ms = self.settings.cancel_ms();
         for (id, m) in self
             .machines
             .iter()
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -145,12 +145,12 @@
 impl Controller {
     /// Something may be placed that could not be before: a batch closes after the usual wait.
     pub(crate) fn want_batch(&mut self) {
-        let due = self.now.ms + self.set.batch_wait_ms();
+        let due = self.now.ms + self.settings.batch_wait_ms();
         self.batch_due = Some(self.batch_due.map_or(due, |d| d.min(due)));
     }
 
     pub(crate) fn tick_batch(&mut self) {
-        let full = self.set.operator.batch_tasks;
+        let full = self.settings.operator.batch_tasks;
         let due = match self.batch_due {
             Some(due) => self.now.ms >= due || self.fresh_tasks() >= full,
             None => false,
@@ -169,7 +169,7 @@
     }
 
     fn measure(&self, team: usize, size: &Amounts) -> f64 {
-        match self.set.platform.facts.teams.get(team) {
+        match self.settings.platform.facts.teams.get(team) {
             Some(t) if t.gpus > 0.0 || t.gpus_max > 0.0 => size[1],
             _ => size[0],
         }
@@ -177,7 +177,7 @@
 
     /// What each team's tasks take, those that may still be somewhere included.
     pub(crate) fn used_by_teams(&self) -> Vec<Amounts> {
-        let teams = &self.set.platform.facts.teams;
+        let teams = &self.settings.platform.facts.teams;
         let mut used = vec![[0.0; 3]; teams.len()];
         let index: BTreeMap<&str, usize> = teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i)).collect();
         for m in self.machines.values() {
@@ -194,7 +194,7 @@
                 && let Some(t) = self.types.iter().find(|t| t.name == m.model)
             {
                 for (i, u) in used.iter_mut().enumerate() {
-                    if unknown(Partition(i as u32 % self.set.partitions())) {
+                    if unknown(Partition(i as u32 % self.settings.partitions())) {
                         u.iter_mut()
                             .zip([t.cpus, t.gpus, t.memory_gb])
                             .for_each(|(u, s)| *u += s);
@@ -216,7 +216,7 @@
         self.guaranteed = self.within_guarantees();
         self.resting.retain(|_, (_, until)| now < *until);
         let mut wishes = Vec::new();
-        let mut budget = self.set.search_evaluations();
+        let mut budget = self.settings.search_evaluations();
         for partition in acting {
             wishes.extend(self.place_partition(partition, &mut budget));
         }
@@ -231,7 +231,7 @@
             .values()
             .any(|j| self.tenures.contains_key(&j.partition) && j.waiting_count() > 0);
         if waits {
-            let due = self.now.ms + self.set.batch_retry_ms();
+            let due = self.now.ms + self.settings.batch_retry_ms();
             self.batch_due = Some(self.batch_due.map_or(due, |d| d.min(due)));
         }
     }
@@ -244,7 +244,7 @@
         let since = tenure.since;
         let open = self.unconfirmed(partition) > 0;
         let names: BTreeMap<String, usize> = self
-            .set
+            .settings
             .platform
             .facts
             .teams
@@ -256,7 +256,7 @@
         let mut without_room: BTreeMap<usize, Amounts> = BTreeMap::new();
         let mut over_limit = Vec::new();
         let learned = &self.learned;
-        let objectives = &self.set.platform.facts.objectives;
+        let objectives = &self.settings.platform.facts.objectives;
         for (id, job) in &mut self.jobs {
             if job.partition != partition || !job.startable(now.ms) || self.resting.contains_key(id) {
                 continue;
@@ -358,7 +358,7 @@
                 .then(a.at.cmp(&b.at))
         });
         self.keep_room(&mut waiting, room, &without_room);
-        let partitions = self.set.partitions() as usize;
+        let partitions = self.settings.partitions() as usize;
         self.kept_room
             .retain(|team, _| team % partitions != partition.0 as usize);
         // What has no room now is to have the next place.
@@ -398,7 +398,7 @@
     }
 
     fn place_partition(&mut self, partition: Partition, budget: &mut usize) -> Vec<Wish> {
-        let teams = self.set.platform.facts.teams.clone();
+        let teams = self.settings.platform.facts.teams.clone();
         let used = self.used_by_teams();
         let limits: Vec<Amounts> = teams
             .iter()
@@ -467,7 +467,7 @@
         let mut next = vec![0usize; waiting.len()];
         let mut stuck: BTreeSet<usize> = BTreeSet::new();
         let mut unplaced: Vec<(usize, u32)> = Vec::new();
-        let size = self.set.operator.batch_tasks as usize;
+        let size = self.settings.operator.batch_tasks as usize;
         loop {
             let batch = draw(&waiting, &mut next, &stuck, &mut claims, &jobs, size);
             if batch.is_empty() {
@@ -477,7 +477,7 @@
             let first: Vec<bool> = batch.iter().map(|d| d.guaranteed).collect();
             // The greedy pass looks at each machine once for each task; each move does so for one.
             let (n, width) = (tasks.len(), slots.len());
-            let most = n * self.set.operator.search_moves_per_task as usize;
+            let most = n * self.settings.operator.search_moves_per_task as usize;
             let moves = most.min(budget.saturating_sub(n * width) / width.max(1));
             *budget = budget.saturating_sub((n + moves) * width.max(4));
             self.evaluated += ((n + moves) * width) as u64;
@@ -545,7 +545,7 @@
         if *budget == 0 {
             // What found no machine rests for a while, so that the next slice gets to the others; its
             // wishes stand meanwhile.
-            let until = self.now.ms + self.set.batch_retry_ms();
+            let until = self.now.ms + self.settings.batch_retry_ms();
             for j in stuck {
                 if let Some(w) = waiting.get(j) {
                     self.resting.insert(w.id.clone(), (wishes.remove(&j), until));
@@ -562,7 +562,7 @@
         let mut sums: BTreeMap<&str, [f64; 2]> = BTreeMap::new();
         let mut within = BTreeSet::new();
         for (_, id, j) in earlier {
-            let Some((_, team)) = self.set.team(&j.spec.team) else {
+            let Some((_, team)) = self.settings.team(&j.spec.team) else {
                 continue;
             };
             let sum = sums.entry(j.spec.team.as_str()).or_default();
@@ -579,7 +579,7 @@
     /// Time within which tasks of a job's class should start, by the objectives; 0 if none says so.
     fn wait_s(&self, id: &JobId) -> f64 {
         let class = self.jobs.get(id).map_or("", |j| j.spec.class.as_str());
-        start_within(&self.set.platform.facts.objectives, class)
+        start_within(&self.settings.platform.facts.objectives, class)
     }
 
     /// What a task costs an hour on the cheapest kind of machine that its job may use.
@@ -695,7 +695,8 @@
         // Room that is free, or that tasks hold which end by themselves and do not come before it.
         let mut by_zone: BTreeMap<&str, Vec<(u32, &MachineId)>> = BTreeMap::new();
         for (id, m) in self.machines.iter().filter(|(_, m)| m.partition == partition) {
-            let usable = m.usable(self.now.ms, 3 * self.set.report_ms()) && terms.admits(&m.model, &m.zone, m.spot);
+            let usable =
+                m.usable(self.now.ms, 3 * self.settings.report_ms()) && terms.admits(&m.model, &m.zone, m.spot);
             let Some(t) = self.types.iter().find(|t| t.name == m.model).filter(|_| usable) else {
                 continue;
             };
@@ -749,7 +750,7 @@
             return None;
         }
         let mut best: Option<(bool, u32, &String)> = None;
-        for zone in &self.set.platform.facts.zones {
+        for zone in &self.settings.platform.facts.zones {
             let fits = |t: &&crate::protocol::MachineType| {
                 crate::capacity::room_for(&terms.size, &[t.cpus, t.gpus, t.memory_gb]) > 0
                     && terms.admits(&t.name, zone, false)
@@ -775,7 +776,7 @@
     }
 
     fn slots(&self, partition: Partition, least: &Amounts) -> (Vec<MachineId>, Vec<Slot>) {
-        let patience = 3 * self.set.report_ms();
+        let patience = 3 * self.settings.report_ms();
         let mut ids = Vec::new();
         let mut slots = Vec::new();
         for (id, m) in &self.machines {
--- a/crates/tidelatch-core/src/queue/emptying.rs
+++ b/crates/tidelatch-core/src/queue/emptying.rs
@@ -21,7 +21,7 @@
         if !self.entitled() || now < self.consolidate_due {
             return;
         }
-        self.consolidate_due = now + self.set.report_ms();
+        self.consolidate_due = now + self.settings.report_ms();
         let acting: Vec<Partition> = self
             .tenures
             .iter()
@@ -34,7 +34,7 @@
                 .values()
                 .any(|j| j.partition == p && j.spec.shape == Shape::Service && j.waiting_count() > 0);
             let machines = self.machines.values().filter(|m| m.partition == p).count() as u64;
-            let pause = self.set.worker_lease_ms() / (machines / EMPTIED).max(1);
+            let pause = self.settings.worker_lease_ms() / (machines / EMPTIED).max(1);
             let lately = self
                 .consolidated
                 .get(&p)
@@ -47,8 +47,8 @@
 
     pub(super) fn empty_one(&mut self, partition: Partition) {
         let now = self.now.ms;
-        let patience = 2 * self.set.report_ms();
-        let settled = 2 * self.set.worker_lease_ms();
+        let patience = 2 * self.settings.report_ms();
+        let settled = 2 * self.settings.worker_lease_ms();
         // The emptiest first: of the machines that hold nothing but replicas, for some time.
         let mut candidates: Vec<(f64, MachineId)> = self
             .machines
@@ -87,7 +87,7 @@
             ids.into_iter()
                 .filter(|id| self.machines.get(id).is_some_and(|m| !m.held.is_empty())),
         );
-        let mut budget = self.set.search_evaluations();
+        let mut budget = self.settings.search_evaluations();
         for (_, id) in candidates {
             let Some(m) = self.machines.get(&id) else { continue };
             let held: Vec<(TaskId, Attempt)> = m.held.iter().map(|h| (h.task.clone(), h.attempt)).collect();
@@ -127,7 +127,7 @@
             let at = match names.iter().position(|n| **n == task.job) {
                 Some(at) => at,
                 None => {
-                    let team = self.jobs.get(&task.job).and_then(|j| self.set.team(&j.spec.team));
+                    let team = self.jobs.get(&task.job).and_then(|j| self.settings.team(&j.spec.team));
                     let Some(terms) = team.and_then(|(t, _)| self.terms(&task.job, t, f64::MAX)) else {
                         return false;
                     };
@@ -142,9 +142,9 @@
             }
             tasks.push(at);
         }
-        let mut room = vec![[f64::MAX; 3]; self.set.platform.facts.teams.len()];
+        let mut room = vec![[f64::MAX; 3]; self.settings.platform.facts.teams.len()];
         let cached: Vec<BTreeSet<String>> = slots.iter().map(|s| s.images.clone()).collect();
-        let moves = tasks.len() * self.set.operator.search_moves_per_task as usize;
+        let moves = tasks.len() * self.settings.operator.search_moves_per_task as usize;
         let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks).place(moves);
         // A replica that has to fetch its image again is away for too long.
         let warm = |(choice, job): (&Option<usize>, &usize)| {
--- a/crates/tidelatch-core/src/queue/limits.rs
+++ b/crates/tidelatch-core/src/queue/limits.rs
@@ -68,7 +68,7 @@
         if over_limit.is_empty() || self.unconfirmed(partition) > 0 {
             return Vec::new();
         }
-        let patience = 3 * self.set.report_ms();
+        let patience = 3 * self.settings.report_ms();
         let mut search = Search {
             yards: yards.get_or_insert_with(|| self.yards(partition, patience)),
             left: self.with_room_to_come(room, partition, patience),
@@ -80,7 +80,7 @@
             if !search.may_yield(job.team, &job.size) {
                 continue;
             }
-            if search.looks > self.set.search_evaluations() {
+            if search.looks > self.settings.search_evaluations() {
                 // The rest is tried with the next batch: beats and polls come first.
                 break;
             }
@@ -124,7 +124,7 @@
                 // A replica that is moved takes its room again.
                 let job = self.jobs.get(&h.task.job);
                 let yields = job.is_none_or(|j| j.ending.is_some() || j.spec.priority < Priority::Prod);
-                let team = self.set.team(&h.team).and_then(|(team, _)| left.get_mut(team));
+                let team = self.settings.team(&h.team).and_then(|(team, _)| left.get_mut(team));
                 if let Some(left) = team.filter(|_| yields) {
                     add(left, &h.size);
                 }
--- a/crates/tidelatch-core/src/queue/room.rs
+++ b/crates/tidelatch-core/src/queue/room.rs
@@ -65,8 +65,8 @@
         jobs: &[JobTerms],
         used: &[Amounts],
     ) -> Preempted {
-        let teams = self.set.platform.facts.teams.clone();
-        let patience = 3 * self.set.report_ms();
+        let teams = self.settings.platform.facts.teams.clone();
+        let patience = 3 * self.settings.report_ms();
         let boot_s = self.longest_boot_s();
         let guarantee = |team: usize| {
             teams.get(team).map_or(0.0, |t| {
@@ -83,7 +83,7 @@
         let mut stuck: Vec<usize> = Vec::new();
         // Jobs for which no room can be made: their other tasks need not be tried.
         let mut hopeless: BTreeSet<usize> = BTreeSet::new();
-        let (mut looks, most) = (0, self.set.search_evaluations());
+        let (mut looks, most) = (0, self.settings.search_evaluations());
         for j in needy {
             let (Some(w), Some(terms)) = (waiting.get(*j), jobs.get(*j)) else {
                 continue;
@@ -236,7 +236,7 @@
             // Room that stops already under way will free counts as free.
             for h in m.held.iter().filter(|h| h.stop.is_none()) {
                 free.iter_mut().zip(h.size).for_each(|(f, s)| *f -= s);
-                let (Some(job), Some((team, _))) = (self.jobs.get(&h.task.job), self.set.team(&h.team)) else {
+                let (Some(job), Some((team, _))) = (self.jobs.get(&h.task.job), self.settings.team(&h.team)) else {
                     continue;
                 };
                 let ran_s = h.running_since.map_or(0, |t| now.saturating_sub(t)) as f64 / 1000.0;
@@ -282,11 +282,11 @@
     pub(super) fn swap_replicas(&mut self, partition: Partition, stuck: &[usize], jobs: &[JobTerms], yards: Vec<Yard>) {
         const AT_ONCE: usize = 4;
         let now = self.now.ms;
-        let settled = self.set.worker_lease_ms();
+        let settled = self.settings.worker_lease_ms();
         let lately = self
             .swapped
             .get(&partition)
-            .is_some_and(|t| now.saturating_sub(*t) < 2 * self.set.report_ms());
+            .is_some_and(|t| now.saturating_sub(*t) < 2 * self.settings.report_ms());
         if stuck.is_empty() || lately {
             return;
         }
@@ -315,7 +315,7 @@
         // Replicas of a job in a zone that could go nowhere else: room only shrinks, so the next one cannot
         // either. With hundreds of machines, asking for each anew took longer than a controller's lease.
         let mut rooted: BTreeSet<(&JobId, &str)> = BTreeSet::new();
-        let mut budget = self.set.search_evaluations();
+        let mut budget = self.settings.search_evaluations();
         for j in stuck {
             if moves.len() >= AT_ONCE {
                 break;
@@ -346,7 +346,7 @@
                     if rooted.contains(&(name, m.zone.as_str())) {
                         continue;
                     }
-                    let team = self.set.team(&job.spec.team).map_or(0, |(t, _)| t);
+                    let team = self.settings.team(&job.spec.team).map_or(0, |(t, _)| t);
                     let Some(mut other) = self.terms(&h.task.job, team, f64::MAX) else {
                         continue;
                     };
@@ -380,7 +380,7 @@
             }
             moves.push((id, task, attempt));
         }
-        self.evaluated += self.set.search_evaluations().saturating_sub(budget) as u64;
+        self.evaluated += self.settings.search_evaluations().saturating_sub(budget) as u64;
         if budget == 0 {
             // The rest is tried again later: beats and polls come first.
             self.swapped.insert(partition, now);
--- a/crates/tidelatch-core/src/roster/books.rs
+++ b/crates/tidelatch-core/src/roster/books.rs
@@ -50,7 +50,7 @@
     pub(crate) fn store_first_beat(&mut self, asker: Asker, report: &Report) {
         let now = self.now.ms;
         if self.roster.newcomers.is_empty() {
-            self.roster.newcomers_due = now + self.set.batch_wait_ms();
+            self.roster.newcomers_due = now + self.settings.batch_wait_ms();
         }
         if let Some(m) = self.machines.get_mut(&report.machine) {
             m.storing = true;
@@ -84,7 +84,7 @@
     pub(super) fn send_newcomers(&mut self) {
         let now = self.now.ms;
         // Nobody waits for longer than a worker's patience allows.
-        let patience = self.set.report_ms();
+        let patience = self.settings.report_ms();
         let mut late = Vec::new();
         for n in &mut self.roster.newcomers {
             if now.saturating_sub(n.since) > patience {
@@ -214,7 +214,7 @@
     /// Marks the books that no machine is left of to be deleted, once in a while.
     pub(super) fn sweep_books(&mut self) {
         let now = self.now.ms;
-        if !self.is_leader() || now < self.roster.swept + self.set.worker_lease_ms() {
+        if !self.is_leader() || now < self.roster.swept + self.settings.worker_lease_ms() {
             return;
         }
         self.roster.swept = now;
--- a/crates/tidelatch-core/src/roster/rack_changes.rs
+++ b/crates/tidelatch-core/src/roster/rack_changes.rs
@@ -284,7 +284,7 @@
             }
             return;
         }
-        let again = self.now.ms + self.set.report_ms() / 4;
+        let again = self.now.ms + self.settings.report_ms() / 4;
         let Some(rack) = self.roster.racks.get_mut(&name).filter(|r| r.stamp == stamp) else {
             return;
         };
--- a/crates/tidelatch-core/src/roster/racks.rs
+++ b/crates/tidelatch-core/src/roster/racks.rs
@@ -48,7 +48,7 @@
             return;
         }
         let mut record = value.and_then(|v| serde_json::from_value::<RackRecord>(v).ok());
-        if let Some(record) = record.as_mut().filter(|_| !self.set.features.shared_machines) {
+        if let Some(record) = record.as_mut().filter(|_| !self.settings.features.shared_machines) {
             // The version before shared machines passes over the field.
             record.also_holds.clear();
         }
--- a/crates/tidelatch-core/src/submissions.rs
+++ b/crates/tidelatch-core/src/submissions.rs
@@ -88,7 +88,7 @@
     /// 422 for what can never run, 503 while that cannot be told.
     fn never_runs(&self, spec: &JobSpec) -> Option<Answer> {
         let unfit = |why: &str| Some(Answer::new(422, json!({ "error": why }).to_string()));
-        let Some((_, team)) = self.set.team(&spec.team) else {
+        let Some((_, team)) = self.settings.team(&spec.team) else {
             return unfit("unknown team");
         };
         let tasks = match spec.shape {
@@ -119,14 +119,14 @@
             return None;
         }
         let error = |status: u16, why: &str| Some(Answer::new(status, json!({ "error": why }).to_string()));
-        if !self.set.features.gangs {
+        if !self.settings.features.gangs {
             return error(400, &Malformed::Field("shape").to_string());
         }
-        if self.set.gang_ms().is_none() {
+        if self.settings.gang_ms().is_none() {
             return error(422, "this deployment has no times set for gangs");
         }
         if !self.all_know_gangs() {
-            let lease_s = (self.set.lease_ms() / 1000).max(1) as u32;
+            let lease_s = (self.settings.lease_ms() / 1000).max(1) as u32;
             return Some(Answer::later(
                 503,
                 lease_s,
@@ -150,7 +150,7 @@
             ended: None,
             spec: Some(spec.clone()),
         };
-        if bytes_of(&record) > self.set.value_bytes() {
+        if bytes_of(&record) > self.settings.value_bytes() {
             let error = json!({ "error": "the description is longer than can be stored" });
             self.known(asker, id, Answer::new(422, error.to_string()));
             return;
