Controllers watch each other by the failure detector, and prepare to take over (off by default)

While a controller is suspected, its heir reads its bitmaps ahead and connects to its workers; the leader gives it no machines. Who owns a partition is decided as before, by the state service alone.

--- a/crates/tidelatch-core/src/calls.rs
+++ b/crates/tidelatch-core/src/calls.rs
@@ -43,6 +43,16 @@
         partition: Partition,
         since: u64,
     },
+    /// Records of a partition that this controller may have to take over.
+    ReadAhead {
+        partition: Partition,
+        attempt: u64,
+    },
+    /// What has changed since such records were read.
+    BitsSince {
+        partition: Partition,
+        since: u64,
+    },
     Job(JobPurpose),
     Types,
     TypesWrite,
--- a/crates/tidelatch-core/src/capacity/hand_over.rs
+++ b/crates/tidelatch-core/src/capacity/hand_over.rs
@@ -131,8 +131,13 @@
             self.now.ms.saturating_sub(*at) < recent
                 && d.ledger >= self.cloud.fresh_from.get(&d.partition).copied().unwrap_or(0)
         };
+        // A suspected owner gets nothing and is asked for nothing: neither may come about.
+        let trusted = |d: &Digest| {
+            let owner = self.holding(d.partition).map(|h| &h.owner);
+            owner.is_none_or(|owner| !self.suspects(owner))
+        };
         let digests = self.cloud.digests.values().filter(fresh);
-        digests.map(|(d, _)| d.clone()).collect()
+        digests.map(|(d, _)| d).filter(|d| trusted(d)).cloned().collect()
     }
 
     /// The machines that were lent and have not arrived, each with the partition that it goes to.
--- a/crates/tidelatch-core/src/capacity/heartbeats.rs
+++ b/crates/tidelatch-core/src/capacity/heartbeats.rs
@@ -13,7 +13,7 @@
     /// Greets the peers whose turn it is; with `at_once` all that lack a cancellation.
     pub(crate) fn greet(&mut self, at_once: bool) {
         let now = self.now.ms;
-        let every = 2 * self.settings.report_ms() / 5;
+        let every = self.settings.heartbeat_ms();
         let leader = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
         let wants_grant = self.wants_grants();
         let names: Vec<String> = self
@@ -25,7 +25,7 @@
             .collect();
         for name in names {
             let to = ControllerId::new(name);
-            let urgent = at_once && self.lacks_cancellations(&to);
+            let urgent = (at_once && self.lacks_cancellations(&to)) || self.contact_due(&to);
             let (told, span, _) = self.tell_cancellations(&to);
             let peer = self.member.peers.entry(to.clone()).or_default();
             let due = peer.asked == 0 || now >= peer.asked + every;
@@ -43,6 +43,7 @@
             } else {
                 Vec::new()
             };
+            let liveness = self.liveness_for(&to);
             let request = PeerRequest::Hello {
                 name: self.me.as_str().to_owned(),
                 entitled: self.entitled(),
@@ -50,6 +51,7 @@
                 relies: self.relies_on(&to),
                 digests,
                 told,
+                liveness,
             };
             let timeout = self.settings.report_ms() / 2;
             let purpose = Purpose::Hello {
@@ -99,6 +101,7 @@
         }
         let entitled = self.entitled();
         let relies = self.relies_on(&from);
+        let liveness = self.liveness_for(&from);
         self.out.push(crate::messages::Output::Tell {
             id,
             reply: PeerReply::Hello {
@@ -108,6 +111,7 @@
                 moves,
                 refused,
                 told,
+                liveness,
             },
         });
     }
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -4,6 +4,7 @@
 use crate::calls::{Asker, Purpose, is_lost_lease};
 use crate::cancellations::Cancellations;
 use crate::capacity::{Cloud, Wish};
+use crate::failure_detection::FailureDetection;
 use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
 use crate::jobs::{Job, Over, Purpose as JobPurpose, StatusReads};
 use crate::membership::{Membership, Tenure};
@@ -17,6 +18,7 @@
 use crate::settings::Settings;
 use crate::write_limits::Limits;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use tidelatch_failure_detector::Channel;
 
 /// One controller: its view of the cluster, the jobs and the machines.
 pub struct Controller {
@@ -67,6 +69,8 @@
     pub(crate) commands_sent: u64,
     pub(crate) guests: BTreeMap<MachineId, Guest>,
     pub(crate) cancellations: Cancellations,
+    /// None: the settings do not ask for it.
+    pub(crate) detection: Option<FailureDetection>,
     /// How often a machine was looked at for a task.
     pub(crate) evaluated: u64,
 }
@@ -80,6 +84,7 @@
         let state_writes = Bucket::new(state.write_rps / nodes, state.write_rps / nodes);
         let cloud = Cloud::new(&settings);
         let me = ControllerId::new(settings.platform.host_name.clone());
+        let detection = FailureDetection::new(&settings, incarnation, now.ms);
         Self {
             me,
             now,
@@ -120,6 +125,7 @@
             commands_sent: 0,
             guests: BTreeMap::new(),
             cancellations: Cancellations::default(),
+            detection,
             evaluated: 0,
             settings,
         }
@@ -278,8 +284,10 @@
                 relies,
                 digests,
                 told,
+                liveness,
             } => {
                 let from = ControllerId::new(name);
+                self.on_liveness(&from, Channel::Scheduled, liveness);
                 self.take_cancellations(&from, &told);
                 self.on_hello(id, from, (entitled, wants_grant, relies), digests);
             }
@@ -341,6 +349,8 @@
             Purpose::List { cursor, first_ledger } => self.on_list(cursor, first_ledger, result),
             Purpose::Watch { number } => self.on_watch(number, result),
             Purpose::Bits { partition, since } => self.on_bits(partition, since, result),
+            Purpose::BitsSince { partition, since } => self.on_bits_since(partition, since, result),
+            Purpose::ReadAhead { partition, attempt } => self.on_read_ahead(partition, attempt, result),
             Purpose::Job(purpose) => self.on_job_reply(purpose, result),
             Purpose::Types => self.on_types(result),
             Purpose::TypesWrite => self.cloud.types_writing = false,
@@ -376,6 +386,7 @@
                     moves,
                     refused,
                     told: news,
+                    liveness,
                 }),
             ) => {
                 if self.stale {
@@ -384,6 +395,7 @@
                 } else {
                     self.note_peer(&to, true, entitled);
                     self.note_reliance(&to, relies);
+                    self.on_liveness(&to, Channel::Answer, liveness);
                 }
                 // What a promise's giver knows is taken in before the promise counts.
                 self.take_cancellations(&to, &news);
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -9,6 +9,7 @@
 mod cancellations;
 pub mod capacity;
 mod controller;
+mod failure_detection;
 pub mod failures;
 mod gangs;
 pub mod ids;
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -149,6 +149,8 @@
     cleared: BTreeSet<ControllerId>,
     retry_at: u64,
     pub(crate) ledger: u64,
+    /// When the shared keys were last read, or their watch last answered.
+    pub(crate) viewed_at: u64,
     pub(crate) members: BTreeMap<ControllerId, MemberRecord>,
     pub(crate) leader: Option<(LeaderRecord, Stamp)>,
     taking: bool,
@@ -163,6 +165,16 @@
 }
 
 impl Membership {
+    /// Whether the members' keys have been read in this life of the process.
+    pub(crate) fn has_read_members(&self) -> bool {
+        self.listed && self.viewed_at > 0
+    }
+
+    /// When the last promise ends that this controller has given.
+    pub(crate) fn promised_until(&self) -> u64 {
+        self.promised_until
+    }
+
     pub(crate) fn new(inc: Incarnation, fresh_until: u64) -> Self {
         Self {
             inc,
@@ -190,6 +202,7 @@
             cleared: BTreeSet::new(),
             retry_at: 0,
             ledger: 0,
+            viewed_at: 0,
             members: BTreeMap::new(),
             leader: None,
             taking: false,
@@ -364,6 +377,7 @@
         self.write_member();
         self.seek_leadership();
         self.lead_epoch();
+        self.tick_failure_detection();
         self.say_hello();
     }
 
@@ -480,7 +494,7 @@
 
     /// The members that may own partitions: while a machine may hold tasks of a partition that does not own it,
     /// only those that know such machines, for others would start those tasks a second time.
-    fn members_for_partitions(&self) -> BTreeMap<ControllerId, MemberRecord> {
+    pub(crate) fn members_for_partitions(&self) -> BTreeMap<ControllerId, MemberRecord> {
         let mut members = self.member.members.clone();
         if self.any_shared_machine() {
             members.retain(|_, member| member.knows >= SHARED_MACHINES_LEVEL);
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -177,6 +177,7 @@
         self.member.grants.clear();
         self.member.unserved = false;
         self.member.inc = Incarnation(self.member.inc.0 + 1);
+        self.detect_as(self.member.inc);
         self.member.written = None;
         self.member.retry_at = self.now.ms;
         // The lease was lost behind some cut: so may be the watch.
--- a/crates/tidelatch-core/src/membership/shared.rs
+++ b/crates/tidelatch-core/src/membership/shared.rs
@@ -78,6 +78,7 @@
             _ => {
                 self.member.listed = true;
                 self.member.ledger = ledger;
+                self.note_view();
                 self.roster_listed(ledger);
                 self.note_epoch();
                 self.tick_membership();
@@ -102,6 +103,7 @@
                         }
                     }
                     self.member.ledger = self.member.ledger.max(changes.ledger);
+                    self.note_view();
                     self.watch();
                     self.note_epoch();
                     self.tick_membership();
@@ -126,6 +128,13 @@
         }
     }
 
+    /// The shared keys are known as they are now, unless the answer has lain in this process's buffers.
+    fn note_view(&mut self) {
+        if !self.stale {
+            self.member.viewed_at = self.now.ms;
+        }
+    }
+
     /// One shared key has a new value, or is gone.
     pub(super) fn apply(&mut self, key: &str, value: Option<Value>, stamp: Stamp) {
         if let Some(id) = key.strip_prefix(JOB_PREFIX) {
--- a/crates/tidelatch-core/src/membership/tenure.rs
+++ b/crates/tidelatch-core/src/membership/tenure.rs
@@ -3,10 +3,11 @@
 use super::Holding;
 use crate::calls::Purpose;
 use crate::controller::Controller;
+use crate::failure_detection::RecordsReadAhead;
 use crate::ids::{Epoch, JobId, Partition};
 use crate::jobs::{Piece, bits_from_hex};
 use crate::messages::{Level, Method, Target};
-use crate::protocol::Items;
+use crate::protocol::{Changes, Items};
 use serde_json::Value;
 
 /// How far a take-over has come.
@@ -21,7 +22,7 @@
 }
 
 /// One partition in this controller's hands.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Tenure {
     pub(crate) since: Epoch,
     pub(crate) stage: Stage,
@@ -30,6 +31,8 @@
     pub(crate) loading: bool,
     pub(crate) settled: bool,
     bits: Vec<(String, Value)>,
+    /// Records that were read before the take-over, until the changes since then are known.
+    read_ahead: Option<RecordsReadAhead>,
 }
 
 impl Controller {
@@ -91,11 +94,13 @@
                         loading: false,
                         settled: false,
                         bits: Vec::new(),
+                        read_ahead: None,
                     },
                 );
                 self.reset_partition(partition);
             }
         }
+        self.plan_preparation();
     }
 
     pub(crate) fn tick_tenures(&mut self) {
@@ -123,11 +128,66 @@
                 .get(&partition)
                 .is_some_and(|t| t.stage == Stage::Loading && !t.loading);
             if load && self.entitled() && self.now.ms >= self.member.retry_at {
-                self.load_bits(partition, String::new());
+                self.begin_loading(partition);
             }
         }
     }
 
+    /// Loads the stored bitmaps of a partition: what has changed since they were read ahead, or all of them.
+    fn begin_loading(&mut self, partition: Partition) {
+        let Some(read_ahead) = self.take_prepared(partition) else {
+            self.load_bits(partition, String::new());
+            return;
+        };
+        let Some(t) = self.tenures.get_mut(&partition) else {
+            return;
+        };
+        let since = t.since.0;
+        let path = format!(
+            "/changes?prefix={}&since={}&waitMs=0",
+            Self::bits_prefix(partition),
+            read_ahead.revision
+        );
+        t.loading = true;
+        t.read_ahead = Some(read_ahead);
+        self.state_reads.force(self.now.ms, 1.0);
+        let timeout = self.settings.lease_ms() / 4;
+        let purpose = Purpose::BitsSince { partition, since };
+        self.call(Target::State, Method::Get, path, String::new(), timeout, purpose);
+    }
+
+    /// The changes since the bitmaps were read ahead have come. If not, all are read now.
+    pub(crate) fn on_bits_since(&mut self, partition: Partition, since: u64, result: Option<(u16, Vec<u8>)>) {
+        let Some(t) = self.tenures.get_mut(&partition).filter(|t| t.since.0 == since) else {
+            return;
+        };
+        t.loading = false;
+        let changes = match result {
+            Some((200, body)) => serde_json::from_slice::<Changes>(&body).ok(),
+            _ => None,
+        };
+        match (t.read_ahead.take(), changes) {
+            (Some(read_ahead), Some(changes)) => {
+                let bits = read_ahead.apply(changes);
+                self.begin_acting(partition, bits);
+            }
+            _ => self.load_bits(partition, String::new()),
+        }
+    }
+
+    fn bits_prefix(partition: Partition) -> String {
+        format!("d/{partition}/")
+    }
+
+    /// Path of a page of a partition's stored bitmaps, after a key.
+    pub(crate) fn bits_path(partition: Partition, after: &str) -> String {
+        let mut path = format!("/store?prefix={}&most=200", Self::bits_prefix(partition));
+        if !after.is_empty() {
+            path.push_str(&format!("&since={after}"));
+        }
+        path
+    }
+
     pub(super) fn load_bits(&mut self, partition: Partition, cursor: String) {
         let Some(t) = self.tenures.get_mut(&partition) else {
             return;
@@ -137,10 +197,7 @@
         if cursor.is_empty() {
             t.bits.clear();
         }
-        let mut path = format!("/store?prefix=d/{partition}/&most=200");
-        if !cursor.is_empty() {
-            path.push_str(&format!("&since={cursor}"));
-        }
+        let path = Self::bits_path(partition, &cursor);
         self.state_reads.force(self.now.ms, 1.0);
         let timeout = self.settings.lease_ms() / 4;
         self.call(
@@ -154,7 +211,6 @@
     }
 
     pub(crate) fn on_bits(&mut self, partition: Partition, since: u64, result: Option<(u16, Vec<u8>)>) {
-        let now = self.now.ms;
         let Some(t) = self.tenures.get_mut(&partition).filter(|t| t.since.0 == since) else {
             return;
         };
@@ -175,9 +231,18 @@
             self.load_bits(partition, last);
             return;
         }
+        let bits = std::mem::take(&mut t.bits);
+        self.begin_acting(partition, bits);
+    }
+
+    /// The stored bitmaps are known: this controller acts for the partition from now on.
+    fn begin_acting(&mut self, partition: Partition, bits: Vec<(String, Value)>) {
+        let now = self.now.ms;
+        let Some(t) = self.tenures.get_mut(&partition) else {
+            return;
+        };
         t.stage = Stage::Active;
         t.active_at = now;
-        let bits = std::mem::take(&mut t.bits);
         let (chunk_bits, piece_bits) = (self.chunk_bits(), self.piece_bits());
         for (key, value) in bits {
             let mut parts = key.split('/').skip(2);
--- a/crates/tidelatch-core/src/messages.rs
+++ b/crates/tidelatch-core/src/messages.rs
@@ -3,6 +3,7 @@
 use crate::cancellations::Told;
 use crate::capacity::room_for;
 use crate::ids::{ControllerId, MachineId, Partition};
+use tidelatch_failure_detector::Heartbeat;
 
 /// Status of a call that was never sent: no connection came about, so nothing can have been executed.
 pub const NOT_SENT: u16 = 0;
@@ -208,6 +209,8 @@
         digests: Vec<Digest>,
         /// Cancellations that the other may not know of.
         told: Told,
+        /// For the other's failure detector; none: the sender does not take part.
+        liveness: Option<Heartbeat>,
     },
 }
 
@@ -230,6 +233,8 @@
         refused: Vec<Need>,
         /// Cancellations that the asker may not know of.
         told: Told,
+        /// For the asker's failure detector; none: the answerer does not take part.
+        liveness: Option<Heartbeat>,
     },
 }
 
@@ -326,6 +331,11 @@
         /// The answer.
         reply: PeerReply,
     },
+    /// Open a connection to a worker ahead of calls to it, if there is room for it.
+    Connect {
+        /// The worker's address.
+        address: String,
+    },
     /// Say something to the operators.
     Log {
         /// Weight.
--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -1,15 +1,19 @@
 //! What the platform hands over, what the operators set themselves, and what follows from both.
 
+mod failure_detection;
 mod features;
 mod operator;
 mod platform;
 
+pub use failure_detection::{EstimatorChoice, FailureDetection};
 pub use features::{Features, SHARED_MACHINES_LEVEL};
 pub use operator::Operator;
 pub use platform::{
     CloudFacts, Facts, MachineLimits, NextState, Objective, Outside, Platform, Sibling, StateFacts, Team, WorkerFacts,
 };
 
+use tidelatch_failure_detector::Timing;
+
 /// A fault in the settings, with the path of the field.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
 #[error("{path}: {fault}")]
@@ -36,6 +40,22 @@
 }
 
 impl Settings {
+    /// What is impossible only where the platform's facts and the operators' settings come together.
+    pub fn faults(&self) -> Vec<Fault> {
+        let detection = self.operator.failure_detection.as_ref();
+        detection.map_or(Vec::new(), |detection| detection.faults(self.detection_timing()))
+    }
+    /// Time between two heartbeats of a controller.
+    pub fn heartbeat_ms(&self) -> u64 {
+        2 * self.report_ms() / 5
+    }
+    /// The times that the failure detector goes by.
+    pub fn detection_timing(&self) -> Timing {
+        Timing {
+            heartbeat_ms: self.heartbeat_ms(),
+            lease_ms: self.lease_ms(),
+        }
+    }
     /// Time that a controller's lease lasts.
     pub fn lease_ms(&self) -> u64 {
         ms(self.platform.facts.workers.lease_s * self.operator.controller_lease_per_worker_lease).max(1000)
--- a/crates/tidelatch-core/src/settings/operator.rs
+++ b/crates/tidelatch-core/src/settings/operator.rs
@@ -1,6 +1,6 @@
 //! The operators' own settings, their defaults, and the checks on them.
 
-use super::Fault;
+use super::{FailureDetection, Fault};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -36,6 +36,8 @@
     /// controller's memory and processor.
     #[schemars(range(min = 1, max = 100_000))]
     pub queue_jobs_per_team: Option<u32>,
+    /// Controllers watch each other, and prepare to take over from one that is suspected. Without it they do not.
+    pub failure_detection: Option<FailureDetection>,
 }
 
 impl Default for Operator {
@@ -50,6 +52,7 @@
             idle_per_boot: 0.6,
             silent_per_worker_lease: 0.8,
             queue_jobs_per_team: None,
+            failure_detection: None,
         }
     }
 }
@@ -83,8 +86,10 @@
                 100_000.0,
             ),
         ];
+        let detection = self.failure_detection.iter().flat_map(FailureDetection::ranges);
         checks
             .into_iter()
+            .chain(detection)
             .filter(|(_, v, low, high)| !(v.is_finite() && v >= low && v <= high))
             .map(|(path, _, low, high)| Fault {
                 path: path.to_owned(),
--- a/crates/tidelatch-core/tests/settings.rs
+++ b/crates/tidelatch-core/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Settings: what is valid, and that what is impossible is named with its path.
 
 use serde_json::{Value, json};
-use tidelatch_core::settings::{Operator, Platform};
+use tidelatch_core::settings::{FailureDetection, Features, Operator, Platform, Settings};
 
 fn platform(teams: Value) -> Platform {
     let platform = json!({
@@ -52,14 +52,66 @@
     assert_eq!(found, expected);
 }
 
+/// Paths of the faults of the operators' settings with one figure out of any range.
+fn faults_of(figures: &Value, set: impl Fn(&mut Value)) -> Vec<String> {
+    let mut wrong = figures.clone();
+    set(&mut wrong);
+    let operator: Operator = serde_json::from_value(wrong).expect("in form");
+    operator.faults().into_iter().map(|f| f.path).collect()
+}
+
 #[test]
 fn each_of_the_operators_figures_is_checked() {
-    let figures = serde_json::to_value(Operator::default()).expect("JSON");
-    for (name, _) in figures.as_object().expect("an object") {
-        let mut wrong = figures.clone();
-        wrong[name] = json!(1_000_000);
-        let operator: Operator = serde_json::from_value(wrong).expect("in form");
-        let found: Vec<String> = operator.faults().into_iter().map(|f| f.path).collect();
-        assert_eq!(found, [name.as_str()]);
+    let operator = Operator {
+        failure_detection: Some(FailureDetection::default()),
+        ..Operator::default()
+    };
+    let figures = serde_json::to_value(operator).expect("JSON");
+    for (name, value) in figures.as_object().expect("an object") {
+        let Some(inner) = value.as_object() else {
+            let found = faults_of(&figures, |wrong| wrong[name] = json!(1_000_000));
+            assert_eq!(found, [name.as_str()]);
+            continue;
+        };
+        // Choices and switches have no range: any other word is refused with the form.
+        for (field, _) in inner.iter().filter(|(_, figure)| figure.is_number()) {
+            // The largest that its type holds.
+            let most = if field == "local_health_most" { 255 } else { 1_000_000 };
+            let found = faults_of(&figures, |wrong| wrong[name][field] = json!(most));
+            assert_eq!(found, [format!("{name}.{field}")]);
+        }
     }
 }
+
+#[test]
+fn detection_that_does_not_fit_the_deployment_is_named_with_its_path() {
+    let impossible = |operator: Operator| {
+        let settings = Settings {
+            platform: platform(json!([])),
+            operator,
+            features: Features::default(),
+        };
+        settings.faults().into_iter().map(|f| f.path).collect::<Vec<String>>()
+    };
+    let detection = Some(FailureDetection::default());
+    // A lease of 1.8 s, and a heartbeat each second.
+    let short_lease = Operator {
+        failure_detection: detection.clone(),
+        controller_lease_per_worker_lease: 0.1,
+        ..Operator::default()
+    };
+    assert_eq!(impossible(short_lease), ["controller_lease_per_worker_lease"]);
+    let slow_probes = Operator {
+        failure_detection: Some(FailureDetection {
+            probe_wait_per_heartbeat: 9.0,
+            ..FailureDetection::default()
+        }),
+        ..Operator::default()
+    };
+    assert_eq!(impossible(slow_probes), ["failure_detection.probe_wait_per_heartbeat"]);
+    let usual = Operator {
+        failure_detection: detection,
+        ..Operator::default()
+    };
+    assert_eq!(impossible(usual), Vec::<String>::new());
+}
--- a/crates/tidelatch-standin/src/faults.rs
+++ b/crates/tidelatch-standin/src/faults.rs
@@ -110,3 +110,68 @@
         }
     })
 }
+
+/// Which side of a split network the state service is on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StateServiceSide {
+    /// Only the named controllers reach it.
+    Named,
+    /// All reach it: the cut is between the controllers alone.
+    Both,
+    /// Nobody reaches it.
+    Neither,
+}
+
+/// The network splits: the named controllers reach each other, and so do the others.
+pub fn split(named: &[usize], state: StateServiceSide) -> FaultInjector {
+    let named: Vec<String> = named.iter().map(|node| format!("berth-{node}")).collect();
+    Box::new(move |message| {
+        let is_named = |name: &str| named.iter().any(|n| n == name);
+        let between_controllers = message.from.starts_with("berth-") && message.to.starts_with("berth-");
+        let parted = between_controllers && is_named(message.from) != is_named(message.to);
+        let cut_from_state = message.to == "state"
+            && match state {
+                StateServiceSide::Named => !is_named(message.from),
+                StateServiceSide::Both => false,
+                StateServiceSide::Neither => true,
+            };
+        if parted || cut_from_state {
+            Delivery::Lost
+        } else {
+            Delivery::Pass
+        }
+    })
+}
+
+/// Nothing that one controller sends reaches another; the other way is open.
+pub fn one_way(from: usize, to: usize) -> FaultInjector {
+    let (from, to) = (format!("berth-{from}"), format!("berth-{to}"));
+    Box::new(move |message| {
+        if message.from == from && message.to == to {
+            Delivery::Lost
+        } else if message.from == to && message.to == from {
+            Delivery::AnswerLost
+        } else {
+            Delivery::Pass
+        }
+    })
+}
+
+/// Messages between controllers are delayed, lost, copied and overtaken.
+pub fn rough_peer_network(seed: u64) -> FaultInjector {
+    let mut random = fastrand::Rng::with_seed(seed);
+    Box::new(move |message| {
+        let between_controllers = message.from.starts_with("berth-") && message.to.starts_with("berth-");
+        if !between_controllers {
+            return Delivery::Pass;
+        }
+        match random.u32(0..10) {
+            0 => Delivery::Lost,
+            1 => Delivery::AnswerLost,
+            2..=4 => Delivery::Slow(random.u64(50..1_200)),
+            5 => Delivery::Late(random.u64(1_000..9_000)),
+            6 => Delivery::Copied(random.u64(200..9_000)),
+            _ => Delivery::Pass,
+        }
+    })
+}
--- a/crates/tidelatch-standin/src/world/controllers.rs
+++ b/crates/tidelatch-standin/src/world/controllers.rs
@@ -4,7 +4,7 @@
 use super::event::{Asked, Caller, Event};
 use std::collections::HashSet;
 use tidelatch_core::ids::{Incarnation, Partition};
-use tidelatch_core::settings::{Features, Settings};
+use tidelatch_core::settings::{Features, Operator, Settings};
 use tidelatch_core::{Answer, Controller, Input, Level, Now, Output};
 
 /// Milliseconds between two ticks of a controller.
@@ -47,6 +47,13 @@
         }
     }
 
+    /// From its next start on, a controller has these settings of the operators'.
+    pub fn operator(&mut self, node: usize, operator: &Operator) {
+        if let Some(n) = self.nodes.get_mut(node) {
+            n.settings.operator = operator.clone();
+        }
+    }
+
     /// Starts a controller, as a new life.
     pub fn start(&mut self, node: usize) {
         let now = Now {
@@ -160,6 +167,7 @@
                 request,
                 timeout_ms,
             } => self.ask_peer(Caller { node, life, call }, to.as_str(), request, timeout_ms),
+            Output::Connect { .. } => self.sent.connections_ahead += 1,
         }
     }
 
@@ -182,7 +190,7 @@
 
     /// No two controllers may act for a partition at a time.
     pub(super) fn check_owners(&mut self) {
-        for p in 0..3 {
+        for p in 0..self.nodes.len() as u32 {
             let acts = |n: &Node| n.core.as_ref().is_some_and(|c| c.acts_at(self.now, Partition(p)));
             if self.nodes.iter().filter(|n| acts(n)).count() > 1 {
                 self.breach(format!("two controllers act for partition {p}"));
@@ -209,6 +217,12 @@
         owner.strip_prefix("berth-").and_then(|n| n.parse().ok()).unwrap_or(0)
     }
 
+    /// The controller that leads, by its key.
+    pub fn leader(&self) -> Option<usize> {
+        let name = self.store.get("t/c/leader")?["name"].as_str()?;
+        name.strip_prefix("berth-")?.parse().ok()
+    }
+
     /// The epoch.
     pub fn epoch(&self) -> u64 {
         self.store.get("t/c/epoch").and_then(|e| e["n"].as_u64()).unwrap_or(0)
--- a/crates/tidelatch-standin/src/world/deployment.rs
+++ b/crates/tidelatch-standin/src/world/deployment.rs
@@ -7,6 +7,8 @@
 /// The size of a world.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
+    /// Controllers.
+    pub controllers: usize,
     /// Teams.
     pub teams: u32,
     /// Accelerators guaranteed to each.
@@ -26,6 +28,7 @@
 impl Default for Size {
     fn default() -> Self {
         Self {
+            controllers: 3,
             teams: 3,
             guarantee: 2.0,
             limit: 4.0,
@@ -37,9 +40,9 @@
     }
 }
 
-/// The settings of one of the three controllers.
+/// The settings of one of the controllers.
 pub(super) fn settings(index: usize, operator: &Operator, size: &Size) -> Settings {
-    let siblings: Vec<Value> = (0..3)
+    let siblings: Vec<Value> = (0..size.controllers)
         .filter(|i| *i != index)
         .map(|i| json!({ "host_name": format!("berth-{i}"), "area": "a", "address": format!("10.0.0.{}:8081", i + 1) }))
         .collect();
@@ -51,7 +54,7 @@
         "api_addr": format!("10.0.0.{}:8080", index + 1), "peer_listen": format!("10.0.0.{}:8081", index + 1),
         "siblings": siblings, "outside": { "cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379" },
         "facts": {
-            "nodes": 3, "zones": ["a", "b"], "skew_ms": 25.0, "teams": teams,
+            "nodes": size.controllers, "zones": ["a", "b"], "skew_ms": 25.0, "teams": teams,
             "workers": { "report_s": 2.5, "lease_s": 18.0, "cancel_s": 38.0,
                 "gang_wait_s": WAIT_MS as f64 / 1000.0, "gang_peer_s": PEER_MS as f64 / 1000.0 },
             "state": { "rps": 250.0, "write_rps": size.write_rps, "value_kb": size.value_kb, "txn_ops": 16,
--- a/crates/tidelatch-standin/src/world/mod.rs
+++ b/crates/tidelatch-standin/src/world/mod.rs
@@ -50,6 +50,10 @@
     pub commands: u64,
     /// Reports passed on from one controller to another.
     pub relays: u64,
+    /// Connections to workers that were opened ahead of calls.
+    pub connections_ahead: u64,
+    /// Requests between controllers that are no relays: heartbeats and questions passed on.
+    pub peer_requests: u64,
     /// Reports that came in.
     pub beats: u64,
 }
@@ -152,7 +156,7 @@
         for i in 0..size.teams {
             world.checker.limit(&deployment::team_name(i, &size), size.limit);
         }
-        for i in 0..3 {
+        for i in 0..size.controllers {
             world.nodes.push(Node::new(deployment::settings(i, operator, &size)));
             world.start(i);
         }
--- a/crates/tidelatch-standin/src/world/peers.rs
+++ b/crates/tidelatch-standin/src/world/peers.rs
@@ -16,6 +16,9 @@
             PeerRequest::Forward { .. } => "forward",
             PeerRequest::Hello { .. } => "hello",
         };
+        if kind != "relay" {
+            self.sent.peer_requests += 1;
+        }
         let delivery = self.deliver(&format!("berth-{}", from.node), to, kind, "");
         let timeout_ms = if delivery == Delivery::Refused { 2 } else { timeout_ms };
         if let Some(n) = self.nodes.get_mut(from.node) {
@@ -23,6 +26,15 @@
         }
         self.schedule(timeout_ms, Event::PeerRequestAnswered { to: from, result: None });
         let to = to.strip_prefix("berth-").and_then(|n| n.parse().ok()).unwrap_or(0);
+        if let Delivery::Copied(late) = delivery {
+            let copy = Event::PeerRequestArrives {
+                from,
+                to,
+                request: request.clone(),
+                answered: None,
+            };
+            self.schedule(late, copy);
+        }
         if let Some(after) = delivery.request_delay() {
             let arrival = Event::PeerRequestArrives {
                 from,
--- a/crates/tidelatch-standin/src/world/reports.rs
+++ b/crates/tidelatch-standin/src/world/reports.rs
@@ -101,9 +101,9 @@
                 let to = serde_json::from_str::<Value>(&body)
                     .ok()
                     .and_then(|v| v["dispatcher"].as_str()?.strip_prefix("berth-")?.parse().ok());
-                w.node = to.unwrap_or((w.node + 1) % 3);
+                w.node = to.unwrap_or((w.node + 1) % self.nodes.len());
             }
-            _ => w.node = (w.node + 1) % 3,
+            _ => w.node = (w.node + 1) % self.nodes.len(),
         }
         self.started(name, &started);
     }
--- a/crates/tidelatch-standin/src/world/users.rs
+++ b/crates/tidelatch-standin/src/world/users.rs
@@ -111,7 +111,7 @@
             for (job, asked) in &mut open {
                 let polled = self.poll(node, job);
                 asked.push(polled);
-                node = (node + 1) % 3;
+                node = (node + 1) % self.nodes.len();
             }
             self.run(3000);
         }
--- a/crates/tidelatch-standin/src/world/workers.rs
+++ b/crates/tidelatch-standin/src/world/workers.rs
@@ -18,7 +18,7 @@
         let Some((zone, spot)) = self.cloud.machines.get(&name).cloned() else {
             return;
         };
-        let node = self.workers.len() % 3;
+        let node = self.workers.len() % self.nodes.len();
         let worker = Worker::new(&name, &zone, spot, node, self.now);
         self.workers.insert(name.clone(), worker);
         self.observe_machine(&name, &[]);
--- a/crates/tidelatch-standin/tests/upgrade.rs
+++ b/crates/tidelatch-standin/tests/upgrade.rs
@@ -331,6 +331,7 @@
         value_kb: 4.0,
         next: Some((18.0, 2.0, 4)),
         long_names: 150,
+        ..Size::default()
     }
 }
 
--- a/crates/tidelatch/src/admission.rs
+++ b/crates/tidelatch/src/admission.rs
@@ -23,6 +23,14 @@
 }
 
 impl SocketBudget {
+    /// The fewest sockets with which a controller that stands alone has places for so many workers.
+    pub fn needed_for(workers: usize) -> usize {
+        let enough = |sockets: &u32| Self::of(*sockets).workers >= workers;
+        (0..=u32::MAX)
+            .find(enough)
+            .map_or(usize::MAX, |sockets| sockets as usize)
+    }
+
     /// Divides so many sockets.
     pub fn of(sockets: u32) -> Self {
         let sockets = sockets as usize;
--- a/crates/tidelatch/src/daemon/dispatcher.rs
+++ b/crates/tidelatch/src/daemon/dispatcher.rs
@@ -134,6 +134,7 @@
                 request,
                 timeout_ms,
             } => self.start_peer_call(id, &to, request, timeout_ms),
+            Output::Connect { address } => self.connect_ahead(&address),
         }
     }
 
@@ -166,6 +167,19 @@
         self.executor.spawn(call).detach();
     }
 
+    /// Opens a connection to a worker ahead of calls to it, if sockets allow.
+    fn connect_ahead(&self, address: &str) {
+        let Ok(to) = address.parse() else { return };
+        let client = self.client.clone();
+        self.executor
+            .spawn(async move {
+                if let Err(error) = client.connect_ahead(to).await {
+                    tracing::debug!("{to}: not connected ahead: {error}");
+                }
+            })
+            .detach();
+    }
+
     /// Asks a peer; its reply, or the end of the time for it, comes back as an event.
     fn start_peer_call(&mut self, id: u64, to: &ControllerId, request: PeerRequest, timeout_ms: u64) {
         let to = self.siblings.get(to).copied();
--- a/crates/tidelatch/src/http/client.rs
+++ b/crates/tidelatch/src/http/client.rs
@@ -2,6 +2,8 @@
 
 use super::HttpError;
 use super::connection::Connection;
+use smol::Timer;
+use smol::future::FutureExt;
 use smol::lock::{Semaphore, SemaphoreGuardArc};
 use smol::net::TcpStream;
 use std::collections::HashMap;
@@ -97,6 +99,8 @@
 impl Client {
     /// Connections that have lain idle for longer are not used again.
     const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+    /// A connection ahead of calls that has not come about by then is given up.
+    const CONNECT_AHEAD_TIMEOUT: Duration = Duration::from_secs(2);
     /// Most idle connections to one address.
     const IDLE_PER_ADDRESS: usize = 4;
 
@@ -177,6 +181,33 @@
         Ok((response.status, response.body))
     }
 
+    /// Opens a connection to a worker for later calls, if none is idle and a place for it is free.
+    pub async fn connect_ahead(&self, to: SocketAddr) -> Result<(), HttpError> {
+        if self.has_idle(to) {
+            return Ok(());
+        }
+        let Some(permit) = self.worker_permits.try_acquire_arc() else {
+            return Ok(());
+        };
+        let connecting = async { TcpStream::connect(to).await.map_err(HttpError::from) };
+        let given_up = async {
+            Timer::after(Self::CONNECT_AHEAD_TIMEOUT).await;
+            Err(HttpError::from(std::io::Error::from(std::io::ErrorKind::TimedOut)))
+        };
+        let stream = connecting.or(given_up).await?;
+        let pooled = PooledConnection {
+            connection: Connection::new(stream),
+            permit: Some(permit),
+        };
+        self.return_idle(to, pooled);
+        Ok(())
+    }
+
+    fn has_idle(&self, to: SocketAddr) -> bool {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.get(&to).is_some_and(|kept| !kept.is_empty())
+    }
+
     async fn connect(&self, request: &OutgoingRequest, progress: &CallProgress) -> Result<PooledConnection, HttpError> {
         let permit = if request.worker {
             Some(self.worker_permit().await)
--- a/crates/tidelatch/src/main.rs
+++ b/crates/tidelatch/src/main.rs
@@ -3,6 +3,7 @@
 #![warn(clippy::too_many_lines)]
 
 mod admission;
+mod capacity;
 mod daemon;
 mod http;
 mod peers;
@@ -65,11 +66,9 @@
         Command::Check(files) => match load(&files) {
             Ok(settings) => {
                 println!("the settings are in order");
-                let budget = admission::SocketBudget::of(settings.platform.facts.machine_limits.sockets);
-                println!(
-                    "sockets: {} workers can report to this controller when it stands alone",
-                    budget.workers
-                );
+                for line in capacity::describe(&settings.platform.facts.machine_limits) {
+                    println!("{line}");
+                }
                 ExitCode::SUCCESS
             }
             Err(code) => code,
--- a/crates/tidelatch/src/peers/convert.rs
+++ b/crates/tidelatch/src/peers/convert.rs
@@ -3,6 +3,7 @@
 use super::wire;
 use tidelatch_core::ids::{JobId, MachineId, Partition};
 use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, SpareRoom, Told, Want};
+use tidelatch_failure_detector::{Claim, Heartbeat, Incarnation, Life, MemberId, Opinion};
 
 /// The core has answered a request in the form of another kind of request.
 #[derive(Debug, thiserror::Error)]
@@ -28,6 +29,7 @@
                 relies,
                 digests,
                 told,
+                liveness,
             } => Self::Hello(wire::HelloRequest {
                 name,
                 entitled,
@@ -38,6 +40,7 @@
                 unread: told.unread,
                 cancelled: job_names(told.cancelled),
                 asked: job_names(told.asked),
+                liveness: liveness.map(Into::into),
             }),
         }
     }
@@ -72,6 +75,7 @@
                 cancelled: job_ids(&request.cancelled),
                 asked: job_ids(&request.asked),
             },
+            liveness: request.liveness.map(Into::into),
         }
     }
 }
@@ -112,6 +116,7 @@
             moves,
             refused,
             told,
+            liveness,
         } = reply
         else {
             return Err(UnexpectedReply);
@@ -126,6 +131,7 @@
             unread: told.unread,
             cancelled: job_names(told.cancelled),
             asked: job_names(told.asked),
+            liveness: liveness.map(Into::into),
         })
     }
 }
@@ -144,6 +150,68 @@
                 cancelled: job_ids(&reply.cancelled),
                 asked: job_ids(&reply.asked),
             },
+            liveness: reply.liveness.map(Into::into),
+        }
+    }
+}
+
+impl From<Heartbeat> for wire::Liveness {
+    fn from(heartbeat: Heartbeat) -> Self {
+        Self {
+            life: heartbeat.incarnation.life.0,
+            refutation: heartbeat.incarnation.refutation,
+            sequence: heartbeat.sequence,
+            claims: convert_all(heartbeat.claims),
+            probe: heartbeat
+                .probe
+                .map_or_else(String::new, |probe| probe.as_str().to_owned()),
+        }
+    }
+}
+
+impl From<wire::Liveness> for Heartbeat {
+    /// The sender is not named here: the core knows from whom it came.
+    fn from(liveness: wire::Liveness) -> Self {
+        Self {
+            from: MemberId::new(""),
+            incarnation: Incarnation {
+                life: Life(liveness.life),
+                refutation: liveness.refutation,
+            },
+            sequence: liveness.sequence,
+            claims: convert_all(liveness.claims),
+            probe: (!liveness.probe.is_empty()).then(|| MemberId::new(liveness.probe)),
+        }
+    }
+}
+
+impl From<Claim> for wire::MemberClaim {
+    fn from(claim: Claim) -> Self {
+        Self {
+            name: claim.member.as_str().to_owned(),
+            life: claim.incarnation.life.0,
+            refutation: claim.incarnation.refutation,
+            suspected: claim.opinion == Opinion::Suspected,
+            heard_ago_ms: claim.heard_ago_ms,
+        }
+    }
+}
+
+impl From<wire::MemberClaim> for Claim {
+    fn from(claim: wire::MemberClaim) -> Self {
+        let opinion = if claim.suspected {
+            Opinion::Suspected
+        } else {
+            Opinion::Alive
+        };
+        Self {
+            member: MemberId::new(claim.name),
+            incarnation: Incarnation {
+                life: Life(claim.life),
+                refutation: claim.refutation,
+            },
+            opinion,
+            heard_ago_ms: claim.heard_ago_ms,
         }
     }
 }
--- a/crates/tidelatch/src/settings.rs
+++ b/crates/tidelatch/src/settings.rs
@@ -68,18 +68,21 @@
 }
 
 /// Reads both files and reports everything that is wrong with them.
-pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, Vec<SettingsError>> {
+pub fn load(platform: &Path, operator_path: Option<&Path>) -> Result<Settings, Vec<SettingsError>> {
     let platform = load_file(platform, parse_platform, Platform::faults);
-    let operator = match operator {
+    let operator = match operator_path {
         None => Ok(Operator::default()),
         Some(path) => load_file(path, parse_operator, Operator::faults),
     };
     match (platform, operator) {
-        (Ok(platform), Ok(operator)) => Ok(Settings {
-            platform,
-            operator,
-            features: tidelatch_core::settings::Features::default(),
-        }),
+        (Ok(platform), Ok(operator_settings)) => {
+            let settings = Settings {
+                platform,
+                operator: operator_settings,
+                features: tidelatch_core::settings::Features::default(),
+            };
+            check_together(settings, operator_path)
+        }
         (platform, operator) => {
             let mut errors = platform.err().unwrap_or_default();
             errors.extend(operator.err().unwrap_or_default());
@@ -88,6 +91,19 @@
     }
 }
 
+/// Checks what is impossible only where both files come together; the operators' is the one to be changed.
+fn check_together(settings: Settings, operator_path: Option<&Path>) -> Result<Settings, Vec<SettingsError>> {
+    let path = operator_path.map_or_else(String::new, |path| path.display().to_string());
+    let faults = settings.faults().into_iter();
+    let errors: Vec<SettingsError> = faults
+        .map(|fault| SettingsError::Value {
+            path: path.clone(),
+            fault,
+        })
+        .collect();
+    if errors.is_empty() { Ok(settings) } else { Err(errors) }
+}
+
 /// Reads one file, and checks its values.
 fn load_file<T>(
     path: &Path,
