A machine that alone knows what is done is not returned before that is stored

Cause: in an outage of the state service done bits are not stored; idle machines were returned all the same, with the only record of them, and their tasks ran a second time. Without the guard partial_failures::a_machine_is_not_returned_while_it_alone_knows_what_is_done fails.

--- a/crates/tidelatch-core/src/capacity/renting.rs
+++ b/crates/tidelatch-core/src/capacity/renting.rs
@@ -161,6 +161,7 @@
         let acting = self.acting_partitions();
         let idle_per_boot = self.settings.operator.idle_per_boot;
         let mut log = Vec::new();
+        let jobs = &self.jobs;
         for (id, m) in &mut self.machines {
             if !acting.contains(&m.partition) || m.retiring || m.gone || m.moving.is_some() || !m.up() {
                 continue;
@@ -168,6 +169,9 @@
             if !m.confirmed || !m.held.is_empty() {
                 continue;
             }
+            if m.has_unstored_results(jobs) {
+                continue;
+            }
             let boot = self.types.iter().find(|t| t.name == m.model).map_or(60.0, |t| t.boot_s);
             // A spot machine that goes may have to be made up for by an ordinary one: the dearer that is,
             // the longer it is kept.
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Whether tasks are done on it whose results are not stored yet: its reports are the only record of them.
+    pub(crate) fn has_unstored_results(&self, jobs: &BTreeMap<JobId, Job>) -> bool {
+        let unstored = |task: &TaskId| jobs.get(&task.job).is_some_and(|job| !job.is_stored(task.index));
+        self.ended.iter().any(|(task, _, done)| *done && unstored(task))
+    }
+
     /// A book says that it is up.
     pub(crate) fn come_up(&mut self, addr: &str, seen: (u64, u64)) {
         self.storing = false;
--- a/crates/tidelatch-standin/tests/partial_failures.rs
+++ b/crates/tidelatch-standin/tests/partial_failures.rs
@@ -711,3 +711,33 @@
     assert!(world.run_until(7000, gone), "{}", world.trace());
     assert_no_breaches(&world);
 }
+
+#[test]
+fn a_machine_is_not_returned_while_it_alone_knows_what_is_done() {
+    // Guard: in an outage of the state service done bits are not stored, and idle machines were returned with the only
+    // record of them: their tasks ran a second time. Found by real controllers that were split from the state service.
+    let mut world = World::new();
+    world.run(3000);
+    world.run_ms = 3_000;
+    let mut array = job(1, 0, "sweep", 4);
+    array["standby"] = true.into();
+    world.accepted(0, &array);
+    assert!(
+        world.run_until(30_000, |w| w.running("job-000001") == 4),
+        "{}",
+        world.trace()
+    );
+    world.store.down = true;
+    world.run(40_000);
+    assert!(world.cloud.deleted.is_empty(), "{}", world.trace());
+    world.store.down = false;
+    let done = |w: &World| w.store.get("t/j/job-000001").is_some_and(|j| j["st"] == "done");
+    assert!(world.run_until(60_000, done), "{}", world.trace());
+    assert_eq!(world.checker().start_orders(), 4, "{}", world.trace());
+    assert!(
+        world.run_until(60_000, |w| w.cloud.machines.is_empty()),
+        "{}",
+        world.trace()
+    );
+    assert_no_breaches(&world);
+}
