--- a/crates/tidelatch-failure-detector/tests/detector.rs
+++ b/crates/tidelatch-failure-detector/tests/detector.rs
@@ -160,6 +160,24 @@
     assert_eq!(cluster.count(is_confirmed), 4);
 }
 
+#[test]
+fn what_an_earlier_process_left_registered_does_not_supersede_the_present_one() {
+    let mut cluster = Cluster::new(3, Policy::default());
+    cluster.run(30_000);
+    // It is heard before it comes to register, and then not for a while.
+    cluster.restart_unregistered(2, 5_000);
+    cluster.run(1_000);
+    cluster.cut_one_way(2, 0);
+    cluster.cut_one_way(2, 1);
+    cluster.run(6_000);
+    assert_eq!(cluster.count(is_suspected), 2);
+    assert_eq!(cluster.count(is_confirmed), 0);
+    cluster.heal(2, 0);
+    cluster.heal(2, 1);
+    cluster.run(3_000);
+    assert_eq!(cluster.state(0, 2), Some(MemberState::Alive));
+}
+
 #[test]
 fn a_member_whose_version_tells_no_life_is_judged_by_its_contacts() {
     let mut at_a = detector(&["b"]);
--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod cloud;
 pub mod faults;
 mod gang;
+pub mod loopback;
 mod state;
 pub mod support;
 mod worker;
--- a/crates/tidelatch-standin/src/worker.rs
+++ b/crates/tidelatch-standin/src/worker.rs
@@ -41,6 +41,8 @@
     pub waiting: Option<u64>,
     /// It fails every task that it starts.
     pub sick: bool,
+    /// Where it takes commands; none: a made-up address by its name.
+    pub address: Option<String>,
 }
 
 impl Worker {
@@ -64,6 +66,7 @@
             hanging: false,
             waiting: None,
             sick: false,
+            address: None,
         }
     }
 
@@ -81,8 +84,9 @@
                 v
             })
             .collect();
+        let address = self.address.clone().unwrap_or_else(|| format!("{}:9000", self.name));
         json!({
-            "berth": self.name, "addr": format!("{}:9000", self.name), "model": Self::MODEL, "yard": self.zone,
+            "berth": self.name, "addr": address, "model": Self::MODEL, "yard": self.zone,
             "standby": self.spot, "shift": self.session, "tally": self.seq, "baton": self.token,
             "warningS": null, "wagons": tasks
         })
--- a/crates/tidelatch-standin/src/world/mod.rs
+++ b/crates/tidelatch-standin/src/world/mod.rs
@@ -18,6 +18,7 @@
 
 pub use deployment::{Size, gang, job};
 pub use network::{Delivery, Message};
+pub(crate) use workers::{Pace, continue_tasks};
 
 use crate::checker::Checker;
 use crate::cloud::Cloud;
--- a/crates/tidelatch-standin/src/world/workers.rs
+++ b/crates/tidelatch-standin/src/world/workers.rs
@@ -65,7 +65,7 @@
                 run_ms: self.run_ms,
                 uneven: self.uneven,
             };
-            finished = go_on(w, &self.jobs, pace, now);
+            finished = continue_tasks(w, &self.jobs, pace, now);
         }
         self.observe_machine(name, &[]);
         for task in finished {
@@ -131,10 +131,10 @@
 
 /// How long tasks of arrays run.
 #[derive(Clone, Copy)]
-struct Pace {
-    run_ms: u64,
+pub(crate) struct Pace {
+    pub(crate) run_ms: u64,
     /// Each runs for up to twice as long, by its number.
-    uneven: bool,
+    pub(crate) uneven: bool,
 }
 
 impl Pace {
@@ -148,7 +148,7 @@
 
 /// Lets a worker's tasks go on, and returns those that have finished. Gangs are left out: they are played
 /// by themselves.
-fn go_on(worker: &mut Worker, jobs: &BTreeMap<String, Value>, pace: Pace, now: u64) -> Vec<String> {
+pub(crate) fn continue_tasks(worker: &mut Worker, jobs: &BTreeMap<String, Value>, pace: Pace, now: u64) -> Vec<String> {
     let mut finished = Vec::new();
     let sick = worker.sick;
     for ((task, _), attempt) in &mut worker.tasks {
