--- a/crates/tidelatch-standin/tests/scale.rs
+++ b/crates/tidelatch-standin/tests/scale.rs
@@ -154,3 +154,98 @@
     let (small, large) = (looks_for_what_is_stuck(64), looks_for_what_is_stuck(256));
     assert!(large < 2.0 * small, "{small} and {large} looks");
 }
+
+/// What a fleet of some size has cost, in counts.
+#[derive(Debug)]
+struct FleetCosts {
+    changes_to_rent: f64,
+    cloud_calls_to_rent: u64,
+    changes_to_recover: f64,
+    looks_to_recover: f64,
+    relays_per_report: f64,
+    largest_value: usize,
+}
+
+/// Lets time pass in long steps until something holds: each step looks at all machines.
+fn run_in_steps(world: &mut World, seconds: u32, holds: impl Fn(&World) -> bool) -> bool {
+    (0..seconds * 2).any(|_| {
+        world.run(500);
+        holds(world)
+    })
+}
+
+/// Rents a fleet for services that fill it, lets the owner of a partition end, and then a third of the machines.
+fn play_fleet(machines: u32) -> FleetCosts {
+    const REPLICAS_PER_JOB: u32 = 100;
+    let mut world = World::sized(
+        &Operator::default(),
+        Size {
+            teams: 6,
+            guarantee: f64::from(machines),
+            limit: 2.0 * f64::from(machines),
+            write_rps: 120.0,
+            ..Size::default()
+        },
+    );
+    // As many again are there to be rented in the place of those that are lost.
+    world.cloud.most = 2 * machines as usize;
+    world.run(3000);
+    let jobs = machines * 2 / REPLICAS_PER_JOB;
+    for i in 0..jobs {
+        let body = job(i, i % 6, "standing", REPLICAS_PER_JOB);
+        world.accepted(i as usize % 3, &body);
+    }
+    let replicas = (jobs * REPLICAS_PER_JOB) as usize;
+    let all_run = move |w: &World| (0..jobs).map(|i| w.running(&format!("job-{i:06}"))).sum::<usize>() == replicas;
+    assert!(
+        run_in_steps(&mut world, 600, all_run),
+        "{} machines up",
+        world.workers.len()
+    );
+    let per_machine = |count: u64| count as f64 / f64::from(machines);
+    let changes_to_rent = per_machine(world.sent.changes);
+    let cloud_calls_to_rent = world.sent.cloud_calls;
+
+    // A take-over, with the partition's machines in use.
+    let before = world.trace().matches("every machine is accounted for").count();
+    world.crash(world.owner_of_team(0));
+    let accounted = |w: &World| w.trace().matches("every machine is accounted for").count() > before;
+    assert!(run_in_steps(&mut world, 20, accounted), "the take-over hangs");
+
+    // A third of the machines is gone from one moment to the next.
+    let (changes, looks) = (world.sent.changes, world.evaluations());
+    let lost: Vec<String> = world.workers.keys().step_by(3).cloned().collect();
+    for name in &lost {
+        world.workers.remove(name);
+        world.cloud.machines.remove(name);
+    }
+    world.run(1);
+    assert!(run_in_steps(&mut world, 600, all_run), "replicas are missing");
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let keys = world.store.keys("t/");
+    let sizes = keys.iter().filter_map(|key| world.store.get(key));
+    FleetCosts {
+        changes_to_rent,
+        cloud_calls_to_rent,
+        changes_to_recover: (world.sent.changes - changes) as f64 / lost.len() as f64,
+        looks_to_recover: (world.evaluations() - looks) as f64 / lost.len() as f64 / f64::from(machines),
+        relays_per_report: world.sent.relays as f64 / world.sent.beats as f64,
+        largest_value: sizes.map(|value| value.to_string().len()).max().unwrap_or(0),
+    }
+}
+
+#[test]
+fn a_fleet_of_four_thousand_machines_costs_no_more_for_each_than_a_small_one() {
+    for machines in [600, 4_000] {
+        let costs = play_fleet(machines);
+        println!("{machines} machines: {costs:?}");
+        // Guard: what a machine costs does not grow with the fleet. A look at each machine for each lost replica is
+        // the search itself; there are two replicas to a machine.
+        assert!(costs.changes_to_rent < 0.25, "{costs:?}");
+        assert!(costs.cloud_calls_to_rent < 20 + u64::from(machines) / 25, "{costs:?}");
+        assert!(costs.changes_to_recover < 0.6, "{costs:?}");
+        assert!(costs.looks_to_recover < 4.0, "{costs:?}");
+        assert!(costs.relays_per_report < 0.05, "{costs:?}");
+        assert!(costs.largest_value < 8 * 1024, "{costs:?}");
+    }
+}
