Rename: messages between controllers, and what waits, in the field's terms

Need is MachineRequest, Want WaitingTasks, Idle IdleMachine, Told CancellationNotice, Hello Heartbeat, Holding PartitionOwner, Wish UnplacedTasks, Learned EstimateCorrections, Over EndedJob. Messages and RPCs of peer.proto keep their names. No change of behaviour.

--- a/crates/tidelatch-core/src/calls.rs
+++ b/crates/tidelatch-core/src/calls.rs
@@ -91,7 +91,7 @@
         epoch: Epoch,
         session: u64,
     },
-    Hello {
+    Heartbeat {
         to: ControllerId,
         sent: u64,
         /// The span of cancellations that it told of.
--- a/crates/tidelatch-core/src/cancellations.rs
+++ b/crates/tidelatch-core/src/cancellations.rs
@@ -47,7 +47,7 @@
 
 /// What one greeting or its answer says of cancellations.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Told {
+pub struct CancellationNotice {
     /// The life of who tells; 0: a version that does not tell.
     pub life: u64,
     /// Jobs whose cancellation is stored.
@@ -192,12 +192,12 @@
     }
 
     /// What is told to a peer, the span of numbers that it covers, and whether it is all that the peer lacks.
-    pub(crate) fn tell_cancellations(&self, to: &ControllerId) -> (Told, (u64, u64), bool) {
+    pub(crate) fn tell_cancellations(&self, to: &ControllerId) -> (CancellationNotice, (u64, u64), bool) {
         if !self.settings.features.cancellations {
-            return (Told::default(), (0, 0), true);
+            return (CancellationNotice::default(), (0, 0), true);
         }
         let untaken = self.cancellations.untaken(to);
-        let told = Told {
+        let told = CancellationNotice {
             life: self.member.inc.0,
             cancelled: untaken.stored,
             asked: untaken.asked,
@@ -207,7 +207,7 @@
     }
 
     /// Takes in what a peer tells, before anything else that its message allows.
-    pub(crate) fn take_cancellations(&mut self, from: &ControllerId, told: &Told) {
+    pub(crate) fn take_cancellations(&mut self, from: &ControllerId, told: &CancellationNotice) {
         if !self.settings.features.cancellations {
             return;
         }
--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -15,13 +15,13 @@
 pub use boot_times::{BootTimes, BootingMachine};
 pub(crate) use planning::room_for;
 use planning::wants;
-pub use planning::{Coming, Kind, Lane, Wish, absorb, plan};
+pub use planning::{Coming, Kind, Lane, UnplacedTasks, absorb, plan};
 
 use crate::calls::Purpose;
 use crate::controller::Controller;
 use crate::ids::{ControllerId, Epoch, MachineId, Partition};
 use crate::membership::TYPES_KEY;
-use crate::messages::{Digest, Idle, Method, Move, Target};
+use crate::messages::{Digest, IdleMachine, Method, Move, Target};
 use crate::protocol::{MachineTypes, Rental, Report};
 use crate::rate_limit::Bucket;
 use crate::roster::Rented;
@@ -50,7 +50,7 @@
 /// A machine that the leader has asked an owner to hand over.
 #[derive(Debug, Clone)]
 struct Lent {
-    machine: Idle,
+    machine: IdleMachine,
     to: Partition,
     at: u64,
 }
@@ -58,7 +58,7 @@
 /// The cloud as this controller sees it, and what is under way there.
 #[derive(Debug)]
 pub(crate) struct Cloud {
-    pub(crate) wishes: Vec<Wish>,
+    pub(crate) wishes: Vec<UnplacedTasks>,
     pub(crate) stale_keys: Vec<String>,
     pub(crate) types_writing: bool,
     types_at: u64,
--- a/crates/tidelatch-core/src/capacity/digests.rs
+++ b/crates/tidelatch-core/src/capacity/digests.rs
@@ -1,11 +1,11 @@
 //! Digests: what a partition's owner reports that the partition needs and has to spare.
 
 use super::spare_room::largest_of_each_kind;
-use super::{BootingMachine, Kind, Lane, Wish, YIELDING, absorb, plan, wants};
+use super::{BootingMachine, Kind, Lane, UnplacedTasks, YIELDING, absorb, plan, wants};
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition};
 use crate::membership::Stage;
-use crate::messages::{Digest, Idle, SpareRoom};
+use crate::messages::{Digest, IdleMachine, SpareRoom};
 use crate::picture::Machine;
 use crate::placement::Amounts;
 use crate::protocol::{Priority, Shape};
@@ -117,7 +117,7 @@
                     lanes.push(lane);
                 }
                 if let Some(loss) = self.yielding(m) {
-                    let machine = Idle {
+                    let machine = IdleMachine {
                         machine: id.clone(),
                         model: m.model.clone(),
                         zone: m.zone.clone(),
@@ -130,7 +130,7 @@
                     .idle_since
                     .is_some_and(|t| now.saturating_sub(t) > self.settings.report_ms());
                 if spare && m.usable(now, 2 * self.settings.report_ms()) {
-                    idle.push(Idle {
+                    idle.push(IdleMachine {
                         machine: id.clone(),
                         model: m.model.clone(),
                         zone: m.zone.clone(),
@@ -138,7 +138,7 @@
                     });
                 }
             }
-            let mut wishes: Vec<Wish> = self
+            let mut wishes: Vec<UnplacedTasks> = self
                 .cloud
                 .wishes
                 .iter()
--- a/crates/tidelatch-core/src/capacity/hand_over.rs
+++ b/crates/tidelatch-core/src/capacity/hand_over.rs
@@ -3,7 +3,7 @@
 use super::{Kind, Lent, room_for};
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition};
-use crate::messages::{Digest, Idle, Level, Move, Need, SpareRoom, Want};
+use crate::messages::{Digest, IdleMachine, Level, MachineRequest, Move, SpareRoom, WaitingTasks};
 use std::collections::BTreeMap;
 
 /// How a machine changes hands.
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub(super) struct HandOver {
     pub(super) from: Partition,
-    pub(super) machine: Idle,
+    pub(super) machine: IdleMachine,
     pub(super) to: Partition,
     pub(super) how: How,
 }
@@ -29,9 +29,9 @@
 /// The machines that partitions offer to others, each with its present partition.
 struct Offers {
     /// With nothing on them.
-    idle: Vec<(Partition, Idle)>,
+    idle: Vec<(Partition, IdleMachine)>,
     /// To be vacated for production work.
-    yielding: Vec<(Partition, Idle)>,
+    yielding: Vec<(Partition, IdleMachine)>,
     /// In use, with room for more.
     spare_room: Vec<(Partition, SpareRoom)>,
 }
@@ -50,15 +50,15 @@
 }
 
 /// Whether a machine is of the kind that is needed.
-fn serves(machine: &Idle, need: &Need) -> bool {
+fn serves(machine: &IdleMachine, need: &MachineRequest) -> bool {
     machine.model == need.model && (need.any_zone || machine.zone == need.zone) && (need.spot || !machine.spot)
 }
 
 /// Serves needs for machines, and returns what is to be rented for them.
 fn serve_needs(
     order: &[&Digest],
-    mut arriving: Vec<(Partition, Idle)>,
-    yielding: &mut Vec<(Partition, Idle)>,
+    mut arriving: Vec<(Partition, IdleMachine)>,
+    yielding: &mut Vec<(Partition, IdleMachine)>,
     moves: &mut Vec<HandOver>,
 ) -> Rentals {
     let mut rentals = Rentals::new();
@@ -141,18 +141,18 @@
     }
 
     /// The machines that were lent and have not arrived, each with the partition that it goes to.
-    fn on_the_way(&self) -> Vec<(Partition, Idle)> {
+    fn on_the_way(&self) -> Vec<(Partition, IdleMachine)> {
         self.cloud.lent.iter().map(|l| (l.to, l.machine.clone())).collect()
     }
 
     /// The machines that digests offer and that are not on their way already.
     fn machines_on_offer(&self, digests: &[Digest]) -> Offers {
-        let moving = |i: &Idle| self.cloud.lent.iter().any(|l| l.machine.machine == i.machine);
+        let moving = |i: &IdleMachine| self.cloud.lent.iter().any(|l| l.machine.machine == i.machine);
         let mut idle = Vec::new();
         let mut yielding = Vec::new();
         for digest in digests {
-            let from = |i: &Idle| (digest.partition, i.clone());
-            let wanted = |i: &Idle| digest.wants.iter().any(|w| w.takes(i));
+            let from = |i: &IdleMachine| (digest.partition, i.clone());
+            let wanted = |i: &IdleMachine| digest.wants.iter().any(|w| w.takes(i));
             let spare = digest.idle.iter().filter(|i| !wanted(i) && !moving(i));
             idle.extend(spare.map(from));
             yielding.extend(digest.yielding.iter().filter(|i| !moving(i)).map(from));
@@ -183,10 +183,10 @@
 
     /// Counts machines on their way to a partition for tasks that wait there, and returns how many of these
     /// are left.
-    fn take_coming(&self, to: Partition, want: &Want, coming: &mut Vec<(Partition, Idle)>) -> u32 {
+    fn take_coming(&self, to: Partition, want: &WaitingTasks, coming: &mut Vec<(Partition, IdleMachine)>) -> u32 {
         let mut left = want.count;
         while left > 0 {
-            let serves = |(p, i): &(Partition, Idle)| *p == to && self.tasks_that_fit(want, i).is_some();
+            let serves = |(p, i): &(Partition, IdleMachine)| *p == to && self.tasks_that_fit(want, i).is_some();
             let Some(at) = coming.iter().position(serves) else {
                 break;
             };
@@ -200,13 +200,13 @@
     fn lend_idle(
         &self,
         to: Partition,
-        want: &Want,
+        want: &WaitingTasks,
         mut left: u32,
-        idle: &mut Vec<(Partition, Idle)>,
+        idle: &mut Vec<(Partition, IdleMachine)>,
         moves: &mut Vec<HandOver>,
     ) -> u32 {
         while left > 0 {
-            let serves = |(p, i): &(Partition, Idle)| *p != to && self.tasks_that_fit(want, i).is_some();
+            let serves = |(p, i): &(Partition, IdleMachine)| *p != to && self.tasks_that_fit(want, i).is_some();
             let Some(at) = idle.iter().position(serves) else {
                 break;
             };
@@ -223,7 +223,7 @@
     }
 
     /// How many of the tasks that wait an empty machine has room for; none if it would not do.
-    fn tasks_that_fit(&self, want: &Want, machine: &Idle) -> Option<u32> {
+    fn tasks_that_fit(&self, want: &WaitingTasks, machine: &IdleMachine) -> Option<u32> {
         if !want.takes(machine) {
             return None;
         }
--- a/crates/tidelatch-core/src/capacity/heartbeats.rs
+++ b/crates/tidelatch-core/src/capacity/heartbeats.rs
@@ -3,7 +3,7 @@
 use crate::calls::Purpose;
 use crate::controller::Controller;
 use crate::ids::ControllerId;
-use crate::messages::{Digest, Move, Need, PeerReply, PeerRequest};
+use crate::messages::{Digest, MachineRequest, Move, PeerReply, PeerRequest};
 
 impl Controller {
     pub(crate) fn say_hello(&mut self) {
@@ -44,7 +44,7 @@
                 Vec::new()
             };
             let liveness = self.liveness_for(&to);
-            let request = PeerRequest::Hello {
+            let request = PeerRequest::Heartbeat {
                 name: self.me.as_str().to_owned(),
                 entitled: self.entitled(),
                 wants_grant,
@@ -54,7 +54,7 @@
                 liveness,
             };
             let timeout = self.settings.report_ms() / 2;
-            let purpose = Purpose::Hello {
+            let purpose = Purpose::Heartbeat {
                 to: to.clone(),
                 sent: now,
                 told: span,
@@ -89,7 +89,7 @@
                 .refused
                 .iter()
                 .filter(|(_, t)| now < **t)
-                .map(|((model, zone, spot), _)| Need {
+                .map(|((model, zone, spot), _)| MachineRequest {
                     model: model.clone(),
                     zone: zone.clone(),
                     spot: *spot,
@@ -104,7 +104,7 @@
         let liveness = self.liveness_for(&from);
         self.out.push(crate::messages::Output::Tell {
             id,
-            reply: PeerReply::Hello {
+            reply: PeerReply::Heartbeat {
                 entitled,
                 granted,
                 relies,
@@ -116,7 +116,7 @@
         });
     }
 
-    pub(crate) fn on_moves(&mut self, from: &ControllerId, moves: Vec<Move>, refused: Vec<Need>) {
+    pub(crate) fn on_moves(&mut self, from: &ControllerId, moves: Vec<Move>, refused: Vec<MachineRequest>) {
         let leads = self.member.leader.as_ref().is_some_and(|(l, _)| l.name == *from);
         if !leads || self.is_leader() {
             return;
--- a/crates/tidelatch-core/src/capacity/planning.rs
+++ b/crates/tidelatch-core/src/capacity/planning.rs
@@ -1,7 +1,7 @@
 //! What machines would do for what waits: pure functions over wishes and lanes.
 
 use crate::ids::Partition;
-use crate::messages::{Need, Want};
+use crate::messages::{MachineRequest, WaitingTasks};
 use crate::placement::{Amounts, JobTerms};
 use crate::protocol::MachineType;
 use std::cmp::{Ordering, Reverse};
@@ -12,7 +12,7 @@
 
 /// Tasks of one job that found no machine.
 #[derive(Debug, Clone)]
-pub struct Wish {
+pub struct UnplacedTasks {
     /// The job's partition.
     pub partition: Partition,
     /// What each takes.
@@ -47,7 +47,7 @@
     pub count: u32,
 }
 
-impl Wish {
+impl UnplacedTasks {
     /// A wish for none yet, in a job's terms.
     pub fn new(partition: Partition, terms: &JobTerms, urgent: bool, slack_s: f64) -> Self {
         Self {
@@ -71,7 +71,7 @@
     }
 
     /// The same as the leader sees it.
-    fn want(&self, zones: &[String]) -> Want {
+    fn want(&self, zones: &[String]) -> WaitingTasks {
         let open = |z: &&String| {
             self.zone.as_ref().is_none_or(|x| x == *z)
                 && (!self.one_zone || self.in_zone.iter().all(|(x, n)| *n == 0 || x == *z))
@@ -80,7 +80,7 @@
                     .is_none_or(|most| self.in_zone.get(*z).copied().unwrap_or(0) < most)
         };
         let allowed: Vec<String> = zones.iter().filter(open).cloned().collect();
-        Want {
+        WaitingTasks {
             models: self.models.clone().unwrap_or_default(),
             zones: if allowed.len() == zones.len() {
                 Vec::new()
@@ -173,7 +173,7 @@
 /// Where the cloud refuses every kind that would do, tasks wait for room for half of their slack: what
 /// is left after that asks for machines that other partitions might lend or vacate.
 pub fn absorb(
-    wishes: &mut [Wish],
+    wishes: &mut [UnplacedTasks],
     lanes: &mut [Lane],
     types: &[MachineType],
     refused: &dyn Fn(&Kind) -> bool,
@@ -240,7 +240,7 @@
 }
 
 /// Whether the cloud refuses every kind of machine that would do.
-fn all_refused(wish: &Wish, types: &[MachineType], refused: &dyn Fn(&Kind) -> bool) -> bool {
+fn all_refused(wish: &UnplacedTasks, types: &[MachineType], refused: &dyn Fn(&Kind) -> bool) -> bool {
     let fits = |t: &&MachineType| room_for(&wish.size, &[t.cpus, t.gpus, t.memory_gb]) > 0;
     let to_be_had = |t: &MachineType| {
         t.zones.iter().any(|zone| {
@@ -299,15 +299,15 @@
 /// The machines to rent for what finds no room on those that are coming: for each task the kind that
 /// costs least for it, counting how many of its like fit on one.
 pub fn plan(
-    wishes: &[Wish],
+    wishes: &[UnplacedTasks],
     mut coming: Vec<Coming>,
     types: &[MachineType],
     refused: &dyn Fn(&Kind) -> bool,
     in_zones: &BTreeMap<String, u32>,
-) -> Vec<Need> {
+) -> Vec<MachineRequest> {
     let mut needs: BTreeMap<Kind, (u32, bool, bool)> = BTreeMap::new();
     let mut in_zones = in_zones.clone();
-    let mut order: Vec<&Wish> = wishes.iter().collect();
+    let mut order: Vec<&UnplacedTasks> = wishes.iter().collect();
     order.sort_by(|a, b| b.urgent.cmp(&a.urgent).then(a.slack_s.total_cmp(&b.slack_s)));
     for wish in order {
         let mut wish = wish.clone();
@@ -380,7 +380,7 @@
     }
     needs
         .into_iter()
-        .map(|((model, zone, spot), (count, urgent, any_zone))| Need {
+        .map(|((model, zone, spot), (count, urgent, any_zone))| MachineRequest {
             model,
             zone,
             spot,
@@ -395,11 +395,11 @@
 const WANTS: usize = 40;
 
 /// Puts together what waits in the same terms, production work and the most first.
-pub(super) fn wants(wishes: &[Wish], zones: &[String]) -> Vec<Want> {
-    let mut wants: Vec<Want> = Vec::new();
+pub(super) fn wants(wishes: &[UnplacedTasks], zones: &[String]) -> Vec<WaitingTasks> {
+    let mut wants: Vec<WaitingTasks> = Vec::new();
     for wish in wishes.iter().filter(|w| w.count > 0) {
         let want = wish.want(zones);
-        let same = |w: &&mut Want| {
+        let same = |w: &&mut WaitingTasks| {
             w.size == want.size
                 && w.zones == want.zones
                 && w.models == want.models
--- a/crates/tidelatch-core/src/capacity/spare_room.rs
+++ b/crates/tidelatch-core/src/capacity/spare_room.rs
@@ -4,7 +4,7 @@
 use super::{Kind, Lent};
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition};
-use crate::messages::{Digest, Idle, SpareRoom, Want};
+use crate::messages::{Digest, IdleMachine, SpareRoom, WaitingTasks};
 use crate::picture::Machine;
 use crate::protocol::MachineType;
 use std::cmp::Ordering;
@@ -38,7 +38,7 @@
         let model = self.types.iter().find(|t| t.name == machine.model)?;
         let mut free = [model.cpus, model.gpus, model.memory_gb];
         free.iter_mut().zip(machine.taken()).for_each(|(f, used)| *f -= used);
-        let machine = Idle {
+        let machine = IdleMachine {
             machine: id.clone(),
             model: machine.model.clone(),
             zone: machine.zone.clone(),
@@ -66,7 +66,7 @@
     pub(super) fn take_spare_room(
         &self,
         to: Partition,
-        want: &Want,
+        want: &WaitingTasks,
         offers: &mut Vec<(Partition, SpareRoom)>,
     ) -> Option<HandOver> {
         let under_way = |l: &Lent| l.to == to && want.takes(&l.machine);
@@ -92,7 +92,7 @@
     }
 
     /// Whether the cloud has lately refused every kind of machine that would do.
-    fn all_kinds_refused(&self, want: &Want) -> bool {
+    fn all_kinds_refused(&self, want: &WaitingTasks) -> bool {
         let fits = |t: &&MachineType| want.fits(&[t.cpus, t.gpus, t.memory_gb]) > 0;
         let kinds = self.types.iter().filter(fits).flat_map(|t| {
             let of_zone = |zone: &String| [false, true].map(|spot| (t.name.clone(), zone.clone(), spot));
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -3,16 +3,16 @@
 use crate::admission::Admission;
 use crate::calls::{Asker, Purpose, is_lost_lease};
 use crate::cancellations::Cancellations;
-use crate::capacity::{Cloud, Wish};
+use crate::capacity::{Cloud, UnplacedTasks};
 use crate::failure_detection::FailureDetection;
 use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
-use crate::jobs::{Job, Over, Purpose as JobPurpose, StatusReads};
+use crate::jobs::{EndedJob, Job, Purpose as JobPurpose, StatusReads};
 use crate::membership::{Membership, Tenure};
 use crate::messages::{Answer, Input, Level, Method, Now, Output, PeerReply, PeerRequest, Target};
 use crate::picture::{Guest, Machine};
 use crate::placement::Amounts;
 use crate::protocol::{JobSpec, MachineType};
-use crate::queue::Learned;
+use crate::queue::EstimateCorrections;
 use crate::rate_limit::Bucket;
 use crate::roster::Roster;
 use crate::settings::Settings;
@@ -39,7 +39,7 @@
     pub(crate) tenures: BTreeMap<Partition, Tenure>,
     pub(crate) types: Vec<MachineType>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
-    pub(crate) over: BTreeMap<JobId, Over>,
+    pub(crate) over: BTreeMap<JobId, EndedJob>,
     pub(crate) over_order: VecDeque<JobId>,
     pub(crate) status_reads: StatusReads,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
@@ -50,9 +50,9 @@
     pub(crate) limits: Limits,
     pub(crate) admission: Admission,
     pub(crate) batch_due: Option<u64>,
-    pub(crate) learned: Learned,
+    pub(crate) learned: EstimateCorrections,
     /// Jobs that a slice of the search left out, with what they would need, until when.
-    pub(crate) resting: BTreeMap<JobId, (Option<Wish>, u64)>,
+    pub(crate) resting: BTreeMap<JobId, (Option<UnplacedTasks>, u64)>,
     /// By team, room under its limit that is kept for one task of production work that found no machine.
     pub(crate) kept_room: BTreeMap<usize, Amounts>,
     /// Jobs within their teams' guarantees, as of the last batch.
@@ -112,7 +112,7 @@
             },
             admission: Admission::new(&settings),
             batch_due: None,
-            learned: Learned::default(),
+            learned: EstimateCorrections::default(),
             resting: BTreeMap::new(),
             kept_room: BTreeMap::new(),
             guaranteed: BTreeSet::new(),
@@ -277,7 +277,7 @@
             PeerRequest::Relay { report } => self.on_beat(asker, &report, false),
             PeerRequest::Forward { job, withdraw: true } => self.on_withdraw(asker, &job, false),
             PeerRequest::Forward { job, withdraw: false } => self.on_status(asker, &job, false),
-            PeerRequest::Hello {
+            PeerRequest::Heartbeat {
                 name,
                 entitled,
                 wants_grant,
@@ -368,7 +368,7 @@
                 epoch,
                 session,
             } => self.on_direct(machine, number, (epoch, session), result),
-            Purpose::Hello { .. }
+            Purpose::Heartbeat { .. }
             | Purpose::Relay { .. }
             | Purpose::ForwardStatus { .. }
             | Purpose::ForwardWithdraw { .. } => {}
@@ -378,8 +378,8 @@
     fn on_peer_reply(&mut self, purpose: Purpose, result: Option<PeerReply>) {
         match (purpose, result) {
             (
-                Purpose::Hello { to, sent, told },
-                Some(PeerReply::Hello {
+                Purpose::Heartbeat { to, sent, told },
+                Some(PeerReply::Heartbeat {
                     entitled,
                     granted,
                     relies,
@@ -408,7 +408,7 @@
                     self.greet(true);
                 }
             }
-            (Purpose::Hello { to, .. }, _) => self.note_peer(&to, false, false),
+            (Purpose::Heartbeat { to, .. }, _) => self.note_peer(&to, false, false),
             (Purpose::Relay { asker, report }, result) => self.on_relayed(asker, &report, result),
             (Purpose::ForwardStatus { asker, job }, result) => match result {
                 // The job's end may have come by the watch since its owner answered.
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -7,8 +7,8 @@
 
 pub(crate) use bitmap::Piece;
 pub use bitmap::bits_from_hex;
+pub(crate) use record::{EndedJob, bytes_of};
 pub use record::{JobRecord, Stored};
-pub(crate) use record::{Over, bytes_of};
 pub(crate) use status_reads::StatusReads;
 
 use bitmap::Chunk;
@@ -168,7 +168,7 @@
         if self.over.contains_key(&id) {
             return;
         }
-        if let Some(over) = Over::of(&record) {
+        if let Some(over) = EndedJob::of(&record) {
             if !over.done {
                 let was_open = self.jobs.contains_key(&id);
                 self.note_cancelled(&id, record.ended, was_open);
@@ -201,7 +201,7 @@
 
     /// Keeps a final state at hand. Beyond a part of the memory the oldest are dropped: a question about
     /// one of those is answered by a read.
-    fn remember_over(&mut self, id: &JobId, over: Over) {
+    fn remember_over(&mut self, id: &JobId, over: EndedJob) {
         // A fifth of the memory, at about 300 bytes for each.
         let most = (self.settings.platform.facts.machine_limits.ram_mb * 1e6 / 5.0 / 300.0) as usize;
         self.over.insert(id.clone(), over);
@@ -213,7 +213,7 @@
         }
     }
 
-    fn job_over(&mut self, id: &JobId, over: Over) {
+    fn job_over(&mut self, id: &JobId, over: EndedJob) {
         self.remember_over(id, over);
         if let Some(job) = self.jobs.remove(id) {
             self.admission.job_closed(self.now.ms, &job.spec);
@@ -365,7 +365,7 @@
         job.ending_sent = false;
         match result {
             Some((200, _)) => {
-                let over = Over {
+                let over = EndedJob {
                     done: ending == Ending::Done,
                     tasks: job.spec.tasks,
                     team: job.spec.team.clone(),
--- a/crates/tidelatch-core/src/jobs/record.rs
+++ b/crates/tidelatch-core/src/jobs/record.rs
@@ -63,14 +63,14 @@
 
 /// A job that is over, as kept in memory.
 #[derive(Debug, Clone)]
-pub(crate) struct Over {
+pub(crate) struct EndedJob {
     pub(crate) done: bool,
     pub(crate) tasks: u32,
     pub(crate) team: String,
     pub(crate) size: [f64; 3],
 }
 
-impl Over {
+impl EndedJob {
     pub(super) fn of(record: &JobRecord) -> Option<Self> {
         (record.st != Stored::Queued).then_some(Self {
             done: record.st == Stored::Done,
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -26,9 +26,9 @@
 mod submissions;
 mod write_limits;
 
-pub use cancellations::Told;
+pub use cancellations::CancellationNotice;
 pub use controller::Controller;
 pub use messages::{
-    Answer, Digest, Idle, Input, Level, Method, Move, NOT_SENT, NOT_TRIED, Need, Now, Output, PeerReply, PeerRequest,
-    SpareRoom, Target, Want,
+    Answer, Digest, IdleMachine, Input, Level, MachineRequest, Method, Move, NOT_SENT, NOT_TRIED, Now, Output,
+    PeerReply, PeerRequest, SpareRoom, Target, WaitingTasks,
 };
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -68,7 +68,7 @@
 
 /// Who owns a partition.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holding {
+pub struct PartitionOwner {
     /// The owner.
     pub owner: ControllerId,
     /// Its life.
@@ -87,7 +87,7 @@
     /// The epoch: the fencing token.
     pub n: Epoch,
     /// Holdings, by partition.
-    pub parts: Vec<Holding>,
+    pub parts: Vec<PartitionOwner>,
 }
 
 /// A peer's promise not to change the membership.
@@ -277,7 +277,7 @@
                 }
                 wait.retain(|w| members.get(&w.name).is_some_and(|m| m.inc == w.inc));
                 wait.retain(|w| w.name != owner || w.inc != inc);
-                parts.push(Holding {
+                parts.push(PartitionOwner {
                     owner,
                     inc,
                     since: n,
--- a/crates/tidelatch-core/src/membership/tenure.rs
+++ b/crates/tidelatch-core/src/membership/tenure.rs
@@ -1,6 +1,6 @@
 //! Partitions in this controller's hands: taking them over and giving them up.
 
-use super::Holding;
+use super::PartitionOwner;
 use crate::calls::Purpose;
 use crate::controller::Controller;
 use crate::failure_detection::RecordsReadAhead;
@@ -42,7 +42,7 @@
         self.entitled_at(now) && self.tenures.get(&partition).is_some_and(active)
     }
 
-    pub(crate) fn holding(&self, partition: Partition) -> Option<&Holding> {
+    pub(crate) fn holding(&self, partition: Partition) -> Option<&PartitionOwner> {
         self.member.epoch.as_ref()?.0.parts.get(partition.0 as usize)
     }
 
--- a/crates/tidelatch-core/src/messages.rs
+++ b/crates/tidelatch-core/src/messages.rs
@@ -1,6 +1,6 @@
 //! The typed messages of a controller: its inputs and outputs, and what controllers ask and answer one another.
 
-use crate::cancellations::Told;
+use crate::cancellations::CancellationNotice;
 use crate::capacity::room_for;
 use crate::ids::{ControllerId, MachineId, Partition};
 use tidelatch_failure_detector::Heartbeat;
@@ -74,7 +74,7 @@
 
 /// Machines that a partition would like to have.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Need {
+pub struct MachineRequest {
     /// Machine type.
     pub model: String,
     /// Zone; empty: any.
@@ -91,7 +91,7 @@
 
 /// Tasks that wait for room: what the leader needs to know to lend them what is idle elsewhere.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Want {
+pub struct WaitingTasks {
     /// Machine types that would do; empty: any.
     pub models: Vec<String>,
     /// Zones that would do; empty: any.
@@ -106,9 +106,9 @@
     pub count: u32,
 }
 
-impl Want {
+impl WaitingTasks {
     /// Whether a machine would do.
-    pub fn takes(&self, machine: &Idle) -> bool {
+    pub fn takes(&self, machine: &IdleMachine) -> bool {
         self.allows(&machine.model, &machine.zone, machine.spot)
     }
 
@@ -128,14 +128,14 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct SpareRoom {
     /// The machine.
-    pub machine: Idle,
+    pub machine: IdleMachine,
     /// Processors, accelerators and memory that are free on it.
     pub free: [f64; 3],
 }
 
 /// A machine with nothing on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Idle {
+pub struct IdleMachine {
     /// The machine.
     pub machine: MachineId,
     /// Machine type.
@@ -156,13 +156,13 @@
     /// Queued and running demand, in accelerators (or processors where none are used).
     pub demand: f64,
     /// Machines wanted.
-    pub needs: Vec<Need>,
+    pub needs: Vec<MachineRequest>,
     /// Tasks that wait, even for what will be free in time.
-    pub wants: Vec<Want>,
+    pub wants: Vec<WaitingTasks>,
     /// Machines with nothing on them.
-    pub idle: Vec<Idle>,
+    pub idle: Vec<IdleMachine>,
     /// Machines with nothing but work that yields to production, the least loss first.
-    pub yielding: Vec<Idle>,
+    pub yielding: Vec<IdleMachine>,
     /// Machines in use with room that nothing of the partition's waits for.
     pub spare_room: Vec<SpareRoom>,
 }
@@ -196,7 +196,7 @@
         withdraw: bool,
     },
     /// How the sender stands.
-    Hello {
+    Heartbeat {
         /// The sender.
         name: String,
         /// It holds its lease.
@@ -208,7 +208,7 @@
         /// Its partitions.
         digests: Vec<Digest>,
         /// Cancellations that the other may not know of.
-        told: Told,
+        told: CancellationNotice,
         /// For the other's failure detector; none: the sender does not take part.
         liveness: Option<Heartbeat>,
     },
@@ -220,7 +220,7 @@
     /// To a relay or a forward.
     Answer(Answer),
     /// To a hello.
-    Hello {
+    Heartbeat {
         /// The answerer holds its lease.
         entitled: bool,
         /// The answerer promises to leave the membership as it is for a controller's lease.
@@ -230,9 +230,9 @@
         /// Machines to hand over (from the leader only).
         moves: Vec<Move>,
         /// Kinds of machine that the cloud refused lately (from the leader only).
-        refused: Vec<Need>,
+        refused: Vec<MachineRequest>,
         /// Cancellations that the asker may not know of.
-        told: Told,
+        told: CancellationNotice,
         /// For the asker's failure detector; none: the answerer does not take part.
         liveness: Option<Heartbeat>,
     },
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -4,7 +4,7 @@
 mod limits;
 mod room;
 
-use crate::capacity::Wish;
+use crate::capacity::UnplacedTasks;
 use crate::controller::Controller;
 use crate::ids::{JobId, MachineId, Partition, TaskId};
 use crate::jobs::Job;
@@ -58,12 +58,12 @@
 
 /// What the run times of a class's tasks have taught about its estimates.
 #[derive(Debug, Clone, Default)]
-pub struct Learned {
+pub struct EstimateCorrections {
     /// By class: the sum of the logarithms of run time over estimate, and their number.
     ratios: BTreeMap<String, (f64, f64)>,
 }
 
-impl Learned {
+impl EstimateCorrections {
     /// Tasks that count before a class's estimates are corrected.
     const ENOUGH: f64 = 8.0;
     /// Weight of what was learned, in tasks: older ones fade beyond it.
@@ -397,7 +397,7 @@
         waiting.retain(|w| !w.tasks.is_empty());
     }
 
-    fn place_partition(&mut self, partition: Partition, budget: &mut usize) -> Vec<Wish> {
+    fn place_partition(&mut self, partition: Partition, budget: &mut usize) -> Vec<UnplacedTasks> {
         let teams = self.settings.platform.facts.teams.clone();
         let used = self.used_by_teams();
         let limits: Vec<Amounts> = teams
@@ -515,7 +515,7 @@
                 self.kept_room.entry(w.team).or_insert(terms.size);
             }
         }
-        let mut wishes: BTreeMap<usize, Wish> = BTreeMap::new();
+        let mut wishes: BTreeMap<usize, UnplacedTasks> = BTreeMap::new();
         let mut needy: Vec<usize> = Vec::new();
         for (j, _) in &unplaced {
             let Some(terms) = jobs.get(*j) else { continue };
@@ -533,7 +533,7 @@
             wishes
                 .entry(*j)
                 .or_insert_with(|| {
-                    let mut wish = Wish::new(partition, terms, w.priority >= Priority::Prod, w.slack_s);
+                    let mut wish = UnplacedTasks::new(partition, terms, w.priority >= Priority::Prod, w.slack_s);
                     wish.zone = wish.zone.or_else(zone);
                     wish
                 })
--- a/crates/tidelatch-core/src/queue/limits.rs
+++ b/crates/tidelatch-core/src/queue/limits.rs
@@ -1,7 +1,7 @@
 //! Room under a team's own limit: its work of lower priority is stopped for its production work.
 
 use super::room::{StopOrder, Victim, Yard};
-use crate::capacity::Wish;
+use crate::capacity::UnplacedTasks;
 use crate::controller::Controller;
 use crate::ids::{JobId, Partition};
 use crate::messages::Level;
@@ -63,7 +63,7 @@
         over_limit: &[OverLimit],
         room: &[Amounts],
         yards: &mut Option<Vec<Yard>>,
-    ) -> Vec<Wish> {
+    ) -> Vec<UnplacedTasks> {
         // A machine that has not reported counts as full of each team: no team is known to be at its limit.
         if over_limit.is_empty() || self.unconfirmed(partition) > 0 {
             return Vec::new();
@@ -236,8 +236,8 @@
     }
 
     /// A wish for machines for the tasks that could have room under the limit, but have no machine.
-    fn wish(&mut self, partition: Partition, terms: &JobTerms, job: &OverLimit, waiting: u32) -> Option<Wish> {
-        let mut wish = Wish::new(partition, terms, true, job.slack_s);
+    fn wish(&mut self, partition: Partition, terms: &JobTerms, job: &OverLimit, waiting: u32) -> Option<UnplacedTasks> {
+        let mut wish = UnplacedTasks::new(partition, terms, true, job.slack_s);
         while wish.count < waiting && self.may_yield(job.team, &job.size) {
             wish.count += 1;
             subtract(self.left.get_mut(job.team)?, &job.size);
--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -1,13 +1,13 @@
 //! Placement and renting as pure functions: what goes where, and what is rented for the rest.
 
 use std::collections::{BTreeMap, BTreeSet};
-use tidelatch_core::capacity::{Lane, Wish, absorb, plan};
+use tidelatch_core::capacity::{Lane, UnplacedTasks, absorb, plan};
 use tidelatch_core::ids::Partition;
 use tidelatch_core::placement::{Amounts, Batch, JobTerms, Slot};
 use tidelatch_core::protocol::MachineType;
 use tidelatch_core::protocol::Shape;
 use tidelatch_core::protocol::parse_submission;
-use tidelatch_core::queue::{Claim, Learned, starved_s, turn, urgency};
+use tidelatch_core::queue::{Claim, EstimateCorrections, starved_s, turn, urgency};
 
 fn slot(zone: &str, spot: bool, free_gpus: f64) -> Slot {
     Slot {
@@ -160,13 +160,13 @@
     }
 }
 
-fn wish(count: u32, service: bool) -> Wish {
+fn wish(count: u32, service: bool) -> UnplacedTasks {
     let mut terms = terms(1.0);
     terms.spot = !service;
     terms.service = service;
     terms.estimate_s = if service { 0.0 } else { 50.0 };
     terms.deadline_s = if service { 0.0 } else { 155.0 };
-    let mut wish = Wish::new(Partition(0), &terms, service, if service { f64::MAX } else { 100.0 });
+    let mut wish = UnplacedTasks::new(Partition(0), &terms, service, if service { f64::MAX } else { 100.0 });
     wish.count = count;
     wish
 }
@@ -243,7 +243,7 @@
         "accelerators":1,"ramGb":1,"stock":"i","sizeGb":1,"together":false,"spread":false,"standby":true,
         "runtimeS":50,"waypointS":0,"stowS":0}"#;
     let (_, spec) = parse_submission(body).expect("well formed");
-    let mut learned = Learned::default();
+    let mut learned = EstimateCorrections::default();
     learned.note(&spec, 100.0);
     assert_eq!(learned.run_s(&spec), 50.0, "one task tells nothing");
     (0..20).for_each(|_| learned.note(&spec, 100.0));
--- a/crates/tidelatch-standin/src/world/peers.rs
+++ b/crates/tidelatch-standin/src/world/peers.rs
@@ -14,7 +14,7 @@
                 "relay"
             }
             PeerRequest::Forward { .. } => "forward",
-            PeerRequest::Hello { .. } => "hello",
+            PeerRequest::Heartbeat { .. } => "hello",
         };
         if kind != "relay" {
             self.sent.peer_requests += 1;
--- a/crates/tidelatch/src/peers/convert.rs
+++ b/crates/tidelatch/src/peers/convert.rs
@@ -2,7 +2,10 @@
 
 use super::wire;
 use tidelatch_core::ids::{JobId, MachineId, Partition};
-use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, SpareRoom, Told, Want};
+use tidelatch_core::{
+    Answer, CancellationNotice, Digest, IdleMachine, MachineRequest, Move, PeerReply, PeerRequest, SpareRoom,
+    WaitingTasks,
+};
 use tidelatch_failure_detector::{Claim, Heartbeat, Incarnation, Life, MemberId, Opinion};
 
 /// The core has answered a request in the form of another kind of request.
@@ -22,7 +25,7 @@
         match request {
             PeerRequest::Relay { report } => Self::Relay(wire::RelayRequest { report }),
             PeerRequest::Forward { job, withdraw } => Self::Forward(wire::ForwardRequest { job, withdraw }),
-            PeerRequest::Hello {
+            PeerRequest::Heartbeat {
                 name,
                 entitled,
                 wants_grant,
@@ -63,13 +66,13 @@
 
 impl From<wire::HelloRequest> for PeerRequest {
     fn from(request: wire::HelloRequest) -> Self {
-        Self::Hello {
+        Self::Heartbeat {
             name: request.name,
             entitled: request.entitled,
             wants_grant: request.wants_grant,
             relies: request.relies,
             digests: convert_all(request.digests),
-            told: Told {
+            told: CancellationNotice {
                 life: request.life,
                 unread: request.unread,
                 cancelled: job_ids(&request.cancelled),
@@ -109,7 +112,7 @@
     type Error = UnexpectedReply;
 
     fn try_from(reply: PeerReply) -> Result<Self, Self::Error> {
-        let PeerReply::Hello {
+        let PeerReply::Heartbeat {
             entitled,
             granted,
             relies,
@@ -138,13 +141,13 @@
 
 impl From<wire::HelloReply> for PeerReply {
     fn from(reply: wire::HelloReply) -> Self {
-        Self::Hello {
+        Self::Heartbeat {
             entitled: reply.entitled,
             granted: reply.granted,
             relies: reply.relies,
             moves: convert_all(reply.moves),
             refused: convert_all(reply.refused),
-            told: Told {
+            told: CancellationNotice {
                 life: reply.life,
                 unread: reply.unread,
                 cancelled: job_ids(&reply.cancelled),
@@ -238,8 +241,8 @@
     }
 }
 
-impl From<Need> for wire::Need {
-    fn from(need: Need) -> Self {
+impl From<MachineRequest> for wire::Need {
+    fn from(need: MachineRequest) -> Self {
         Self {
             model: need.model,
             zone: need.zone,
@@ -251,7 +254,7 @@
     }
 }
 
-impl From<wire::Need> for Need {
+impl From<wire::Need> for MachineRequest {
     fn from(need: wire::Need) -> Self {
         Self {
             model: need.model,
@@ -281,8 +284,8 @@
     })
 }
 
-impl From<Idle> for wire::Idle {
-    fn from(idle: Idle) -> Self {
+impl From<IdleMachine> for wire::Idle {
+    fn from(idle: IdleMachine) -> Self {
         Self {
             machine: idle.machine.as_str().to_owned(),
             model: idle.model,
@@ -292,7 +295,7 @@
     }
 }
 
-impl From<wire::Idle> for Idle {
+impl From<wire::Idle> for IdleMachine {
     fn from(idle: wire::Idle) -> Self {
         Self {
             machine: MachineId::new(idle.machine),
@@ -303,8 +306,8 @@
     }
 }
 
-impl From<Want> for wire::Want {
-    fn from(want: Want) -> Self {
+impl From<WaitingTasks> for wire::Want {
+    fn from(want: WaitingTasks) -> Self {
         Self {
             models: want.models,
             zones: want.zones,
@@ -316,7 +319,7 @@
     }
 }
 
-impl From<wire::Want> for Want {
+impl From<wire::Want> for WaitingTasks {
     fn from(want: wire::Want) -> Self {
         let mut size = [0.0; 3];
         size.iter_mut().zip(want.size).for_each(|(s, v)| *s = v);
