--- a/crates/tidelatch-core/src/calls.rs
+++ b/crates/tidelatch-core/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::ids::{ControllerId, Epoch, JobId, MachineId, Partition, Stamp};
 use crate::jobs::Purpose as JobPurpose;
 use crate::protocol::Rental;
-use crate::roster::{Book, RackRecord};
+use crate::roster::{BootBatch, GroupRecord};
 
 /// Whether a refusal of a change says that its lease has ended, rather than that it is malformed.
 pub(crate) fn is_lost_lease(body: &[u8]) -> bool {
@@ -60,17 +60,17 @@
         rental: Rental,
         split: Vec<Partition>,
     },
-    /// New racks of the leader's.
-    RacksNew,
-    /// A rack that changes, with what comes of it.
-    Rack {
-        rack: String,
+    /// New machine groups of the leader's.
+    NewGroups,
+    /// A machine group that changes, with what comes of it.
+    MachineGroup {
+        group: String,
         stamp: Stamp,
-        changes: Vec<(String, Option<RackRecord>)>,
+        changes: Vec<(String, Option<GroupRecord>)>,
     },
     /// Machines that have come up, and the first reports that wait for that to be stored.
-    Book {
-        book: Book,
+    BootBatch {
+        batch: BootBatch,
         askers: Vec<(Asker, MachineId, (u64, u64))>,
     },
     Delete {
--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -203,7 +203,7 @@
         } else {
             self.cloud.digests.clear();
             self.cloud.unlisted.clear();
-            self.forget_new_racks();
+            self.forget_new_groups();
             self.cloud.retry.clear();
             self.cloud.strangers.clear();
         }
--- a/crates/tidelatch-core/src/capacity/renting.rs
+++ b/crates/tidelatch-core/src/capacity/renting.rs
@@ -245,7 +245,7 @@
                 self.release_all(&id, "the cloud has deleted it");
                 // Several that go at about the same time cost one change.
                 let soon = self.now.ms + self.settings.report_ms() / 2;
-                self.rack_due(&id, soon);
+                self.group_due(&id, soon);
             }
         }
     }
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -310,8 +310,8 @@
             Purpose::Job(JobPurpose::End { .. }) => ("a job's end", true),
             Purpose::Job(JobPurpose::Flush { .. }) => ("done bits", true),
             Purpose::Job(JobPurpose::Sweep { .. }) => ("a clearing away", true),
-            Purpose::RacksNew | Purpose::Rack { .. } => ("a rack", true),
-            Purpose::Book { .. } => ("a book", true),
+            Purpose::NewGroups | Purpose::MachineGroup { .. } => ("a machine group", true),
+            Purpose::BootBatch { .. } => ("a boot batch", true),
             _ => return,
         };
         if *status == 429 {
@@ -355,9 +355,9 @@
             Purpose::Types => self.on_types(result),
             Purpose::TypesWrite => self.cloud.types_writing = false,
             Purpose::Rent { rental, split } => self.on_rent(rental, split, result),
-            Purpose::RacksNew => self.on_racks_new(result),
-            Purpose::Rack { rack, stamp, changes } => self.on_rack(rack, stamp, changes, result),
-            Purpose::Book { book, askers } => self.on_book(book, askers, result),
+            Purpose::NewGroups => self.on_new_groups(result),
+            Purpose::MachineGroup { group, stamp, changes } => self.on_group(group, stamp, changes, result),
+            Purpose::BootBatch { batch, askers } => self.on_boot_batch(batch, askers, result),
             Purpose::Delete { machines } => self.on_delete(machines, result),
             Purpose::Hosts => self.on_hosts(result),
             Purpose::Confirm { machine, sent } => self.on_confirm(machine, sent, result),
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -32,13 +32,13 @@
 pub const TYPES_KEY: &str = "t/y";
 /// Prefix of job records.
 pub const JOB_PREFIX: &str = "t/j/";
-/// Prefix of the roster's racks.
+/// Prefix of the roster's machine groups.
 pub const ROSTER_PREFIX: &str = "t/m/";
-/// Prefix of the keys by which the steps exclude each other in which a rack is taken apart. The version before
+/// Prefix of the keys by which the steps exclude each other in which a machine group is taken apart. The version before
 /// gangs passes over them.
 pub const STEP_PREFIX: &str = "t/s/";
-/// Prefix of the roster's books: machines that have come up.
-pub const BOOK_PREFIX: &str = "t/u/";
+/// Prefix of the roster's boot batches: machines that have come up.
+pub const BOOT_BATCH_PREFIX: &str = "t/u/";
 
 /// A controller's own key, which lives as long as its lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/tidelatch-core/src/membership/shared.rs
+++ b/crates/tidelatch-core/src/membership/shared.rs
@@ -1,8 +1,8 @@
 //! What all controllers follow: reading the shared keys, and the watch that tells of their changes.
 
 use super::{
-    BOOK_PREFIX, EPOCH_KEY, EpochRecord, JOB_PREFIX, LEADER_KEY, MEMBER_PREFIX, MemberRecord, ROSTER_PREFIX, SHARED,
-    STEP_PREFIX, TYPES_KEY,
+    BOOT_BATCH_PREFIX, EPOCH_KEY, EpochRecord, JOB_PREFIX, LEADER_KEY, MEMBER_PREFIX, MemberRecord, ROSTER_PREFIX,
+    SHARED, STEP_PREFIX, TYPES_KEY,
 };
 use crate::calls::Purpose;
 use crate::controller::Controller;
@@ -142,11 +142,11 @@
                 self.apply_job(id, value, stamp);
             }
         } else if let Some(name) = key.strip_prefix(ROSTER_PREFIX) {
-            self.apply_rack(name, value, stamp);
+            self.apply_group(name, value, stamp);
         } else if let Some(name) = key.strip_prefix(STEP_PREFIX) {
             self.apply_step(name, value.map_or(Stamp(0), |_| stamp));
-        } else if let Some(name) = key.strip_prefix(BOOK_PREFIX) {
-            self.apply_book(name, value);
+        } else if let Some(name) = key.strip_prefix(BOOT_BATCH_PREFIX) {
+            self.apply_boot_batch(name, value);
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
             let name = ControllerId::new(name);
             if name == self.me {
--- a/crates/tidelatch-core/src/picture.rs
+++ b/crates/tidelatch-core/src/picture.rs
@@ -15,7 +15,7 @@
 use crate::jobs::Job;
 use crate::messages::{Answer, Level, PeerReply, PeerRequest};
 use crate::protocol::{Command, Orders, Report, Shape, TaskState};
-use crate::roster::RackRecord;
+use crate::roster::GroupRecord;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -76,8 +76,8 @@
     pub(crate) zone: String,
     pub(crate) spot: bool,
     pub(crate) addr: String,
-    /// The rack that it stands in.
-    pub(crate) rack: String,
+    /// The machine group that it stands in.
+    pub(crate) group: String,
     last: (u64, u64),
     pub(crate) heard: Option<u64>,
     /// When it was last heard with no other controller between.
@@ -120,7 +120,7 @@
     pub(crate) deleting: bool,
     /// The cloud has answered its deletion.
     pub(crate) gone: bool,
-    /// It is being entered in a book.
+    /// It is being entered in a boot batch.
     pub(crate) storing: bool,
     /// It was in the roster, and up, when the tenure began: it may hold tasks not known of.
     may_hold: bool,
@@ -169,14 +169,14 @@
     }
 
     /// A machine that has just come into the roster, or into a partition.
-    pub(crate) fn new(rack: &str, record: &RackRecord, addr: String, last: (u64, u64), now: u64) -> Self {
+    pub(crate) fn new(group: &str, record: &GroupRecord, addr: String, last: (u64, u64), now: u64) -> Self {
         Self {
             partition: record.part,
             model: record.model.clone(),
             zone: record.zone.clone(),
             spot: record.spot,
             addr,
-            rack: rack.to_owned(),
+            group: group.to_owned(),
             last,
             heard: None,
             heard_directly: None,
@@ -222,7 +222,7 @@
         self.ended.iter().any(|(task, _, done)| *done && unstored(task))
     }
 
-    /// A book says that it is up.
+    /// A boot batch says that it is up.
     pub(crate) fn come_up(&mut self, addr: &str, seen: (u64, u64)) {
         self.storing = false;
         self.addr = addr.to_owned();
@@ -349,8 +349,8 @@
         }
     }
 
-    /// Books a start on a machine: it counts from now on, and goes out with the next beat's answer.
-    pub(crate) fn book(&mut self, machine: &MachineId, task: TaskId) {
+    /// Boot batches a start on a machine: it counts from now on, and goes out with the next beat's answer.
+    pub(crate) fn batch(&mut self, machine: &MachineId, task: TaskId) {
         let of_job = self
             .jobs
             .get(&task.job)
--- a/crates/tidelatch-core/src/picture/shared_machines.rs
+++ b/crates/tidelatch-core/src/picture/shared_machines.rs
@@ -18,7 +18,7 @@
 use crate::ids::{Attempt, MachineId, Partition, TaskId};
 use crate::messages::{Level, Method, Target};
 use crate::protocol::{Report, Shape, TaskState};
-use crate::roster::RackRecord;
+use crate::roster::GroupRecord;
 use crate::settings::SHARED_MACHINES_LEVEL;
 use std::collections::BTreeSet;
 
@@ -68,15 +68,15 @@
         held.chain(ended.map(|job| job.partition)).collect()
     }
 
-    /// The partitions other than the owner whose tasks may be on a rack's machines.
-    pub(crate) fn partitions_beside_owner(&self, rack: &RackRecord) -> BTreeSet<Partition> {
-        let machines = || rack.m.keys().filter_map(|id| self.machines.get(id));
+    /// The partitions other than the owner whose tasks may be on a machine group's machines.
+    pub(crate) fn partitions_beside_owner(&self, group: &GroupRecord) -> BTreeSet<Partition> {
+        let machines = || group.m.keys().filter_map(|id| self.machines.get(id));
         let mut partitions: BTreeSet<Partition> = machines().flat_map(|m| self.partitions_on(m)).collect();
         if !machines().all(|m| m.confirmed || m.gone) {
-            partitions.extend(&rack.also_holds);
+            partitions.extend(&group.also_holds);
         }
-        partitions.remove(&rack.part);
-        partitions.retain(|p| rack.also_holds.contains(p));
+        partitions.remove(&group.part);
+        partitions.retain(|p| group.also_holds.contains(p));
         partitions
     }
 
@@ -294,7 +294,7 @@
             }
         }
         for id in cleared {
-            self.rack_due(&id, now + self.settings.report_ms());
+            self.group_due(&id, now + self.settings.report_ms());
         }
         for (id, to) in returned {
             self.log(
--- a/crates/tidelatch-core/src/placement.rs
+++ b/crates/tidelatch-core/src/placement.rs
@@ -246,7 +246,7 @@
         2.0 * image + 1.5 * packing + 0.5 * apart - dear - waste - missed - gang
     }
 
-    /// Finds machines for all of a gang's tasks, or books none. If they have to be in one zone, each zone is
+    /// Finds machines for all of a gang's tasks, or boot batches none. If they have to be in one zone, each zone is
     /// tried, and the one with the highest sum is taken.
     fn place_gang(&mut self, tasks: &[usize]) -> bool {
         let Some(job) = tasks.first().and_then(|t| self.tasks.get(*t)).copied() else {
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -492,7 +492,7 @@
                                 job: w.id.clone(),
                                 index,
                             };
-                            self.book(&machine.clone(), task);
+                            self.batch(&machine.clone(), task);
                         }
                     }
                     None => {
--- a/crates/tidelatch-core/src/queue/limits.rs
+++ b/crates/tidelatch-core/src/queue/limits.rs
@@ -195,7 +195,7 @@
         own
     }
 
-    /// Books a plan: its victims' room is to come, and the task takes its own.
+    /// Boot batches a plan: its victims' room is to come, and the task takes its own.
     fn carry_out(&mut self, plan: &Plan, terms: &mut JobTerms) -> Vec<StopOrder> {
         let mut gangs: BTreeSet<JobId> = BTreeSet::new();
         let mut stops = Vec::new();
--- a/crates/tidelatch-core/src/roster.rs
+++ b/crates/tidelatch-core/src/roster.rs
@@ -2,52 +2,52 @@
 //!
 //! The state service takes few changes a second, and hundreds of machines come up together. So a value
 //! does not stand for one machine. Machines of one kind that were rented together for one partition
-//! share a *rack*; and those that come up at about the same time are entered in one *book* with their
-//! addresses. A machine may hold tasks only once it stands in a rack and in a book: a take-over knows
+//! share a *machine group*; and those that come up at about the same time are entered in one *boot batch* with their
+//! addresses. A machine may hold tasks only once it stands in a machine group and in a boot batch: a take-over knows
 //! by that which machines matter, and those that are still booting do not hold it up.
 //!
-//! A rack is created by the leader and changed by the partition's owner, each time on condition of its
-//! revision; a machine that is handed over goes to a new rack in the same transaction. A book is never
+//! A machine group is created by the leader and changed by the partition's owner, each time on condition of its
+//! revision; a machine that is handed over goes to a new machine group in the same transaction. A boot batch is never
 //! changed, and deleted once none of its machines is left.
 
-mod books;
-mod rack_changes;
-mod racks;
+mod boot_batches;
+mod group_changes;
+mod groups;
 mod records;
 mod rentals;
 
-pub(crate) use books::Book;
-use books::Newcomer;
-use racks::Rack;
-pub use records::{BookEntry, RackRecord};
+pub(crate) use boot_batches::BootBatch;
+use boot_batches::Newcomer;
+use groups::MachineGroup;
+pub use records::{BootEntry, GroupRecord};
 pub(crate) use rentals::Rented;
 
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Racks, books, and the changes of them that are under way.
+/// Machine groups, boot batches, and the changes of them that are under way.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
-    racks: BTreeMap<String, Rack>,
-    books: BTreeMap<String, Vec<MachineId>>,
-    addresses: BTreeMap<MachineId, BookEntry>,
+    groups: BTreeMap<String, MachineGroup>,
+    boot_batches: BTreeMap<String, Vec<MachineId>>,
+    addresses: BTreeMap<MachineId, BootEntry>,
     listed: BTreeSet<String>,
-    /// Racks with something to be written, and from when on.
+    /// Machine groups with something to be written, and from when on.
     due: BTreeMap<String, u64>,
     newcomers: Vec<Newcomer>,
     newcomers_due: u64,
-    /// Books without a clear answer, to be sent again.
-    unsure: Vec<Book>,
-    books_sent: u32,
+    /// Boot batches without a clear answer, to be sent again.
+    unsure: Vec<BootBatch>,
+    boot_batches_sent: u32,
     swept: u64,
-    /// The leader's new racks: sent, and not clear yet.
-    creating: Vec<(String, RackRecord)>,
+    /// The leader's new machine groups: sent, and not clear yet.
+    creating: Vec<(String, GroupRecord)>,
     creating_sent: bool,
 }
 
 impl Controller {
-    /// Bytes that a rack or a book is filled up to: what it says of its machines may grow by some digits.
+    /// Bytes that a machine group or a boot batch is filled up to: what it says of its machines may grow by some digits.
     pub(super) fn fill(&self) -> usize {
         self.limits.value * 3 / 4
     }
@@ -64,11 +64,16 @@
             other
         });
         let now = self.now.ms;
-        for (name, r) in self.roster.racks.iter_mut().filter(|(_, r)| r.record.part == partition) {
+        for (name, r) in self
+            .roster
+            .groups
+            .iter_mut()
+            .filter(|(_, r)| r.record.part == partition)
+        {
             r.sending = false;
             r.settles_at = None;
             // An earlier owner may have ended while it split this one.
-            let here = |id: &MachineId| machines.get(id).is_some_and(|m| m.rack == *name);
+            let here = |id: &MachineId| machines.get(id).is_some_and(|m| m.group == *name);
             if !r.record.m.keys().all(here) {
                 self.roster.due.entry(name.clone()).or_insert(now);
             }
@@ -78,7 +83,7 @@
         }
     }
 
-    /// Writes what is due: newcomers, racks that change, and books that can go.
+    /// Writes what is due: newcomers, machine groups that change, and boot batches that can go.
     pub(crate) fn tick_roster(&mut self) {
         if !self.entitled() {
             return;
@@ -93,8 +98,8 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
-            self.send_rack(&name);
+            self.send_group(&name);
         }
-        self.sweep_books();
+        self.sweep_boot_batches();
     }
 }
--- a/crates/tidelatch-core/src/roster/books.rs
+++ b/crates/tidelatch-core/src/roster/boot_batches.rs
@@ -1,10 +1,10 @@
-//! Machines that have come up: their first reports, and the books that they are entered in.
+//! Machines that have come up: their first reports, and the boot batches that they are entered in.
 
-use super::records::{BookEntry, SEATS, entry_bytes};
+use super::records::{BootEntry, SEATS, entry_bytes};
 use crate::calls::{Asker, Purpose};
 use crate::controller::Controller;
 use crate::ids::MachineId;
-use crate::membership::BOOK_PREFIX;
+use crate::membership::BOOT_BATCH_PREFIX;
 use crate::protocol::{Report, TxnAnswer};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -13,30 +13,30 @@
 #[derive(Debug, Clone)]
 pub(super) struct Newcomer {
     pub(super) machine: MachineId,
-    pub(super) entry: BookEntry,
+    pub(super) entry: BootEntry,
     pub(super) asker: Option<Asker>,
     pub(super) since: u64,
 }
 
-/// A book on its way to the store. It is sent until there is a clear answer, always the same.
+/// A boot batch on its way to the store. It is sent until there is a clear answer, always the same.
 #[derive(Debug, Clone)]
-pub(crate) struct Book {
+pub(crate) struct BootBatch {
     key: String,
-    entries: BTreeMap<MachineId, BookEntry>,
+    entries: BTreeMap<MachineId, BootEntry>,
 }
 
 impl Controller {
-    /// A book was written, or deleted.
-    pub(crate) fn apply_book(&mut self, name: &str, value: Option<Value>) {
-        let entries = value.and_then(|v| serde_json::from_value::<BTreeMap<MachineId, BookEntry>>(v).ok());
+    /// A boot batch was written, or deleted.
+    pub(crate) fn apply_boot_batch(&mut self, name: &str, value: Option<Value>) {
+        let entries = value.and_then(|v| serde_json::from_value::<BTreeMap<MachineId, BootEntry>>(v).ok());
         let Some(entries) = entries else {
-            for id in self.roster.books.remove(name).unwrap_or_default() {
+            for id in self.roster.boot_batches.remove(name).unwrap_or_default() {
                 self.roster.addresses.remove(&id);
             }
             return;
         };
         self.roster
-            .books
+            .boot_batches
             .insert(name.to_owned(), entries.keys().cloned().collect());
         for (id, entry) in entries {
             if let Some(m) = self.machines.get_mut(&id) {
@@ -46,7 +46,7 @@
         }
     }
 
-    /// A machine's first report: it may hold tasks only once a book says that it is up.
+    /// A machine's first report: it may hold tasks only once a boot batch says that it is up.
     pub(crate) fn store_first_beat(&mut self, asker: Asker, report: &Report) {
         let now = self.now.ms;
         if self.roster.newcomers.is_empty() {
@@ -57,7 +57,7 @@
         }
         self.roster.newcomers.push(Newcomer {
             machine: report.machine.clone(),
-            entry: BookEntry {
+            entry: BootEntry {
                 addr: report.addr.clone(),
                 seen: (report.session, report.seq),
             },
@@ -95,13 +95,13 @@
             self.answer_newcomer(asker, None);
         }
         let mine = |c: &Self, id: &MachineId| c.machines.get(id).is_some_and(|m| c.acting(m.partition).is_some());
-        if let Some(book) = self.roster.unsure.pop() {
+        if let Some(batch) = self.roster.unsure.pop() {
             if self.state_writes.take(now, 0.0, 0.0) {
-                if book.entries.keys().any(|id| mine(self, id)) {
-                    self.send_book(book, Vec::new());
+                if batch.entries.keys().any(|id| mine(self, id)) {
+                    self.send_boot_batch(batch, Vec::new());
                 }
             } else {
-                self.roster.unsure.push(book);
+                self.roster.unsure.push(batch);
             }
         }
         if self.roster.newcomers.is_empty() || now < self.roster.newcomers_due {
@@ -136,21 +136,21 @@
         };
         // The epoch, and the number of a process's life, make the name one of its own.
         let first = first.clone();
-        let key = self.book_key(&first);
-        self.send_book(Book { key, entries }, askers);
+        let key = self.boot_batch_key(&first);
+        self.send_boot_batch(BootBatch { key, entries }, askers);
     }
 
-    fn book_key(&mut self, first: &MachineId) -> String {
-        self.roster.books_sent += 1;
-        let (life, number) = (self.member.inc.0, self.roster.books_sent);
+    fn boot_batch_key(&mut self, first: &MachineId) -> String {
+        self.roster.boot_batches_sent += 1;
+        let (life, number) = (self.member.inc.0, self.roster.boot_batches_sent);
         format!("{first}.{life:x}.{number}")
     }
 
-    /// A book was too large: two of half its size take its place. Should an earlier copy of it land all the
+    /// A boot batch was too large: two of half its size take its place. Should an earlier copy of it land all the
     /// same, it says no more than they do.
-    fn halve_book(&mut self, book: Book) {
-        let half = book.entries.len().div_ceil(2);
-        let mut first = book.entries;
+    fn halve_boot_batch(&mut self, batch: BootBatch) {
+        let half = batch.entries.len().div_ceil(2);
+        let mut first = batch.entries;
         let second = match first.keys().nth(half).cloned() {
             Some(at) => first.split_off(&at),
             None => BTreeMap::new(),
@@ -168,21 +168,21 @@
             let Some(id) = entries.keys().next().cloned() else {
                 continue;
             };
-            let key = self.book_key(&id);
-            self.roster.unsure.push(Book { key, entries });
+            let key = self.boot_batch_key(&id);
+            self.roster.unsure.push(BootBatch { key, entries });
         }
     }
 
-    fn send_book(&mut self, book: Book, askers: Vec<(Asker, MachineId, (u64, u64))>) {
-        let key = format!("{BOOK_PREFIX}{}", book.key);
+    fn send_boot_batch(&mut self, batch: BootBatch, askers: Vec<(Asker, MachineId, (u64, u64))>) {
+        let key = format!("{BOOT_BATCH_PREFIX}{}", batch.key);
         let conditions = vec![json!({ "k": key, "stamp": 0 }), self.epoch_condition()];
-        let changes = vec![json!({ "write": key, "value": book.entries })];
-        self.txn(conditions, changes, Purpose::Book { book, askers });
+        let changes = vec![json!({ "write": key, "value": batch.entries })];
+        self.txn(conditions, changes, Purpose::BootBatch { batch, askers });
     }
 
-    pub(crate) fn on_book(
+    pub(crate) fn on_boot_batch(
         &mut self,
-        book: Book,
+        batch: BootBatch,
         askers: Vec<(Asker, MachineId, (u64, u64))>,
         result: Option<(u16, Vec<u8>)>,
     ) {
@@ -192,27 +192,27 @@
             Some((409, body)) => {
                 let failed = serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default().failed;
                 // An earlier copy has landed; or else the epoch has moved on.
-                failed.iter().any(|k| k.starts_with(BOOK_PREFIX))
+                failed.iter().any(|k| k.starts_with(BOOT_BATCH_PREFIX))
             }
             _ => false,
         };
         if stored {
-            let value = serde_json::to_value(&book.entries).ok();
-            self.apply_book(&book.key, value);
+            let value = serde_json::to_value(&batch.entries).ok();
+            self.apply_boot_batch(&batch.key, value);
             self.run_batch();
         } else if refused {
-            self.halve_book(book);
+            self.halve_boot_batch(batch);
         } else {
             // It may yet land. Until it is clear, nothing is placed on these machines.
-            self.roster.unsure.push(book);
+            self.roster.unsure.push(batch);
         }
         for (asker, id, beat) in askers {
             self.answer_newcomer(asker, Some((&id, beat)).filter(|_| stored));
         }
     }
 
-    /// Marks the books that no machine is left of to be deleted, once in a while.
-    pub(super) fn sweep_books(&mut self) {
+    /// Marks the boot batches that no machine is left of to be deleted, once in a while.
+    pub(super) fn sweep_boot_batches(&mut self) {
         let now = self.now.ms;
         if !self.is_leader() || now < self.roster.swept + self.settings.worker_lease_ms() {
             return;
@@ -221,10 +221,10 @@
         let machines = &self.machines;
         let done = self
             .roster
-            .books
+            .boot_batches
             .iter()
             .filter(|(_, ids)| !ids.iter().any(|id| machines.contains_key(id)));
-        let keys: Vec<String> = done.map(|(name, _)| format!("{BOOK_PREFIX}{name}")).collect();
+        let keys: Vec<String> = done.map(|(name, _)| format!("{BOOT_BATCH_PREFIX}{name}")).collect();
         for key in keys {
             if !self.cloud.stale_keys.contains(&key) {
                 self.cloud.stale_keys.push(key);
--- a/crates/tidelatch-core/src/roster/racks.rs
+++ b/crates/tidelatch-core/src/roster/groups.rs
@@ -1,17 +1,17 @@
-//! Racks as known here: what the store says of them, and which of them are to be written.
+//! Machine groups as known here: what the store says of them, and which of them are to be written.
 
-use super::records::RackRecord;
+use super::records::GroupRecord;
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition, Stamp};
 use crate::messages::Level;
 use crate::picture::Machine;
 use serde_json::Value;
 
-/// A rack as known here.
+/// A machine group as known here.
 #[derive(Debug, Clone)]
-pub(super) struct Rack {
+pub(super) struct MachineGroup {
     pub(super) stamp: Stamp,
-    pub(super) record: RackRecord,
+    pub(super) record: GroupRecord,
     /// A change of it is under way.
     pub(super) sending: bool,
     /// Revision of the key that each step of taking it apart writes.
@@ -26,34 +26,34 @@
         self.roster.listed.clear();
     }
 
-    /// All keys have been listed as of some revision: racks that were not among them are gone.
+    /// All keys have been listed as of some revision: machine groups that were not among them are gone.
     pub(crate) fn roster_listed(&mut self, ledger: u64) {
         let listed = std::mem::take(&mut self.roster.listed);
         let gone: Vec<String> = self
             .roster
-            .racks
+            .groups
             .iter()
             .filter(|(name, r)| !listed.contains(*name) && r.stamp.0 <= ledger)
             .map(|(name, _)| name.clone())
             .collect();
         for name in gone {
-            self.apply_rack(&name, None, Stamp(ledger + 1));
+            self.apply_group(&name, None, Stamp(ledger + 1));
         }
     }
 
-    /// A rack has a new value, or is gone.
-    pub(crate) fn apply_rack(&mut self, name: &str, value: Option<Value>, stamp: Stamp) {
+    /// A machine group has a new value, or is gone.
+    pub(crate) fn apply_group(&mut self, name: &str, value: Option<Value>, stamp: Stamp) {
         self.roster.listed.insert(name.to_owned());
-        if self.roster.racks.get(name).is_some_and(|r| r.stamp >= stamp) {
+        if self.roster.groups.get(name).is_some_and(|r| r.stamp >= stamp) {
             return;
         }
-        let mut record = value.and_then(|v| serde_json::from_value::<RackRecord>(v).ok());
+        let mut record = value.and_then(|v| serde_json::from_value::<GroupRecord>(v).ok());
         if let Some(record) = record.as_mut().filter(|_| !self.settings.features.shared_machines) {
             // The version before shared machines passes over the field.
             record.also_holds.clear();
         }
-        let old = self.roster.racks.remove(name);
-        let here = |c: &Self, id: &MachineId| c.machines.get(id).is_some_and(|m| m.rack == name);
+        let old = self.roster.groups.remove(name);
+        let here = |c: &Self, id: &MachineId| c.machines.get(id).is_some_and(|m| m.group == name);
         for id in old.iter().flat_map(|r| r.record.m.keys()) {
             let stays = record.as_ref().is_some_and(|r| r.m.contains_key(id));
             if !stays && here(self, id) {
@@ -66,16 +66,16 @@
         };
         for (id, seen) in &record.m {
             match self.machines.get(id) {
-                Some(m) if m.rack == name => {
+                Some(m) if m.group == name => {
                     self.set_also_holds(id, &record.also_holds);
                     continue;
                 }
                 // Handed over at a later revision than this one.
-                Some(m) if self.roster.racks.get(&m.rack).is_some_and(|r| r.stamp > stamp) => continue,
-                // A rack that had become too large was split: nothing has changed for its machines.
+                Some(m) if self.roster.groups.get(&m.group).is_some_and(|r| r.stamp > stamp) => continue,
+                // A machine group that had become too large was split: nothing has changed for its machines.
                 Some(m) if m.partition == record.part && m.moving.is_none() => {
                     if let Some(m) = self.machines.get_mut(id) {
-                        m.rack = name.to_owned();
+                        m.group = name.to_owned();
                     }
                     self.set_also_holds(id, &record.also_holds);
                     continue;
@@ -91,22 +91,22 @@
                     record.model, record.zone, record.part
                 ),
             );
-            let book = self.roster.addresses.get(id);
-            let floor = book.map_or(*seen, |b| b.seen.max(*seen));
-            let addr = book.map_or(String::new(), |b| b.addr.clone());
+            let batch = self.roster.addresses.get(id);
+            let floor = batch.map_or(*seen, |b| b.seen.max(*seen));
+            let addr = batch.map_or(String::new(), |b| b.addr.clone());
             let mut machine = Machine::new(name, &record, addr, floor, self.now.ms);
             machine.carry(carried);
             self.machines.insert(id.clone(), machine);
         }
         // Whatever change of it was under way has landed, or cannot land any more; what is still to be
         // written is sent on top of this value.
-        let open = |m: &Machine| m.rack == name && (m.gone || m.moving.is_some());
+        let open = |m: &Machine| m.group == name && (m.gone || m.moving.is_some());
         if record.m.keys().any(|id| self.machines.get(id).is_some_and(open)) {
             self.roster.due.entry(name.to_owned()).or_insert(self.now.ms);
         }
-        self.roster.racks.insert(
+        self.roster.groups.insert(
             name.to_owned(),
-            Rack {
+            MachineGroup {
                 stamp,
                 record,
                 sending: false,
@@ -116,10 +116,10 @@
         );
     }
 
-    /// A rack is being taken apart in steps, or no longer.
+    /// A machine group is being taken apart in steps, or no longer.
     pub(crate) fn apply_step(&mut self, name: &str, stamp: Stamp) {
-        if let Some(rack) = self.roster.racks.get_mut(name) {
-            rack.step = stamp;
+        if let Some(group) = self.roster.groups.get_mut(name) {
+            group.step = stamp;
         }
     }
 
@@ -135,10 +135,10 @@
         self.log(Level::Debug, format!("{id} left partition {partition}"));
     }
 
-    /// Marks a machine's rack as one to be written, from some time on.
-    pub(crate) fn rack_due(&mut self, machine: &MachineId, at: u64) {
-        if let Some(rack) = self.machines.get(machine).map(|m| m.rack.clone()) {
-            let due = self.roster.due.entry(rack).or_insert(at);
+    /// Marks a machine's machine group as one to be written, from some time on.
+    pub(crate) fn group_due(&mut self, machine: &MachineId, at: u64) {
+        if let Some(group) = self.machines.get(machine).map(|m| m.group.clone()) {
+            let due = self.roster.due.entry(group).or_insert(at);
             *due = (*due).min(at);
         }
     }
@@ -151,7 +151,7 @@
             .is_some_and(|m| self.acting(m.partition).is_some());
         if let Some(m) = self.machines.get_mut(id).filter(|_| acting) {
             m.moving = Some(to);
-            self.rack_due(id, self.now.ms);
+            self.group_due(id, self.now.ms);
         }
     }
 }
--- a/crates/tidelatch-core/src/roster/records.rs
+++ b/crates/tidelatch-core/src/roster/records.rs
@@ -1,4 +1,4 @@
-//! The stored values of racks and books.
+//! The stored values of machine groups and boot batches.
 
 use crate::ids::{MachineId, Partition};
 use crate::jobs::bytes_of;
@@ -7,7 +7,7 @@
 
 /// Machines of one kind in one partition, as stored.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct RackRecord {
+pub struct GroupRecord {
     /// The partition whose owner uses them.
     pub part: Partition,
     /// Type.
@@ -22,13 +22,13 @@
     /// Partitions other than `part` whose tasks may still be on them: each went to `part` while it ran those.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty", rename = "also")]
     pub also_holds: BTreeSet<Partition>,
-    /// The machines, each with its session and sequence number when it came into the rack: nothing
+    /// The machines, each with its session and sequence number when it came into the machine group: nothing
     /// older counts.
     pub m: BTreeMap<MachineId, (u64, u64)>,
 }
 
-impl RackRecord {
-    /// The same rack with no machines in it.
+impl GroupRecord {
+    /// The same machine group with no machines in it.
     pub(super) fn without_machines(&self) -> Self {
         Self {
             m: BTreeMap::new(),
@@ -37,9 +37,9 @@
     }
 }
 
-/// A machine that has come up, as stored in a book.
+/// A machine that has come up, as stored in a boot batch.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct BookEntry {
+pub struct BootEntry {
     /// Where it takes commands.
     pub addr: String,
     /// Its session and sequence number: nothing older counts.
--- a/crates/tidelatch-core/src/roster/rentals.rs
+++ b/crates/tidelatch-core/src/roster/rentals.rs
@@ -1,6 +1,6 @@
-//! New racks for the machines that the leader has rented.
+//! New machine groups for the machines that the leader has rented.
 
-use super::records::{RackRecord, SEATS, entry_bytes};
+use super::records::{GroupRecord, SEATS, entry_bytes};
 use crate::calls::Purpose;
 use crate::capacity::Kind;
 use crate::controller::Controller;
@@ -28,7 +28,7 @@
             return;
         }
         if self.roster.creating.is_empty() {
-            self.draw_racks();
+            self.view_groups();
         }
         if self.roster.creating.is_empty() || !self.state_writes.take(self.now.ms, 0.0, -0.2) {
             return;
@@ -41,14 +41,14 @@
             changes.push(json!({ "write": key, "value": record }));
         }
         self.roster.creating_sent = true;
-        self.txn(conditions, changes, Purpose::RacksNew);
+        self.txn(conditions, changes, Purpose::NewGroups);
     }
 
-    /// Puts what was rented into new racks, as many as one transaction takes.
-    fn draw_racks(&mut self) {
+    /// Puts what was rented into new machine groups, as many as one transaction takes.
+    fn view_groups(&mut self) {
         let (room, fill) = (self.limits.ops, self.fill());
         let rented = self.now.wall_ms;
-        let mut racks: Vec<(String, RackRecord)> = Vec::new();
+        let mut groups: Vec<(String, GroupRecord)> = Vec::new();
         let mut bytes: Vec<usize> = Vec::new();
         let ledger = self.member.ledger;
         for r in &self.cloud.unlisted {
@@ -56,21 +56,21 @@
                 continue;
             }
             let more = entry_bytes(&r.machine, &(0, 0));
-            let fits = |((_, rack), bytes): (&(String, RackRecord), &usize)| {
-                let kind = (&rack.model, &rack.zone, rack.spot);
-                let same = rack.part == r.partition && kind == (&r.kind.0, &r.kind.1, r.kind.2);
-                same && rack.m.len() < SEATS && bytes + more <= fill
+            let fits = |((_, group), bytes): (&(String, GroupRecord), &usize)| {
+                let kind = (&group.model, &group.zone, group.spot);
+                let same = group.part == r.partition && kind == (&r.kind.0, &r.kind.1, r.kind.2);
+                same && group.m.len() < SEATS && bytes + more <= fill
             };
-            let at = match racks.iter().zip(&bytes).position(fits) {
+            let at = match groups.iter().zip(&bytes).position(fits) {
                 Some(at) => at,
-                None if racks.len() >= room => continue,
+                None if groups.len() >= room => continue,
                 None => {
-                    // A machine is rented once, so its name makes one for its first rack.
+                    // A machine is rented once, so its name makes one for its first machine group.
                     let name = match r.found {
                         false => r.machine.to_string(),
                         true => format!("{}.found.{ledger}", r.machine),
                     };
-                    let record = RackRecord {
+                    let record = GroupRecord {
                         part: r.partition,
                         model: r.kind.0.clone(),
                         zone: r.kind.1.clone(),
@@ -80,23 +80,23 @@
                         m: BTreeMap::new(),
                     };
                     bytes.push(bytes_of(&record));
-                    racks.push((name, record));
-                    racks.len() - 1
+                    groups.push((name, record));
+                    groups.len() - 1
                 }
             };
-            if let Some(((_, rack), bytes)) = racks.get_mut(at).zip(bytes.get_mut(at)) {
-                rack.m.insert(r.machine.clone(), (0, 0));
+            if let Some(((_, group), bytes)) = groups.get_mut(at).zip(bytes.get_mut(at)) {
+                group.m.insert(r.machine.clone(), (0, 0));
                 *bytes += more;
             }
         }
-        if racks.is_empty() {
+        if groups.is_empty() {
             // All of them are in the roster by other ways.
             self.cloud.unlisted.clear();
         }
-        self.roster.creating = racks;
+        self.roster.creating = groups;
     }
 
-    pub(crate) fn on_racks_new(&mut self, result: Option<(u16, Vec<u8>)>) {
+    pub(crate) fn on_new_groups(&mut self, result: Option<(u16, Vec<u8>)>) {
         self.roster.creating_sent = false;
         let (status, answer) = match result {
             Some((status, body)) => (status, serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default()),
@@ -111,13 +111,13 @@
         }
         let landed = status == 409 && answer.failed.iter().any(|k| k.starts_with(ROSTER_PREFIX));
         if status == 200 || landed {
-            let racks = std::mem::take(&mut self.roster.creating);
+            let groups = std::mem::take(&mut self.roster.creating);
             let mut listed = BTreeSet::new();
-            for (name, record) in racks {
+            for (name, record) in groups {
                 listed.extend(record.m.keys().cloned());
                 self.cloud.fresh_from.insert(record.part, answer.ledger);
                 if status == 200 {
-                    self.apply_rack(&name, serde_json::to_value(record).ok(), Stamp(answer.ledger));
+                    self.apply_group(&name, serde_json::to_value(record).ok(), Stamp(answer.ledger));
                 }
             }
             self.cloud.unlisted.retain(|r| !listed.contains(&r.machine));
@@ -126,7 +126,7 @@
     }
 
     /// A controller that does not lead has nothing to create.
-    pub(crate) fn forget_new_racks(&mut self) {
+    pub(crate) fn forget_new_groups(&mut self) {
         if !self.roster.creating_sent {
             self.roster.creating.clear();
         }
--- a/crates/tidelatch-standin/src/world/controllers.rs
+++ b/crates/tidelatch-standin/src/world/controllers.rs
@@ -230,8 +230,8 @@
 
     /// The machines in the stored roster.
     pub fn roster(&self) -> Vec<String> {
-        let racks = self.store.keys("t/m/");
-        let machines = racks.iter().filter_map(|k| self.store.get(k)?["m"].as_object());
+        let groups = self.store.keys("t/m/");
+        let machines = groups.iter().filter_map(|k| self.store.get(k)?["m"].as_object());
         machines.flat_map(|m| m.keys().cloned()).collect()
     }
 }
--- a/crates/tidelatch-standin/tests/compound_fault_regressions.rs
+++ b/crates/tidelatch-standin/tests/compound_fault_regressions.rs
@@ -269,7 +269,7 @@
 
 #[test]
 fn machines_that_are_up_at_once_get_work_only_once_their_entries_are_clear() {
-    // Guard: rental, rack, book, first start, in this order. A machine whose entry is in doubt gets nothing, for
+    // Guard: rental, machine group, boot batch, first start, in this order. A machine whose entry is in doubt gets nothing, for
     // a new owner would not know that it holds tasks.
     for seed in 1..=6 {
         let mut world = World::new();
--- a/crates/tidelatch-standin/tests/compound_faults.rs
+++ b/crates/tidelatch-standin/tests/compound_faults.rs
@@ -399,7 +399,7 @@
 #[test]
 fn transactions_that_are_carried_out_after_newer_ones_change_nothing_that_was_told() {
     // Guard: each transaction is on condition of the revisions that it was made from: the record's own, the
-    // epoch's, its rack's. What has no answer counts as open until a read or a repetition tells.
+    // epoch's, its machine group's. What has no answer counts as open until a read or a repetition tells.
     for seed in 0..24 {
         let mut world = World::new();
         world.run_ms = 7000;
@@ -439,7 +439,7 @@
             assert_eq!(said_everywhere(&mut world, id), [word.as_str(); 3], "{seed} {id}");
         }
         assert_eq!(world.running("job-000001"), 2, "{seed}\n{}", world.trace());
-        // No machine is paid for that is in no rack, and none is in a rack that is gone.
+        // No machine is paid for that is in no machine group, and none is in a machine group that is gone.
         let mut roster = world.roster();
         roster.sort();
         let rented: Vec<String> = world.cloud.machines.keys().cloned().collect();
--- a/crates/tidelatch-standin/tests/shared_machines.rs
+++ b/crates/tidelatch-standin/tests/shared_machines.rs
@@ -332,8 +332,8 @@
         shared.machine, shared.tenant_team
     );
     assert!(world.trace().contains(&back), "{}", world.trace());
-    let racks = world.store.keys("t/m/");
-    let owned = racks
+    let groups = world.store.keys("t/m/");
+    let owned = groups
         .iter()
         .filter_map(|k| world.store.get(k))
         .filter(|r| r["part"] == shared.tenant_team);
@@ -342,7 +342,7 @@
             .clone()
             .any(|r| r["m"].get(&shared.machine).is_some() && r.get("also").is_none()),
         "{:?}\n{}",
-        racks,
+        groups,
         world.trace()
     );
     assert_eq!(starts(&world, &shared.machine, shared.tenant), 1, "{}", world.trace());
--- a/crates/tidelatch-standin/tests/upgrade.rs
+++ b/crates/tidelatch-standin/tests/upgrade.rs
@@ -71,12 +71,12 @@
     }
     world.run(9000);
     assert!(world.epoch() > kept["values"]["t/c/epoch"]["n"].as_u64().unwrap_or(0));
-    let racks = kept["values"]
+    let groups = kept["values"]
         .as_object()
         .into_iter()
         .flatten()
         .filter(|(k, _)| k.starts_with("t/m/"));
-    let machines: usize = racks.map(|(_, v)| v["m"].as_object().map_or(0, |m| m.len())).sum();
+    let machines: usize = groups.map(|(_, v)| v["m"].as_object().map_or(0, |m| m.len())).sum();
     assert!(world.trace().contains("machines in the roster"), "{}", world.trace());
     assert!(
         world.roster().len() >= machines / 2,
@@ -148,8 +148,8 @@
         let value = world.store.get(&key).cloned().unwrap_or_default();
         let fault = match key.split('/').take(2).collect::<Vec<_>>().as_slice() {
             ["t", "j"] => was::check::<was::JobRecord>(&value),
-            ["t", "m"] => was::check::<was::RackRecord>(&value),
-            ["t", "u"] => was::check::<std::collections::BTreeMap<String, was::BookEntry>>(&value),
+            ["t", "m"] => was::check::<was::GroupRecord>(&value),
+            ["t", "u"] => was::check::<std::collections::BTreeMap<String, was::BootEntry>>(&value),
             ["t", "c"] if key.contains("member") => was::check::<was::MemberRecord>(&value),
             ["t", "c"] if key.contains("leader") => was::check::<was::LeaderRecord>(&value),
             ["t", "c"] => was::check::<was::EpochRecord>(&value),
@@ -400,7 +400,7 @@
 }
 
 #[test]
-fn full_racks_of_the_version_before_are_taken_apart_once_limits_have_fallen() {
+fn full_groups_of_the_version_before_are_taken_apart_once_limits_have_fallen() {
     // Guard: they stay readable, but no value of their size can be written. A machine that leaves one, for
     // another partition or for good, still has to leave the roster.
     let size = Size {
@@ -582,7 +582,7 @@
 
     #[derive(Deserialize)]
     #[allow(dead_code)]
-    pub struct RackRecord {
+    pub struct GroupRecord {
         part: u32,
         model: String,
         zone: String,
@@ -594,7 +594,7 @@
 
     #[derive(Deserialize)]
     #[allow(dead_code)]
-    pub struct BookEntry {
+    pub struct BootEntry {
         addr: String,
         seen: (u64, u64),
     }
