--- a/crates/tidelatch-core/src/admission.rs
+++ b/crates/tidelatch-core/src/admission.rs
@@ -5,7 +5,7 @@
 //! through all of them for each batch. The state service is no bound: it keeps any number of keys.
 
 use crate::protocol::JobSpec;
-use crate::rate_limit::Bucket;
+use crate::rate_limit::TokenBucket;
 use crate::settings::Settings;
 use std::collections::BTreeMap;
 
@@ -97,7 +97,7 @@
     pending_jobs: u32,
     pending_load: f64,
     ends: FadingRate,
-    writes: Bucket,
+    writes: TokenBucket,
     slots: RetrySlots,
     /// When the operators were last told that its users are put off.
     told_ms: Option<u64>,
@@ -137,7 +137,7 @@
             pending_jobs: 0,
             pending_load: 0.0,
             ends: FadingRate::default(),
-            writes: Bucket::new(write_rate * reserve, write_rate),
+            writes: TokenBucket::new(write_rate * reserve, write_rate),
             slots: RetrySlots::default(),
             told_ms: None,
         };
@@ -216,7 +216,7 @@
         &mut self,
         now_ms: u64,
         spec: &JobSpec,
-        writes: &mut Bucket,
+        writes: &mut TokenBucket,
         controllers: usize,
     ) -> Result<(), Deferral> {
         let has_room = self.has_room(spec);
--- a/crates/tidelatch-core/src/cancellations.rs
+++ b/crates/tidelatch-core/src/cancellations.rs
@@ -1,10 +1,10 @@
 //! Cancellations that the controllers tell each other of, besides the store.
 //!
 //! In an outage of the state service no watch tells of an end, yet every controller that acts under its
-//! peers' promises answers workers' reports, also for partitions whose owner has gone. So a cancellation is
-//! passed on in greetings from the moment at which it is asked, a promise carries what its giver knows, and
+//! peers' grants answers workers' reports, also for partitions whose owner has gone. So a cancellation is
+//! passed on in greetings from the moment at which it is asked, a grant carries what its giver knows, and
 //! no user is told that a job is cancelled before a second controller knows it: if the one that told it ends,
-//! whoever acts under promises has the other's, and takes that in first.
+//! whoever acts under grants has the other's, and takes that in first.
 
 use crate::calls::Asker;
 use crate::controller::Controller;
@@ -12,7 +12,7 @@
 use crate::messages::Answer;
 use std::collections::BTreeMap;
 
-/// Most cancellations in one greeting. A promise is given only if all that its asker lacks fit.
+/// Most cancellations in one greeting. A grant is given only if all that its asker lacks fit.
 const MOST: usize = 2000;
 
 /// A cancellation that this controller knows of.
@@ -273,7 +273,7 @@
         known.shared
             || telling.peek().is_none()
             || taken.any(|(name, _)| self.member.peers.get(name).is_some_and(|p| p.reachable))
-            // Served since: so were the others' watches, or they are refused alone and need a promise of those
+            // Served since: so were the others' watches, or they are refused alone and need a grant of those
             // who know.
             || self.cancellations.served > known.since
     }
--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -23,7 +23,7 @@
 use crate::membership::TYPES_KEY;
 use crate::messages::{Digest, IdleMachine, Method, Move, Target};
 use crate::protocol::{MachineTypes, Rental, Report};
-use crate::rate_limit::Bucket;
+use crate::rate_limit::TokenBucket;
 use crate::roster::Rented;
 use crate::settings::Settings;
 use serde_json::json;
@@ -64,7 +64,7 @@
     types_at: u64,
     types_asked: u64,
     types_written: u64,
-    budget: Bucket,
+    budget: TokenBucket,
     /// Kinds of which the cloud had no more, and when: one request at a time is enough for those.
     scarce: BTreeMap<Kind, u64>,
     /// Kinds refused by the cloud, until when.
@@ -103,7 +103,7 @@
             types_at: 0,
             types_asked: 0,
             types_written: 0,
-            budget: Bucket::new(rate, rate.max(1.0)),
+            budget: TokenBucket::new(rate, rate.max(1.0)),
             scarce: BTreeMap::new(),
             refused: BTreeMap::new(),
             digests: BTreeMap::new(),
--- a/crates/tidelatch-core/src/capacity/heartbeats.rs
+++ b/crates/tidelatch-core/src/capacity/heartbeats.rs
@@ -67,7 +67,7 @@
         let now = self.now.ms;
         let (entitled, wants_grant, relies) = stands;
         let (told, _, whole) = self.tell_cancellations(&from);
-        let granted = wants_grant && whole && self.promise();
+        let granted = wants_grant && whole && self.give_grant();
         self.note_reliance(&from, relies || granted);
         let lead = self.is_leader();
         if let Some(peer) = self.member.peers.get_mut(&from) {
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -7,13 +7,13 @@
 use crate::failure_detection::FailureDetection;
 use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
 use crate::jobs::{EndedJob, Job, Purpose as JobPurpose, StatusReads};
+use crate::machine_view::{Guest, Machine};
 use crate::membership::{Membership, Tenure};
 use crate::messages::{Answer, Input, Level, Method, Now, Output, PeerReply, PeerRequest, Target};
-use crate::picture::{Guest, Machine};
 use crate::placement::Amounts;
 use crate::protocol::{JobSpec, MachineType};
 use crate::queue::EstimateCorrections;
-use crate::rate_limit::Bucket;
+use crate::rate_limit::TokenBucket;
 use crate::roster::Roster;
 use crate::settings::Settings;
 use crate::write_limits::Limits;
@@ -45,8 +45,8 @@
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) cloud: Cloud,
     pub(crate) roster: Roster,
-    pub(crate) state_reads: Bucket,
-    pub(crate) state_writes: Bucket,
+    pub(crate) state_reads: TokenBucket,
+    pub(crate) state_writes: TokenBucket,
     pub(crate) limits: Limits,
     pub(crate) admission: Admission,
     pub(crate) batch_due: Option<u64>,
@@ -80,8 +80,8 @@
     pub fn new(settings: Settings, incarnation: Incarnation, now: Now) -> Self {
         let nodes = f64::from(settings.partitions());
         let state = &settings.platform.facts.state;
-        let state_reads = Bucket::new(state.rps / nodes, state.rps / nodes);
-        let state_writes = Bucket::new(state.write_rps / nodes, state.write_rps / nodes);
+        let state_reads = TokenBucket::new(state.rps / nodes, state.rps / nodes);
+        let state_writes = TokenBucket::new(state.write_rps / nodes, state.write_rps / nodes);
         let cloud = Cloud::new(&settings);
         let me = ControllerId::new(settings.platform.host_name.clone());
         let detection = FailureDetection::new(&settings, incarnation, now.ms);
@@ -397,7 +397,7 @@
                     self.note_reliance(&to, relies);
                     self.on_liveness(&to, Channel::Answer, liveness);
                 }
-                // What a promise's giver knows is taken in before the promise counts.
+                // What a grant's giver knows is taken in before the grant counts.
                 self.take_cancellations(&to, &news);
                 self.note_taken(&to, news.life, told);
                 if granted {
--- a/crates/tidelatch-core/src/failure_detection/registrations.rs
+++ b/crates/tidelatch-core/src/failure_detection/registrations.rs
@@ -36,6 +36,6 @@
     /// Acting beyond its lease takes the grants of *all* other controllers: once this one's has ended, the set is
     /// incomplete.
     fn granted_until_ms(&self, _member: &MemberId) -> u64 {
-        self.membership.promised_until()
+        self.membership.grants_given_until()
     }
 }
--- a/crates/tidelatch-core/src/failures.rs
+++ b/crates/tidelatch-core/src/failures.rs
@@ -7,8 +7,8 @@
 
 use crate::controller::Controller;
 use crate::ids::{JobId, MachineId, TaskId};
+use crate::machine_view::Machine;
 use crate::messages::Level;
-use crate::picture::Machine;
 use crate::protocol::Shape;
 use std::collections::BTreeSet;
 
--- a/crates/tidelatch-core/src/gangs.rs
+++ b/crates/tidelatch-core/src/gangs.rs
@@ -8,8 +8,8 @@
 use crate::controller::Controller;
 use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
 use crate::jobs::Job;
+use crate::machine_view::{HeldState, Stop};
 use crate::messages::Level;
-use crate::picture::{HeldState, Stop};
 use crate::protocol::{Shape, TaskState};
 
 /// What is known of the attempt that a gang's tasks share.
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -155,7 +155,7 @@
         if !self.readable(&record) {
             return;
         }
-        self.learn_job(id, record, stamp);
+        self.record_job(id, record, stamp);
     }
 
     /// The version before gangs cannot read what it stores of one.
@@ -164,7 +164,7 @@
         self.settings.features.gangs || !gang
     }
 
-    pub(crate) fn learn_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
+    pub(crate) fn record_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
         if self.over.contains_key(&id) {
             return;
         }
--- a/crates/tidelatch-core/src/jobs/requests.rs
+++ b/crates/tidelatch-core/src/jobs/requests.rs
@@ -128,7 +128,7 @@
         match serde_json::from_value::<JobRecord>(item.value.clone()) {
             Ok(record) if self.readable(&record) => {
                 let state = record.st;
-                self.learn_job(id.clone(), record, item.stamp);
+                self.record_job(id.clone(), record, item.stamp);
                 Some(state)
             }
             // Guard: a later version's job, with words that this one does not know, stays known.
--- a/crates/tidelatch-core/src/picture/silence.rs
+++ b/crates/tidelatch-core/src/machine_view/silence.rs
@@ -4,9 +4,9 @@
 use crate::calls::Purpose;
 use crate::controller::Controller;
 use crate::ids::{Attempt, ControllerId, MachineId, Partition, TaskId};
+use crate::machine_view::{Held, HeldState};
 use crate::membership::Stage;
 use crate::messages::{Level, Method, NOT_TRIED, Target};
-use crate::picture::{Held, HeldState};
 use crate::protocol::{Orders, Report};
 use std::collections::BTreeMap;
 
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -90,7 +90,7 @@
     pub parts: Vec<PartitionOwner>,
 }
 
-/// A peer's promise not to change the membership.
+/// A peer's grant not to change the membership.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Grant {
     /// When it ends, on this clock.
@@ -107,7 +107,7 @@
     pub(crate) entitled: bool,
     pub(crate) asked: u64,
     pub(crate) asking: bool,
-    /// The question that is out asks for a promise.
+    /// The question that is out asks for a grant.
     pub(crate) asked_grant: bool,
 }
 
@@ -139,11 +139,11 @@
     extend_failed: bool,
     /// The last call about a lease failed: the state service does not serve this controller.
     unserved: bool,
-    /// Peers' promises not to change the membership.
+    /// Peers' grants not to change the membership.
     grants: BTreeMap<ControllerId, Grant>,
-    /// This controller's own promises: it neither takes the lead nor raises an epoch before.
-    promised_until: u64,
-    /// A process that has just started may have forgotten promises: it leads only once every peer
+    /// This controller's own grants: it neither takes the lead nor raises an epoch before.
+    grants_given_until: u64,
+    /// A process that has just started may have forgotten grants: it leads only once every peer
     /// has said that it relies on none, or the longest would be over.
     fresh_until: u64,
     cleared: BTreeSet<ControllerId>,
@@ -170,9 +170,9 @@
         self.listed && self.viewed_at > 0
     }
 
-    /// When the last promise ends that this controller has given.
-    pub(crate) fn promised_until(&self) -> u64 {
-        self.promised_until
+    /// When the last grant ends that this controller has given.
+    pub(crate) fn grants_given_until(&self) -> u64 {
+        self.grants_given_until
     }
 
     pub(crate) fn new(inc: Incarnation, fresh_until: u64) -> Self {
@@ -197,7 +197,7 @@
             extend_failed: false,
             unserved: false,
             grants: BTreeMap::new(),
-            promised_until: 0,
+            grants_given_until: 0,
             fresh_until,
             cleared: BTreeSet::new(),
             retry_at: 0,
@@ -290,7 +290,7 @@
 }
 
 impl Controller {
-    /// Whether this controller's promises, forgotten ones included, let it change the membership.
+    /// Whether this controller's grants, forgotten ones included, let it change the membership.
     fn may_change_membership(&self) -> bool {
         let now = self.now.ms;
         let (until, revision) = self.member.settle;
@@ -300,7 +300,7 @@
         let siblings = &self.settings.platform.siblings;
         let clear = |name: &str| self.member.cleared.contains(&ControllerId::new(name));
         let fresh = now < self.member.fresh_until && !siblings.iter().all(|s| clear(&s.host_name));
-        now >= self.member.promised_until && !fresh
+        now >= self.member.grants_given_until && !fresh
     }
 
     pub(crate) fn epoch(&self) -> Option<Epoch> {
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -1,4 +1,4 @@
-//! Whether this controller may act: its lease, and the promises of its peers.
+//! Whether this controller may act: its lease, and the grants of its peers.
 
 use super::lease_trouble::LeaseFailure;
 use super::{Grant, Peer};
@@ -8,7 +8,7 @@
 use crate::protocol::Granted;
 
 impl Controller {
-    /// Whether this controller may act now: inside its lease, or under the promises of all peers.
+    /// Whether this controller may act now: inside its lease, or under the grants of all peers.
     pub fn entitled(&self) -> bool {
         self.entitled_at(self.now.ms)
     }
@@ -17,7 +17,7 @@
         self.member.permit.is_some() && now < self.member.entitled_until.max(self.granted_until())
     }
 
-    /// The time up to which every peer has promised to leave the membership as it is.
+    /// The time up to which every peer has granted to leave the membership as it is.
     ///
     /// One of them at least has to come from a life that has read the store: those that have ended since then
     /// may have told users of cancellations that nobody else knows.
@@ -31,40 +31,37 @@
         all.zip(read).map_or(0, |(all, read)| all.min(read))
     }
 
-    /// Whether the peers should be asked for promises: only they can say whether this is an outage.
+    /// Whether the peers should be asked for grants: only they can say whether this is an outage.
     pub(crate) fn wants_grants(&self) -> bool {
         self.member.extend_failed && self.entitled()
     }
 
-    /// Gives a promise, if this controller is not served either. One that is served refuses: whoever
+    /// Gives a grant, if this controller is not served either. One that is served refuses: whoever
     /// asked is then alone, and steps down at the end of its lease.
-    pub(crate) fn promise(&mut self) -> bool {
+    pub(crate) fn give_grant(&mut self) -> bool {
         if !self.member.unserved {
             return false;
         }
         let until = self.now.ms + self.settings.lease_ms();
-        self.member.promised_until = self.member.promised_until.max(until);
+        self.member.grants_given_until = self.member.grants_given_until.max(until);
         true
     }
 
-    /// A peer has answered a request for its promise that was sent at `sent`.
+    /// A peer has answered a request for its grant that was sent at `sent`.
     ///
     /// It counts from the sending, and only if it comes while this controller is still entitled: so
-    /// there is no moment between its lease and the promises in which others could have moved on.
+    /// there is no moment between its lease and the grants in which others could have moved on.
     pub(crate) fn note_grant(&mut self, from: &ControllerId, sent: u64, unread: bool) {
         if self.entitled() {
             let until = sent + self.settings.entitlement_ms();
             if self.now.ms >= self.member.entitled_until.saturating_sub(self.settings.lease_ms() / 4) {
-                self.log(
-                    Level::Debug,
-                    format!("{from} promises to leave the membership as it is"),
-                );
+                self.log(Level::Debug, format!("{from} grants to leave the membership as it is"));
             }
             self.member.grants.insert(from.clone(), Grant { until, unread });
         }
     }
 
-    /// Whether this controller relies, or may come to rely, on a promise of a peer's.
+    /// Whether this controller relies, or may come to rely, on a grant of a peer's.
     pub(crate) fn relies_on(&self, peer: &ControllerId) -> bool {
         let given = self.member.grants.get(peer).is_some_and(|g| self.now.ms < g.until);
         given || self.member.peers.get(peer).is_some_and(|p| p.asked_grant)
--- a/crates/tidelatch-core/src/messages.rs
+++ b/crates/tidelatch-core/src/messages.rs
@@ -201,9 +201,9 @@
         name: String,
         /// It holds its lease.
         entitled: bool,
-        /// It asks for a promise to leave the membership as it is.
+        /// It asks for a grant to leave the membership as it is.
         wants_grant: bool,
-        /// It relies, or may come to rely, on a promise of the other.
+        /// It relies, or may come to rely, on a grant of the other.
         relies: bool,
         /// Its partitions.
         digests: Vec<Digest>,
@@ -223,9 +223,9 @@
     Heartbeat {
         /// The answerer holds its lease.
         entitled: bool,
-        /// The answerer promises to leave the membership as it is for a controller's lease.
+        /// The answerer grants to leave the membership as it is for a controller's lease.
         granted: bool,
-        /// It relies, or may come to rely, on a promise of the other.
+        /// It relies, or may come to rely, on a grant of the other.
         relies: bool,
         /// Machines to hand over (from the leader only).
         moves: Vec<Move>,
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -492,7 +492,7 @@
                                 job: w.id.clone(),
                                 index,
                             };
-                            self.batch(&machine.clone(), task);
+                            self.book_start(&machine.clone(), task);
                         }
                     }
                     None => {
--- a/crates/tidelatch-core/src/rate_limit.rs
+++ b/crates/tidelatch-core/src/rate_limit.rs
@@ -2,14 +2,14 @@
 
 /// A budget of requests: so many a second, with bursts of one second's worth.
 #[derive(Debug, Clone)]
-pub(crate) struct Bucket {
+pub(crate) struct TokenBucket {
     rate: f64,
     burst: f64,
     level: f64,
     at: u64,
 }
 
-impl Bucket {
+impl TokenBucket {
     pub(crate) fn new(rate: f64, burst: f64) -> Self {
         Self {
             rate,
--- a/crates/tidelatch-core/src/roster/groups.rs
+++ b/crates/tidelatch-core/src/roster/groups.rs
@@ -3,8 +3,8 @@
 use super::records::GroupRecord;
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition, Stamp};
+use crate::machine_view::Machine;
 use crate::messages::Level;
-use crate::picture::Machine;
 use serde_json::Value;
 
 /// A machine group as known here.
--- a/crates/tidelatch-core/src/submissions.rs
+++ b/crates/tidelatch-core/src/submissions.rs
@@ -201,7 +201,7 @@
                     );
                     self.log(Level::Debug, text);
                 }
-                self.learn_job(id.clone(), record, Stamp(stamp));
+                self.record_job(id.clone(), record, Stamp(stamp));
                 if self.over.contains_key(&id) || self.stale {
                     // Others may have told of its end since.
                     self.on_status(asker, id.as_str(), true);
--- a/crates/tidelatch-standin/src/faults.rs
+++ b/crates/tidelatch-standin/src/faults.rs
@@ -7,9 +7,6 @@
 /// Decides what becomes of messages.
 pub type FaultInjector = Box<dyn FnMut(&Message<'_>) -> Delivery>;
 
-/// The earlier name of [`FaultInjector`].
-pub type Meddler = FaultInjector;
-
 /// Several faults at once: the first that does anything to a message decides.
 pub fn all(mut injectors: Vec<FaultInjector>) -> FaultInjector {
     Box::new(move |l| {
--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -21,7 +21,3 @@
 pub use state::Store;
 pub use worker::Worker;
 pub use world::{CANCEL_MS, Delivery, Message, Sent, Size, World, gang, job};
-
-// Earlier names, for tests that still use them.
-pub use faults as troubles;
-pub use world::{Delivery as Fate, Message as Letter};
--- a/crates/tidelatch-standin/tests/cancellations.rs
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -15,7 +15,7 @@
     /// It ends, and is back within some milliseconds, knowing nothing.
     Ends(u64),
     EndsForGood,
-    /// So do both that are not refused: whoever is left has promises only of those who know nothing.
+    /// So do both that are not refused: whoever is left has grants only of those who know nothing.
     BothEnd(u64),
 }
 
@@ -172,7 +172,7 @@
 
 #[test]
 fn cancelled_tasks_are_gone_in_time_whoever_is_refused_before_an_outage() {
-    // Guard: greetings and promises carry the ends known, and nobody is told of one that only one controller
+    // Guard: greetings and grants carry the ends known, and nobody is told of one that only one controller
     // knows. Without that the controller that confirmed could end, and the refused one would feed the tasks.
     for gap in sweep() {
         let world = play(gap, Features::default());
--- a/crates/tidelatch-standin/tests/compound_faults.rs
+++ b/crates/tidelatch-standin/tests/compound_faults.rs
@@ -236,7 +236,7 @@
 #[test]
 fn leaders_that_change_ten_times_in_two_minutes_lose_nothing() {
     // Guard: each take-over asks every machine before it starts older tasks, and ends what is cancelled; in an
-    // outage the entitlement rests on promises of lives that have read the store.
+    // outage the entitlement rests on grants of lives that have read the store.
     for outage in [false, true] {
         for away in [40, 400, 2500] {
             let case = (outage, away);
@@ -501,7 +501,7 @@
 #[test]
 fn users_cancel_and_ask_at_all_nodes_while_the_state_service_is_slow_or_refuses() {
     // Guard: nobody is told of an end that is not stored, nor of one that only one controller knows; a question
-    // that is passed on is answered once, and promises carry the cancellations.
+    // that is passed on is answered once, and grants carry the cancellations.
     for slow in [0, 150, 900, 1800] {
         for alone in [300, 4000, 9000] {
             let case = (slow, alone);
--- a/crates/tidelatch-standin/tests/on_call.rs
+++ b/crates/tidelatch-standin/tests/on_call.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use tidelatch_core::Method;
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::troubles::{self, Meddler};
-use tidelatch_standin::{Fate, Letter, Size, World, job};
+use tidelatch_standin::faults::{self, FaultInjector};
+use tidelatch_standin::{Delivery, Message, Size, World, job};
 
 const SERVICE: &str = "job-000001";
 
@@ -38,10 +38,10 @@
 }
 
 /// Messages to the state service whose line begins so, counted.
-fn counted(what: &'static str, mut rest: Meddler) -> (Rc<Cell<usize>>, Meddler) {
+fn counted(what: &'static str, mut rest: FaultInjector) -> (Rc<Cell<usize>>, FaultInjector) {
     let count = Rc::new(Cell::new(0));
     let seen = count.clone();
-    let meddler = move |l: &Letter<'_>| {
+    let meddler = move |l: &Message<'_>| {
         if l.to == "state" && l.what.starts_with(what) {
             seen.set(seen.get() + 1);
         }
@@ -50,17 +50,17 @@
     (count, Box::new(meddler))
 }
 
-fn pass() -> Meddler {
-    Box::new(|_| Fate::Pass)
+fn pass() -> FaultInjector {
+    Box::new(|_| Delivery::Pass)
 }
 
 /// The state service leaves requests that begin so without an answer.
-fn unanswered(what: &'static str) -> Meddler {
+fn unanswered(what: &'static str) -> FaultInjector {
     Box::new(move |l| {
         if l.to == "state" && l.what.starts_with(what) {
-            Fate::Lost
+            Delivery::Lost
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     })
 }
@@ -95,7 +95,7 @@
         .filter(|n| *n != owner)
         .map(|n| format!("berth-{n} is entitled"))
         .collect();
-    world.meddle(troubles::refused(owner));
+    world.meddle(faults::refused(owner));
     world.run(12_000);
     let first = log_line(&world, owner, "lease not extended: the state service refuses (503)");
     assert!(others.iter().all(|o| first.contains(o)), "{first}\n{}", world.trace());
@@ -116,7 +116,7 @@
 fn the_log_tells_that_a_lease_was_lost_behind_a_cut() {
     let mut world = with_service(2);
     let owner = world.owner_of_team(0);
-    world.meddle(troubles::cut_off(owner));
+    world.meddle(faults::cut_off(owner));
     world.run(12_000);
     let lapse = log_line(&world, owner, "not entitled to act");
     for other in (0..3).filter(|n| *n != owner) {
@@ -168,7 +168,7 @@
             if stands_still {
                 world.freeze(node);
             } else {
-                world.meddle(troubles::refused(node));
+                world.meddle(faults::refused(node));
             }
             world.run(trouble_ms);
             let during = leader(&world);
@@ -229,11 +229,11 @@
         let mine = l.from == "berth-1" && l.to == "state";
         if mine && l.what.starts_with("GET /changes") {
             // Its watch is of no help.
-            Fate::Lost
+            Delivery::Lost
         } else if mine && l.what.starts_with(READ_OF_A_JOB) && is_slow.replace(false) {
-            Fate::AnswerLate(800)
+            Delivery::AnswerLate(800)
         } else {
-            Fate::Pass
+            Delivery::Pass
         }
     });
     // The watch that is open now ends, and the next ones get no answer.
--- a/crates/tidelatch-standin/tests/partial_failures.rs
+++ b/crates/tidelatch-standin/tests/partial_failures.rs
@@ -248,7 +248,7 @@
 
 #[test]
 fn a_controller_that_has_only_its_workers_left_steps_down() {
-    // Guard: entitlement ends with the lease when no peer can promise anything; and the balancer is
+    // Guard: entitlement ends with the lease when no peer can grant anything; and the balancer is
     // told, for its users would be put off without end.
     let mut world = with_service(0);
     let owner = world.owner_of_team(0);
--- a/crates/tidelatch-standin/tests/preemption.rs
+++ b/crates/tidelatch-standin/tests/preemption.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::troubles;
-use tidelatch_standin::{Fate, Letter, Size, World, gang, job};
+use tidelatch_standin::faults;
+use tidelatch_standin::{Delivery, Message, Size, World, gang, job};
 
 const ARRAY: u32 = 1;
 const SERVICE: u32 = 2;
@@ -39,12 +39,12 @@
 /// Orders to stop, by task and attempt, with the grace that they give.
 type Stops = Rc<RefCell<BTreeSet<(String, u64, u64)>>>;
 
-fn is_command(letter: &Letter<'_>) -> bool {
+fn is_command(letter: &Message<'_>) -> bool {
     letter.what == "POST /commands"
 }
 
 /// Notes the direct orders to stop, and lets something else decide the fate of messages.
-fn watch_stops(world: &mut World, mut fate: impl FnMut(&Letter<'_>) -> Fate + 'static) -> Stops {
+fn watch_stops(world: &mut World, mut fate: impl FnMut(&Message<'_>) -> Delivery + 'static) -> Stops {
     let stops: Stops = Rc::default();
     let seen = stops.clone();
     world.meddle(move |l| {
@@ -85,7 +85,7 @@
 #[test]
 fn production_work_of_a_team_at_its_limit_stops_no_more_than_it_needs() {
     let mut world = at_limit(&job(ARRAY, 0, "sweep", 40));
-    let stops = watch_stops(&mut world, |_| Fate::Pass);
+    let stops = watch_stops(&mut world, |_| Delivery::Pass);
     world.accepted(0, &job(SERVICE, 0, "standing", 2));
     runs(&mut world, SERVICE, 2, SOON_MS);
     world.run(60_000);
@@ -101,7 +101,7 @@
     array["waypointS"] = json!(2.0);
     array["stowS"] = json!(1.5);
     let mut world = at_limit(&array);
-    let stops = watch_stops(&mut world, |_| Fate::Pass);
+    let stops = watch_stops(&mut world, |_| Delivery::Pass);
     world.accepted(0, &job(SERVICE, 0, "standing", 1));
     runs(&mut world, SERVICE, 1, SOON_MS);
     assert_eq!(stopped(&stops), 1, "{}", world.trace());
@@ -142,7 +142,7 @@
     array["yard"] = "a".into();
     world.accepted(0, &array);
     runs(&mut world, ARRAY, 2, 40_000);
-    let stops = watch_stops(&mut world, |_| Fate::Pass);
+    let stops = watch_stops(&mut world, |_| Delivery::Pass);
     let mut service = job(SERVICE, 0, "standing", 2);
     service["yard"] = "b".into();
     world.accepted(0, &service);
@@ -158,7 +158,7 @@
     let mut array = job(ARRAY, 0, "sweep", 40);
     array["precedence"] = "prod".into();
     let mut world = at_limit(&array);
-    let stops = watch_stops(&mut world, |_| Fate::Pass);
+    let stops = watch_stops(&mut world, |_| Delivery::Pass);
     world.accepted(0, &job(SERVICE, 0, "standing", 1));
     world.run(30_000);
     assert_eq!(stopped(&stops), 0, "{:?}\n{}", stops.borrow(), world.trace());
@@ -172,7 +172,7 @@
     array["yard"] = "a".into();
     let mut world = at_limit(&array);
     world.cloud.most_in_zone.insert("b".into(), 0);
-    let stops = watch_stops(&mut world, |_| Fate::Pass);
+    let stops = watch_stops(&mut world, |_| Delivery::Pass);
     let mut service = job(SERVICE, 0, "standing", 1);
     service["yard"] = "b".into();
     world.accepted(0, &service);
@@ -218,7 +218,7 @@
 #[test]
 fn a_gang_is_stopped_as_a_whole() {
     let mut world = with_gang(0, 0, true);
-    let stops = watch_stops(&mut world, |_| Fate::Pass);
+    let stops = watch_stops(&mut world, |_| Delivery::Pass);
     world.accepted(0, &job(SERVICE, 0, "standing", 1));
     runs(&mut world, SERVICE, 1, 15_000);
     world.run(10_000);
@@ -249,9 +249,9 @@
             let hit = is_command(l);
             count += u32::from(hit);
             if hit && count % every != 0 {
-                Fate::AnswerLost
+                Delivery::AnswerLost
             } else {
-                Fate::Pass
+                Delivery::Pass
             }
         });
         world.accepted(0, &job(SERVICE, 0, "standing", 2));
@@ -267,7 +267,7 @@
     // The gang loses less than the array, and its machine hangs with the stop. Its tasks count under the limit
     // until they are proven gone; one of the array yields meanwhile.
     let mut world = with_gang(2, 60_000, true);
-    let stops = watch_stops(&mut world, |_| Fate::Pass);
+    let stops = watch_stops(&mut world, |_| Delivery::Pass);
     world.accepted(0, &job(SERVICE, 0, "standing", 1));
     let told = world.run_until(SOON_MS, |w| w.running(&name(GANG)) < 2);
     assert!(told, "{}", world.trace());
@@ -300,7 +300,7 @@
     let half_full = half_full.map(|w| w.name.clone()).expect("one machine has one task");
     let owner = world.owner_of_team(0);
     let next = (owner + 1) % 3;
-    let stops = watch_stops(&mut world, troubles::deaf(&half_full));
+    let stops = watch_stops(&mut world, faults::deaf(&half_full));
     world.crash(owner);
     let epoch = world.epoch();
     assert!(world.run_until(20_000, |w| w.epoch() > epoch), "{}", world.trace());
--- a/crates/tidelatch-standin/tests/rules.rs
+++ b/crates/tidelatch-standin/tests/rules.rs
@@ -345,8 +345,8 @@
 
 #[test]
 fn a_long_state_outage_costs_no_task() {
-    // Guard: under the promises of all peers a controller goes on answering beats, and no gap lies
-    // between its lease and the promises.
+    // Guard: under the grants of all peers a controller goes on answering beats, and no gap lies
+    // between its lease and the grants.
     let mut world = with_service(0);
     world.accepted(1, &job(2, 1, "standing", 2));
     assert!(
@@ -372,7 +372,7 @@
 
 #[test]
 fn a_crash_in_a_long_state_outage_costs_only_what_must_be() {
-    // The peers' promises last for a controller's lease, so a restart in between is bridged.
+    // The peers' grants last for a controller's lease, so a restart in between is bridged.
     let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     world.store.down = true;
@@ -426,20 +426,20 @@
 }
 
 #[test]
-fn a_promise_is_kept_by_those_who_are_served_again() {
-    // Guard: whoever has promised neither leads nor raises an epoch until that is over.
-    assert_trace(&refused_one_by_one(false), "promises_are_kept");
+fn a_grant_is_kept_by_those_who_are_served_again() {
+    // Guard: whoever has granted neither leads nor raises an epoch until that is over.
+    assert_trace(&refused_one_by_one(false), "grants_are_kept");
 }
 
 #[test]
-fn a_promise_is_kept_even_if_it_may_be_forgotten() {
-    // Guard: a new process leads only once all peers rely on nothing, or the longest promise is over.
-    assert_trace(&refused_one_by_one(true), "promises_may_be_forgotten");
+fn a_grant_is_kept_even_if_it_may_be_forgotten() {
+    // Guard: a new process leads only once all peers rely on nothing, or the longest grant is over.
+    assert_trace(&refused_one_by_one(true), "grants_may_be_forgotten");
 }
 
 #[test]
-fn the_promise_of_one_peer_is_not_enough() {
-    // Guard: any peer could change the membership, so every one of them has to promise.
+fn the_grant_of_one_peer_is_not_enough() {
+    // Guard: any peer could change the membership, so every one of them has to grant.
     let mut world = with_service(0);
     let owner = world.owner_of_team(0);
     let (refused, served) = (
--- a/crates/tidelatch/src/daemon/inbox.rs
+++ b/crates/tidelatch/src/daemon/inbox.rs
@@ -1,6 +1,6 @@
 //! Events that wait for the core, and the order in which it gets them.
 //!
-//! Health checks, other controllers' questions and the ends of calls come first, for leases, watches and promises
+//! Health checks, other controllers' questions and the ends of calls come first, for leases, watches and grants
 //! hang on them. Workers' reports and users' requests follow in turns; of users' requests submissions and
 //! cancellations go before polls, for users ask many times as often when something is wrong. What has waited for
 //! longer than its sender does is refused unread.
