--- a/crates/tidelatch-core/tests/planning.rs
+++ b/crates/tidelatch-core/tests/planning.rs
@@ -7,7 +7,7 @@
 use tidelatch_core::protocol::MachineType;
 use tidelatch_core::protocol::Shape;
 use tidelatch_core::protocol::parse_submission;
-use tidelatch_core::queue::{Claim, EstimateCorrections, starved_s, turn, urgency};
+use tidelatch_core::queue::{Claim, EstimateCorrections, next_in_turn, starved_s, urgency};
 
 fn slot(zone: &str, spot: bool, free_gpus: f64) -> Slot {
     Slot {
@@ -140,9 +140,9 @@
 #[test]
 fn teams_are_served_in_turn_by_shares() {
     let claims = [Claim { used: 4.0, share: 4.0 }, Claim { used: 6.0, share: 8.0 }];
-    assert_eq!(turn(&claims, &[true, true]), Some(1));
-    assert_eq!(turn(&claims, &[true, false]), Some(0));
-    assert_eq!(turn(&claims, &[false, false]), None);
+    assert_eq!(next_in_turn(&claims, &[true, true]), Some(1));
+    assert_eq!(next_in_turn(&claims, &[true, false]), Some(0));
+    assert_eq!(next_in_turn(&claims, &[false, false]), None);
 }
 
 fn machine_type(name: &str, size: Amounts, price: f64) -> MachineType {
