--- a/crates/tidelatch-failure-detector/src/detector.rs
+++ b/crates/tidelatch-failure-detector/src/detector.rs
@@ -1,102 +1,15 @@
 //! The detector: takes heartbeats and the passing of time, and tells what has changed.
 
-use crate::arbiter::{Arbiter, Registration, Verdict, verdict};
+use crate::arbiter::Arbiter;
 use crate::config::{ConfigFaults, Policy, Timing};
 use crate::estimator::SuspicionLevel;
+use crate::event::{Cleared, Event};
 use crate::local_health::LocalHealth;
 use crate::member::{Member, MemberState, Suspicion};
 use crate::message::{Channel, Claim, ClaimRejection, Heartbeat, Incarnation, Life, MemberId, Opinion, Rejection};
+use crate::registrations::{Moment, take_registration};
 use std::collections::BTreeMap;
 
-/// Why a suspicion was cleared.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Cleared {
-    /// The member was heard itself.
-    Heard,
-    /// Another member passed on its refutation.
-    Refuted,
-    /// It has begun a new life.
-    NewLife,
-}
-
-/// What has changed, or is to be done.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub enum Event {
-    /// A member is silent: these others are asked to probe it before it is suspected.
-    ProbeWanted {
-        /// The silent member.
-        target: MemberId,
-        /// Whom to ask.
-        through: Vec<MemberId>,
-    },
-    /// A member is suspected.
-    Suspected {
-        /// The member.
-        member: MemberId,
-        /// The suspicion.
-        suspicion: Suspicion,
-        /// Time since it was last heard itself, pauses of this member's own left out.
-        silent_ms: u64,
-    },
-    /// A suspicion has ended without a verdict.
-    Cleared {
-        /// The member.
-        member: MemberId,
-        /// Why.
-        by: Cleared,
-        /// How long it lasted.
-        suspected_for_ms: u64,
-    },
-    /// A member is gone for certain.
-    Confirmed {
-        /// The member.
-        member: MemberId,
-        /// The life that is gone; none: it was never heard.
-        life: Option<Life>,
-        /// By what evidence.
-        verdict: Verdict,
-        /// How long it was suspected.
-        suspected_for_ms: u64,
-    },
-    /// A member that was confirmed as gone is back in a new life.
-    Returned {
-        /// The member.
-        member: MemberId,
-        /// Its new life.
-        life: Life,
-    },
-    /// Others suspect this member: its heartbeats carry a higher refutation from now on.
-    RefutedOwn {
-        /// Who suspects it.
-        suspected_by: MemberId,
-        /// The refutation.
-        refutation: u64,
-    },
-    /// This member holds itself to be at fault, and suspects others less readily.
-    Impaired {
-        /// Time in which it did not run; 0: it hears almost nobody.
-        paused_ms: u64,
-    },
-    /// This member trusts its own observations again.
-    Recovered,
-    /// A claim counts as no evidence.
-    ClaimIgnored {
-        /// Who sent it.
-        from: MemberId,
-        /// Whom it is about.
-        about: MemberId,
-        /// Why.
-        reason: ClaimRejection,
-    },
-}
-
-/// A time, on the caller's clock and in time that this member ran.
-#[derive(Clone, Copy)]
-struct Moment {
-    now_ms: u64,
-    active_ms: u64,
-}
-
 /// The failure detector of one member.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct FailureDetector {
@@ -506,50 +419,3 @@
         heard_ago_ms: active_ms.saturating_sub(member.heard_directly_ms?),
     })
 }
-
-/// Takes what the arbiter says of a member: gives the verdict on a suspicion, if the facts allow it, and goes on with
-/// the life that is registered in the place of one that is gone.
-fn take_registration(
-    name: &MemberId,
-    member: &mut Member,
-    arbiter: &impl Arbiter,
-    at: Moment,
-    lease_ms: u64,
-    events: &mut Vec<Event>,
-) {
-    let registration = arbiter.registration(name);
-    if let Registration::Present { life, observed_ms } = registration {
-        if member.is_leftover(life, observed_ms, lease_ms) {
-            return;
-        }
-        // It may be the confirmed life itself, if that had been heard before it ever registered.
-        if member.is_confirmed() {
-            adopt(name, member, life, at, events);
-        }
-    }
-    let Some(suspicion) = member.suspicion() else { return };
-    let granted_until_ms = arbiter.granted_until_ms(name);
-    let Some(verdict) = verdict(&suspicion, registration, granted_until_ms, at.now_ms) else {
-        return;
-    };
-    member.state = MemberState::Confirmed(verdict);
-    events.push(Event::Confirmed {
-        member: name.clone(),
-        life: suspicion.life,
-        verdict,
-        suspected_for_ms: at.now_ms.saturating_sub(suspicion.since_ms),
-    });
-    if let Verdict::Superseded(life) = verdict {
-        adopt(name, member, life, at, events);
-    }
-}
-
-/// A registered life that has not been heard yet has a whole lease to send its first heartbeat.
-fn adopt(name: &MemberId, member: &mut Member, life: Life, at: Moment, events: &mut Vec<Event>) {
-    member.begin_life(Incarnation { life, refutation: 0 }, at.now_ms);
-    member.await_first_heartbeat(at.active_ms);
-    events.push(Event::Returned {
-        member: name.clone(),
-        life,
-    });
-}
--- a/crates/tidelatch/tests/cli.rs
+++ b/crates/tidelatch/tests/cli.rs
@@ -46,6 +46,51 @@
     assert!(!tidelatch(&["check", "--config", "/no/such/file"]).status.success());
 }
 
+#[test]
+fn check_names_faults_of_the_failure_detector_and_what_a_large_fleet_needs() {
+    let check = |operator: &str| {
+        let file = std::env::temp_dir().join(format!("tidelatch-operator-{}.json", std::process::id()));
+        std::fs::write(&file, operator).expect("a temporary file");
+        let result = tidelatch(&[
+            "check",
+            "--config",
+            &example(),
+            "--operator",
+            &file.display().to_string(),
+        ]);
+        std::fs::remove_file(&file).expect("it can be removed");
+        result
+    };
+    let good = check(include_str!("../../../deploy/failure-detection.json"));
+    assert!(good.status.success());
+    let said = String::from_utf8_lossy(&good.stdout).into_owned();
+    // The example's controllers have fewer sockets than that.
+    assert!(said.contains("sockets: 4000 workers would need 6094"), "{said}");
+    for (operator, path) in [
+        (
+            r#"{"failure_detection": {"threshold_phi": 0}}"#,
+            "failure_detection.threshold_phi: must lie between",
+        ),
+        (
+            r#"{"failure_detection": {"probe_wait_per_heartbeat": 9}}"#,
+            "failure_detection.probe_wait_per_heartbeat: probe_wait_permille:",
+        ),
+        (
+            r#"{"failure_detection": {"threshold": 1}}"#,
+            "unknown field `threshold`",
+        ),
+        (
+            r#"{"failure_detection": {"estimator": "guess"}}"#,
+            "failure_detection.estimator:",
+        ),
+    ] {
+        let refused = check(operator);
+        let said = String::from_utf8_lossy(&refused.stderr).into_owned();
+        assert_eq!(refused.status.code(), Some(1));
+        assert!(said.contains(path), "{path} in {said}");
+    }
+}
+
 #[test]
 fn schema_prints_json_and_help_names_the_commands() {
     let schema = tidelatch(&["schema"]);
