--- a/crates/tidelatch-core/src/failure_detection.rs
+++ b/crates/tidelatch-core/src/failure_detection.rs
@@ -158,7 +158,7 @@
 
     fn handle_detector_events(&mut self, events: Vec<Event>) {
         for event in events {
-            self.handle_detector_event(event);
+            self.handle_detector_event(&event);
         }
     }
 }
--- a/crates/tidelatch-core/src/failure_detection/events.rs
+++ b/crates/tidelatch-core/src/failure_detection/events.rs
@@ -26,73 +26,90 @@
     }
 }
 
+/// The line for an event, and its weight; none: the event asks for something instead.
+fn line(event: &Event) -> Option<(Level, String)> {
+    let said = match event {
+        Event::ProbeWanted { .. } => return None,
+        Event::Suspected {
+            member,
+            suspicion,
+            silent_ms,
+        } => {
+            let level = phi(suspicion.level);
+            let text =
+                format!("suspects {member}: not heard for {silent_ms} ms (phi {level:.1}), and nobody else hears it");
+            (Level::Info, text)
+        }
+        Event::Cleared {
+            member,
+            by,
+            suspected_for_ms,
+        } => {
+            let by = reason(*by);
+            let text = format!("{member} is no longer suspected, after {suspected_for_ms} ms: {by}");
+            (Level::Info, text)
+        }
+        Event::Confirmed {
+            member,
+            life: _,
+            verdict,
+            suspected_for_ms,
+        } => {
+            let evidence = evidence(*verdict);
+            let text = format!("{member} is confirmed as gone, after {suspected_for_ms} ms of suspicion: {evidence}");
+            (Level::Info, text)
+        }
+        Event::Returned { member, life } => (Level::Info, format!("{member} is back, life {}", life.0)),
+        Event::RefutedOwn {
+            suspected_by,
+            refutation,
+        } => (
+            Level::Info,
+            format!("suspected by {suspected_by}: refuted ({refutation})"),
+        ),
+        own => return own_health(own),
+    };
+    Some(said)
+}
+
+/// The line for what the detector finds of this controller itself, or of messages.
+fn own_health(event: &Event) -> Option<(Level, String)> {
+    match event {
+        Event::Impaired { paused_ms: 0 } => {
+            let text = "hears almost no controller any more: holds itself to be at fault, and suspects later";
+            Some((Level::Info, text.to_owned()))
+        }
+        Event::Impaired { paused_ms } => {
+            let text = format!("did not run for {paused_ms} ms: suspects others later");
+            Some((Level::Debug, text))
+        }
+        Event::Recovered => Some((Level::Debug, "trusts its own observations again".to_owned())),
+        Event::ClaimIgnored { from, about, reason } => {
+            let text = format!("what {from} tells of {about} counts as no evidence: {reason}");
+            Some((Level::Debug, text))
+        }
+        _ => None,
+    }
+}
+
+/// Whether an event changes who is suspected or gone, and with it what is to be prepared.
+fn changes_suspicion(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::Suspected { .. } | Event::Cleared { .. } | Event::Confirmed { .. } | Event::Returned { .. }
+    )
+}
+
 impl Controller {
-    pub(super) fn handle_detector_event(&mut self, event: Event) {
-        match event {
-            Event::ProbeWanted { target, through } => self.request_probes(&target, &through),
-            Event::Suspected {
-                member,
-                suspicion,
-                silent_ms,
-            } => {
-                let level = phi(suspicion.level);
-                self.log(
-                    Level::Info,
-                    format!(
-                        "suspects {member}: not heard for {silent_ms} ms (phi {level:.1}), and nobody else hears it"
-                    ),
-                );
-                self.plan_preparation();
-            }
-            Event::Cleared {
-                member,
-                by,
-                suspected_for_ms,
-            } => {
-                let by = reason(by);
-                self.log(
-                    Level::Info,
-                    format!("{member} is no longer suspected, after {suspected_for_ms} ms: {by}"),
-                );
-                self.plan_preparation();
-            }
-            Event::Confirmed {
-                member,
-                life: _,
-                verdict,
-                suspected_for_ms,
-            } => {
-                let evidence = evidence(verdict);
-                self.log(
-                    Level::Info,
-                    format!("{member} is confirmed as gone, after {suspected_for_ms} ms of suspicion: {evidence}"),
-                );
-                self.plan_preparation();
-            }
-            Event::Returned { member, life } => {
-                self.log(Level::Info, format!("{member} is back, life {}", life.0));
-                self.plan_preparation();
-            }
-            Event::RefutedOwn {
-                suspected_by,
-                refutation,
-            } => self.log(
-                Level::Info,
-                format!("suspected by {suspected_by}: refuted ({refutation})"),
-            ),
-            Event::Impaired { paused_ms: 0 } => self.log(
-                Level::Info,
-                "hears almost no controller any more: holds itself to be at fault, and suspects later",
-            ),
-            Event::Impaired { paused_ms } => self.log(
-                Level::Debug,
-                format!("did not run for {paused_ms} ms: suspects others later"),
-            ),
-            Event::Recovered => self.log(Level::Debug, "trusts its own observations again"),
-            Event::ClaimIgnored { from, about, reason } => self.log(
-                Level::Debug,
-                format!("what {from} tells of {about} counts as no evidence: {reason}"),
-            ),
+    pub(super) fn handle_detector_event(&mut self, event: &Event) {
+        if let Some((level, text)) = line(event) {
+            self.log(level, text);
+        }
+        if let Event::ProbeWanted { target, through } = event {
+            self.request_probes(target, through);
+        }
+        if changes_suspicion(event) {
+            self.plan_preparation();
         }
     }
 
--- a/crates/tidelatch-core/src/failure_detection/preparation.rs
+++ b/crates/tidelatch-core/src/failure_detection/preparation.rs
@@ -42,6 +42,16 @@
     /// Addresses of workers that are still to be connected to.
     addresses: Vec<String>,
     connections: usize,
+    /// It has been said that all is prepared.
+    announced: bool,
+}
+
+impl PreparedPartition {
+    /// Whether there is nothing left to read or to connect to, for the first time.
+    fn is_newly_complete(&mut self) -> bool {
+        let complete = self.reading == Reading::Complete && self.addresses.is_empty();
+        complete && !std::mem::replace(&mut self.announced, true)
+    }
 }
 
 /// What was prepared for the partitions of suspected controllers.
@@ -122,6 +132,7 @@
                 records: BTreeMap::new(),
                 addresses,
                 connections: 0,
+                announced: false,
             };
             preparation.partitions.insert(partition, prepared);
         }
@@ -167,6 +178,7 @@
         for (partition, attempt, cursor) in read {
             self.read_ahead(partition, attempt, &cursor);
         }
+        self.announce_prepared();
     }
 
     fn read_ahead(&mut self, partition: Partition, attempt: u64, cursor: &str) {
@@ -205,12 +217,24 @@
             Some(last) if page.more => Reading::Due(last),
             _ => Reading::Complete,
         };
-        if prepared.reading == Reading::Complete {
-            let (records, connections) = (prepared.records.len(), prepared.connections);
-            self.log(
-                Level::Info,
-                format!("partition {partition}: prepared to take over: {records} records, {connections} connections"),
-            );
+        self.announce_prepared();
+    }
+
+    fn announce_prepared(&mut self) {
+        let Some(detection) = self.detection.as_mut() else {
+            return;
+        };
+        let mut lines = Vec::new();
+        for (partition, prepared) in &mut detection.preparation.partitions {
+            if prepared.is_newly_complete() {
+                let (records, connections) = (prepared.records.len(), prepared.connections);
+                lines.push(format!(
+                    "partition {partition}: prepared to take over: {records} records, {connections} connections"
+                ));
+            }
+        }
+        for line in lines {
+            self.log(Level::Info, line);
         }
     }
 
--- a/crates/tidelatch-core/src/settings/platform.rs
+++ b/crates/tidelatch-core/src/settings/platform.rs
@@ -2,6 +2,7 @@
 
 use super::Fault;
 use serde::Deserialize;
+use std::net::SocketAddr;
 
 /// The platform's file. Unknown fields are ignored.
 #[derive(Debug, Clone, Deserialize)]
@@ -175,16 +176,20 @@
 impl Platform {
     /// Everything that is wrong with the values, each with its path.
     pub fn faults(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
-        let mut say = |path: &str, fault: &str| {
-            faults.push(Fault {
-                path: path.to_owned(),
-                fault: fault.to_owned(),
-            });
-        };
+        let mut faults = Faults::default();
+        self.check_names_and_addresses(&mut faults);
+        self.check_siblings(&mut faults);
+        self.facts.check_amounts(&mut faults);
+        self.facts.check_gangs(&mut faults);
+        self.facts.check_next_limits(&mut faults);
+        self.facts.check_teams(&mut faults);
+        faults.0
+    }
+
+    fn check_names_and_addresses(&self, faults: &mut Faults) {
         for (path, text) in [("host_name", &self.host_name), ("area", &self.area)] {
             if text.is_empty() {
-                say(path, "must not be empty");
+                faults.add(path, "must not be empty");
             }
         }
         for (path, text) in [
@@ -193,101 +198,120 @@
             ("outside.cloud", &self.outside.cloud),
             ("outside.state", &self.outside.state),
         ] {
-            if text.parse::<std::net::SocketAddr>().is_err() {
-                say(path, "must be an address and a port, as 10.0.0.1:8080");
+            if text.parse::<SocketAddr>().is_err() {
+                faults.add(path, "must be an address and a port, as 10.0.0.1:8080");
             }
         }
-        for (i, s) in self.siblings.iter().enumerate() {
-            if s.address.parse::<std::net::SocketAddr>().is_err() {
-                say(&format!("siblings[{i}].address"), "must be an address and a port");
+    }
+
+    fn check_siblings(&self, faults: &mut Faults) {
+        for (i, sibling) in self.siblings.iter().enumerate() {
+            if sibling.address.parse::<SocketAddr>().is_err() {
+                faults.add(&format!("siblings[{i}].address"), "must be an address and a port");
             }
-            if s.host_name.is_empty() || s.host_name == self.host_name {
-                say(&format!("siblings[{i}].host_name"), "must name another controller");
+            if sibling.host_name.is_empty() || sibling.host_name == self.host_name {
+                faults.add(&format!("siblings[{i}].host_name"), "must name another controller");
             }
         }
-        let f = &self.facts;
-        if f.nodes as usize != self.siblings.len() + 1 {
-            say("facts.nodes", "must count this controller and its siblings");
+        if self.facts.nodes as usize != self.siblings.len() + 1 {
+            faults.add("facts.nodes", "must count this controller and its siblings");
         }
-        for (path, v) in [
-            ("facts.workers.report_s", f.workers.report_s),
-            ("facts.workers.lease_s", f.workers.lease_s),
-            ("facts.workers.cancel_s", f.workers.cancel_s),
-            ("facts.state.rps", f.state.rps),
-            ("facts.state.write_rps", f.state.write_rps),
-            ("facts.state.value_kb", f.state.value_kb),
-            ("facts.cloud.rps", f.cloud.rps),
-            ("facts.machine_limits.cores", f.machine_limits.cores),
-            ("facts.machine_limits.ram_mb", f.machine_limits.ram_mb),
+    }
+}
+
+impl Facts {
+    fn check_amounts(&self, faults: &mut Faults) {
+        for (path, amount) in [
+            ("facts.workers.report_s", self.workers.report_s),
+            ("facts.workers.lease_s", self.workers.lease_s),
+            ("facts.workers.cancel_s", self.workers.cancel_s),
+            ("facts.state.rps", self.state.rps),
+            ("facts.state.write_rps", self.state.write_rps),
+            ("facts.state.value_kb", self.state.value_kb),
+            ("facts.cloud.rps", self.cloud.rps),
+            ("facts.machine_limits.cores", self.machine_limits.cores),
+            ("facts.machine_limits.ram_mb", self.machine_limits.ram_mb),
         ] {
-            if !(v.is_finite() && v > 0.0) {
-                say(path, "must be a number above 0");
-            }
+            faults.add_unless_positive(path, Some(amount));
         }
-        for (path, v) in [
-            ("facts.skew_ms", f.skew_ms),
-            ("facts.cloud.list_lag_s", f.cloud.list_lag_s),
+        for (path, amount) in [
+            ("facts.skew_ms", self.skew_ms),
+            ("facts.cloud.list_lag_s", self.cloud.list_lag_s),
         ] {
-            if !(v.is_finite() && v >= 0.0) {
-                say(path, "must be a number, 0 or above");
+            if !(amount.is_finite() && amount >= 0.0) {
+                faults.add(path, "must be a number, 0 or above");
             }
         }
-        if f.workers.lease_s <= 2.0 * f.workers.report_s {
-            say("facts.workers.lease_s", "must be more than twice report_s");
-        }
-        if f.state.txn_ops < 2 {
-            say("facts.state.txn_ops", "must be at least 2");
+        if self.workers.lease_s <= 2.0 * self.workers.report_s {
+            faults.add("facts.workers.lease_s", "must be more than twice report_s");
         }
-        // Asked for only where gangs are to be run; what is there has to be in order.
-        for (path, v) in [
-            ("facts.workers.gang_wait_s", f.workers.gang_wait_s),
-            ("facts.workers.gang_peer_s", f.workers.gang_peer_s),
-        ] {
-            if v.is_some_and(|v| !(v.is_finite() && v > 0.0)) {
-                say(path, "must be a number above 0");
-            }
+        if self.state.txn_ops < 2 {
+            faults.add("facts.state.txn_ops", "must be at least 2");
         }
-        if f.workers.gang_wait_s.is_some() != f.workers.gang_peer_s.is_some() {
-            let missing = if f.workers.gang_wait_s.is_some() {
-                "gang_peer_s"
-            } else {
-                "gang_wait_s"
-            };
-            say(
+    }
+
+    /// Gangs' times are asked for only where gangs are to be run; what is there has to be in order.
+    fn check_gangs(&self, faults: &mut Faults) {
+        let (wait_s, peer_s) = (self.workers.gang_wait_s, self.workers.gang_peer_s);
+        faults.add_unless_positive("facts.workers.gang_wait_s", wait_s);
+        faults.add_unless_positive("facts.workers.gang_peer_s", peer_s);
+        if wait_s.is_some() != peer_s.is_some() {
+            let missing = if wait_s.is_some() { "gang_peer_s" } else { "gang_wait_s" };
+            faults.add(
                 &format!("facts.workers.{missing}"),
                 "is needed for gangs, since the other time is given",
             );
         }
-        let next = f.state.next.clone().unwrap_or_default();
-        for (path, v) in [
-            ("facts.state.next.write_rps", next.write_rps),
-            ("facts.state.next.value_kb", next.value_kb),
-        ] {
-            if v.is_some_and(|v| !(v.is_finite() && v > 0.0)) {
-                say(path, "must be a number above 0");
-            }
-        }
-        if next.txn_ops.is_some_and(|n| n < 2) {
-            say("facts.state.next.txn_ops", "must be at least 2");
+    }
+
+    fn check_next_limits(&self, faults: &mut Faults) {
+        let next = self.state.next.clone().unwrap_or_default();
+        faults.add_unless_positive("facts.state.next.write_rps", next.write_rps);
+        faults.add_unless_positive("facts.state.next.value_kb", next.value_kb);
+        if next.txn_ops.is_some_and(|ops| ops < 2) {
+            faults.add("facts.state.next.txn_ops", "must be at least 2");
         }
-        if f.machine_limits.sockets < 16 {
-            say("facts.machine_limits.sockets", "must be at least 16");
+        if self.machine_limits.sockets < 16 {
+            faults.add("facts.machine_limits.sockets", "must be at least 16");
         }
-        for (i, t) in f.teams.iter().enumerate() {
-            if t.name.is_empty() {
-                say(&format!("facts.teams[{i}].name"), "must not be empty");
+    }
+
+    fn check_teams(&self, faults: &mut Faults) {
+        for (i, team) in self.teams.iter().enumerate() {
+            if team.name.is_empty() {
+                faults.add(&format!("facts.teams[{i}].name"), "must not be empty");
             }
-            if f.teams.iter().take(i).any(|other| other.name == t.name) {
-                say(&format!("facts.teams[{i}].name"), "is the name of another team as well");
+            if self.teams.iter().take(i).any(|other| other.name == team.name) {
+                faults.add(&format!("facts.teams[{i}].name"), "is the name of another team as well");
             }
-            for (field, low, high) in [("cpus", t.cpus, t.cpus_max), ("gpus", t.gpus, t.gpus_max)] {
+            for (field, low, high) in [("cpus", team.cpus, team.cpus_max), ("gpus", team.gpus, team.gpus_max)] {
+                let path = format!("facts.teams[{i}].{field}");
                 if !(low.is_finite() && high.is_finite() && low >= 0.0 && high >= 0.0) {
-                    say(&format!("facts.teams[{i}].{field}"), "must be a number, 0 or above");
+                    faults.add(&path, "must be a number, 0 or above");
                 } else if high > 0.0 && low > high {
-                    say(&format!("facts.teams[{i}].{field}"), "the guarantee is above the limit");
+                    faults.add(&path, "the guarantee is above the limit");
                 }
             }
         }
-        faults
+    }
+}
+
+/// The faults that were found so far.
+#[derive(Default)]
+struct Faults(Vec<Fault>);
+
+impl Faults {
+    fn add(&mut self, path: &str, fault: &str) {
+        self.0.push(Fault {
+            path: path.to_owned(),
+            fault: fault.to_owned(),
+        });
+    }
+
+    /// What is not given is no fault.
+    fn add_unless_positive(&mut self, path: &str, amount: Option<f64>) {
+        if amount.is_some_and(|amount| !(amount.is_finite() && amount > 0.0)) {
+            self.add(path, "must be a number above 0");
+        }
     }
 }
--- a/crates/tidelatch-failure-detector/tests/properties.rs
+++ b/crates/tidelatch-failure-detector/tests/properties.rs
@@ -72,16 +72,22 @@
     }
 }
 
+/// A cluster after a history of faults.
+fn play(history: Vec<(u64, usize, Fault)>) -> Cluster {
+    let mut cluster = Cluster::new(4, Policy::default());
+    cluster.run(10_000);
+    for (after_ms, member, fault) in history {
+        apply(&mut cluster, member, fault);
+        cluster.run(after_ms);
+    }
+    cluster
+}
+
 #[test]
 fn whoever_is_confirmed_has_lost_its_registration_whatever_happens() {
     let property = |history: Vec<(u64, usize, Fault)>| {
-        let mut cluster = Cluster::new(4, Policy::default());
-        cluster.run(10_000);
-        for (after_ms, member, fault) in history {
-            apply(&mut cluster, member, fault);
-            cluster.run(after_ms);
-            prop_assert!(cluster.wrong_verdicts().is_empty(), "{:?}", cluster.wrong_verdicts());
-        }
+        let cluster = play(history);
+        prop_assert!(cluster.wrong_verdicts().is_empty(), "{:?}", cluster.wrong_verdicts());
         Ok(())
     };
     runner().run(&faults(4), property).expect("the property holds");
@@ -90,12 +96,7 @@
 #[test]
 fn once_all_is_well_the_living_are_alive_and_the_dead_are_confirmed() {
     let property = |history: Vec<(u64, usize, Fault)>| {
-        let mut cluster = Cluster::new(4, Policy::default());
-        cluster.run(10_000);
-        for (after_ms, member, fault) in history {
-            apply(&mut cluster, member, fault);
-            cluster.run(after_ms);
-        }
+        let mut cluster = play(history);
         cluster.heal_all();
         cluster.crash(3);
         cluster.run(12 * LEASE_MS);
