--- a/crates/tidelatch-core/src/admission.rs
+++ b/crates/tidelatch-core/src/admission.rs
@@ -5,7 +5,7 @@
 //! through all of them for each batch. The state service is no bound: it keeps any number of keys.
 
 use crate::protocol::JobSpec;
-use crate::rate_limit::Bucket;
+use crate::rate_limit::TokenBucket;
 use crate::settings::Settings;
 use std::collections::BTreeMap;
 
@@ -97,7 +97,7 @@
     pending_jobs: u32,
     pending_load: f64,
     ends: FadingRate,
-    writes: Bucket,
+    writes: TokenBucket,
     slots: RetrySlots,
     /// When the operators were last told that its users are put off.
     told_ms: Option<u64>,
@@ -125,19 +125,19 @@
 }
 
 impl Admission {
-    pub(crate) fn new(set: &Settings) -> Self {
-        let facts = &set.platform.facts;
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let facts = &settings.platform.facts;
         let limits = &facts.machine_limits;
-        let period_s = set.batch_retry_ms() as f64 / 1000.0;
+        let period_s = settings.batch_retry_ms() as f64 / 1000.0;
         let reserve = RESERVED_PART / facts.teams.len().max(1) as f64;
-        let write_rate = facts.state.write_rps / f64::from(set.partitions());
+        let write_rate = facts.state.write_rps / f64::from(settings.partitions());
         let team = TeamLoad {
             jobs: 0,
             load: 0.0,
             pending_jobs: 0,
             pending_load: 0.0,
             ends: FadingRate::default(),
-            writes: Bucket::new(write_rate * reserve, write_rate),
+            writes: TokenBucket::new(write_rate * reserve, write_rate),
             slots: RetrySlots::default(),
             told_ms: None,
         };
@@ -146,7 +146,7 @@
             reserve,
             most_jobs: (limits.cores * PROCESSOR_PART * JOBS_PER_CORE_SECOND * period_s).max(1.0),
             most_bytes: limits.ram_mb * 1e6 * MEMORY_PART,
-            most_of_team: set.operator.queue_jobs_per_team,
+            most_of_team: settings.operator.queue_jobs_per_team,
         }
     }
 
@@ -216,7 +216,7 @@
         &mut self,
         now_ms: u64,
         spec: &JobSpec,
-        writes: &mut Bucket,
+        writes: &mut TokenBucket,
         controllers: usize,
     ) -> Result<(), Deferral> {
         let has_room = self.has_room(spec);
--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -15,15 +15,15 @@
 pub use boot_times::{BootTimes, BootingMachine};
 pub(crate) use planning::room_for;
 use planning::wants;
-pub use planning::{Coming, Kind, Lane, Wish, absorb, plan};
+pub use planning::{Coming, Kind, Lane, UnplacedTasks, absorb, plan};
 
 use crate::calls::Purpose;
 use crate::controller::Controller;
 use crate::ids::{ControllerId, Epoch, MachineId, Partition};
 use crate::membership::TYPES_KEY;
-use crate::messages::{Digest, Idle, Method, Move, Target};
+use crate::messages::{Digest, IdleMachine, Method, Move, Target};
 use crate::protocol::{MachineTypes, Rental, Report};
-use crate::rate_limit::Bucket;
+use crate::rate_limit::TokenBucket;
 use crate::roster::Rented;
 use crate::settings::Settings;
 use serde_json::json;
@@ -50,7 +50,7 @@
 /// A machine that the leader has asked an owner to hand over.
 #[derive(Debug, Clone)]
 struct Lent {
-    machine: Idle,
+    machine: IdleMachine,
     to: Partition,
     at: u64,
 }
@@ -58,13 +58,13 @@
 /// The cloud as this controller sees it, and what is under way there.
 #[derive(Debug)]
 pub(crate) struct Cloud {
-    pub(crate) wishes: Vec<Wish>,
+    pub(crate) wishes: Vec<UnplacedTasks>,
     pub(crate) stale_keys: Vec<String>,
     pub(crate) types_writing: bool,
     types_at: u64,
     types_asked: u64,
     types_written: u64,
-    budget: Bucket,
+    budget: TokenBucket,
     /// Kinds of which the cloud had no more, and when: one request at a time is enough for those.
     scarce: BTreeMap<Kind, u64>,
     /// Kinds refused by the cloud, until when.
@@ -94,8 +94,8 @@
 }
 
 impl Cloud {
-    pub(crate) fn new(set: &Settings) -> Self {
-        let rate = set.platform.facts.cloud.rps / f64::from(set.partitions());
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let rate = settings.platform.facts.cloud.rps / f64::from(settings.partitions());
         Self {
             wishes: Vec::new(),
             stale_keys: Vec::new(),
@@ -103,7 +103,7 @@
             types_at: 0,
             types_asked: 0,
             types_written: 0,
-            budget: Bucket::new(rate, rate.max(1.0)),
+            budget: TokenBucket::new(rate, rate.max(1.0)),
             scarce: BTreeMap::new(),
             refused: BTreeMap::new(),
             digests: BTreeMap::new(),
@@ -159,8 +159,8 @@
 impl Controller {
     /// The leader, whose cloud calls are more, gets most of the budget.
     fn cloud_budget(&mut self, reserve: f64) -> bool {
-        let rps = self.set.platform.facts.cloud.rps;
-        let others = f64::from(self.set.partitions().saturating_sub(1));
+        let rps = self.settings.platform.facts.cloud.rps;
+        let others = f64::from(self.settings.partitions().saturating_sub(1));
         let part = if others == 0.0 {
             0.9
         } else if self.is_leader() {
@@ -173,7 +173,7 @@
     }
 
     fn cloud_call(&mut self, method: Method, path: impl Into<String>, body: String, purpose: Purpose) {
-        let timeout = 2 * self.set.report_ms();
+        let timeout = 2 * self.settings.report_ms();
         self.call(Target::Cloud, method, path, body, timeout, purpose);
     }
 
@@ -183,11 +183,11 @@
         if now < self.cloud.due || !self.entitled() {
             return;
         }
-        self.cloud.due = now + self.set.report_ms() / 5;
+        self.cloud.due = now + self.settings.report_ms() / 5;
         self.judge_machines();
         self.retire();
         self.send_deletes();
-        let keep = 4 * self.set.worker_lease_ms();
+        let keep = 4 * self.settings.worker_lease_ms();
         self.cloud.deleted.retain(|_, t| now.saturating_sub(*t) < keep);
         if self.is_leader() {
             for digest in self.own_digests() {
@@ -203,7 +203,7 @@
         } else {
             self.cloud.digests.clear();
             self.cloud.unlisted.clear();
-            self.forget_new_racks();
+            self.forget_new_groups();
             self.cloud.retry.clear();
             self.cloud.strangers.clear();
         }
@@ -213,9 +213,9 @@
         let now = self.now.ms;
         let lead = self.is_leader();
         let every = if self.types.is_empty() {
-            self.set.report_ms()
+            self.settings.report_ms()
         } else if lead {
-            2 * self.set.worker_lease_ms()
+            2 * self.settings.worker_lease_ms()
         } else {
             return;
         };
@@ -242,9 +242,9 @@
             self.want_batch();
         }
         // Stored, so that a controller that starts while the cloud is down knows them.
-        let due = self.cloud.types_written == 0 || now > self.cloud.types_written + 4 * self.set.worker_lease_ms();
+        let due = self.cloud.types_written == 0 || now > self.cloud.types_written + 4 * self.settings.worker_lease_ms();
         // They are asked for anew by everybody; stored, they only bridge an outage of the cloud.
-        let fits = crate::jobs::bytes_of(&types) <= self.set.value_bytes();
+        let fits = crate::jobs::bytes_of(&types) <= self.settings.value_bytes();
         if self.is_leader() && due && fits && !self.cloud.types_writing {
             self.cloud.types_writing = true;
             self.cloud.types_written = now.max(1);
@@ -259,7 +259,7 @@
 
     /// Time within which guaranteed work should start, by the objectives.
     pub(crate) fn guarantee_s(&self) -> f64 {
-        let objectives = &self.set.platform.facts.objectives;
+        let objectives = &self.settings.platform.facts.objectives;
         objectives
             .iter()
             .filter(|o| o.kind == "guarantee")
--- a/crates/tidelatch-core/src/capacity/digests.rs
+++ b/crates/tidelatch-core/src/capacity/digests.rs
@@ -1,12 +1,12 @@
 //! Digests: what a partition's owner reports that the partition needs and has to spare.
 
 use super::spare_room::largest_of_each_kind;
-use super::{BootingMachine, Kind, Lane, Wish, YIELDING, absorb, plan, wants};
+use super::{BootingMachine, Kind, Lane, UnplacedTasks, YIELDING, absorb, plan, wants};
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition};
+use crate::machine_view::Machine;
 use crate::membership::Stage;
-use crate::messages::{Digest, Idle, SpareRoom};
-use crate::picture::Machine;
+use crate::messages::{Digest, IdleMachine, SpareRoom};
 use crate::placement::Amounts;
 use crate::protocol::{Priority, Shape};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,7 +15,7 @@
     /// What would be lost, in seconds of work, if a machine were vacated for production work; none if
     /// something on it does not yield.
     pub(super) fn yielding(&self, m: &Machine) -> Option<f64> {
-        if m.spot || m.held.is_empty() || !m.usable(self.now.ms, 2 * self.set.report_ms()) {
+        if m.spot || m.held.is_empty() || !m.usable(self.now.ms, 2 * self.settings.report_ms()) {
             return None;
         }
         let mut loss = 0.0;
@@ -41,7 +41,7 @@
     pub(super) fn lane(&self, m: &Machine) -> Option<Lane> {
         let now = self.now.ms;
         let t = self.types.iter().find(|t| t.name == m.model)?;
-        let up = m.usable(now, 3 * self.set.report_ms());
+        let up = m.usable(now, 3 * self.settings.report_ms());
         let booting = m.is_booting() && m.moving.is_none();
         if !up && !booting {
             return None;
@@ -91,7 +91,7 @@
                 since: m.known_since,
             })
             .collect();
-        let grace_ms = 2 * self.set.report_ms();
+        let grace_ms = 2 * self.settings.report_ms();
         self.cloud
             .boot_times
             .discounted(&booting, &self.types, self.now.ms, grace_ms)
@@ -117,7 +117,7 @@
                     lanes.push(lane);
                 }
                 if let Some(loss) = self.yielding(m) {
-                    let machine = Idle {
+                    let machine = IdleMachine {
                         machine: id.clone(),
                         model: m.model.clone(),
                         zone: m.zone.clone(),
@@ -128,9 +128,9 @@
                 spare_room.extend(self.spare_room(id, m));
                 let spare = m
                     .idle_since
-                    .is_some_and(|t| now.saturating_sub(t) > self.set.report_ms());
-                if spare && m.usable(now, 2 * self.set.report_ms()) {
-                    idle.push(Idle {
+                    .is_some_and(|t| now.saturating_sub(t) > self.settings.report_ms());
+                if spare && m.usable(now, 2 * self.settings.report_ms()) {
+                    idle.push(IdleMachine {
                         machine: id.clone(),
                         model: m.model.clone(),
                         zone: m.zone.clone(),
@@ -138,14 +138,14 @@
                     });
                 }
             }
-            let mut wishes: Vec<Wish> = self
+            let mut wishes: Vec<UnplacedTasks> = self
                 .cloud
                 .wishes
                 .iter()
                 .filter(|w| w.partition == *p)
                 .cloned()
                 .collect();
-            let wants = wants(&wishes, &self.set.platform.facts.zones);
+            let wants = wants(&wishes, &self.settings.platform.facts.zones);
             demand += wishes
                 .iter()
                 .map(|w| f64::from(w.count) * w.size[1].max(w.size[0] / 100.0))
--- a/crates/tidelatch-core/src/capacity/heartbeats.rs
+++ b/crates/tidelatch-core/src/capacity/heartbeats.rs
@@ -3,7 +3,7 @@
 use crate::calls::Purpose;
 use crate::controller::Controller;
 use crate::ids::ControllerId;
-use crate::messages::{Digest, Move, Need, PeerReply, PeerRequest};
+use crate::messages::{Digest, MachineRequest, Move, PeerReply, PeerRequest};
 
 impl Controller {
     pub(crate) fn say_hello(&mut self) {
@@ -13,13 +13,19 @@
     /// Greets the peers whose turn it is; with `at_once` all that lack a cancellation.
     pub(crate) fn greet(&mut self, at_once: bool) {
         let now = self.now.ms;
-        let every = 2 * self.set.report_ms() / 5;
+        let every = self.settings.heartbeat_ms();
         let leader = self.member.leader.as_ref().map(|(l, _)| l.name.clone());
         let wants_grant = self.wants_grants();
-        let names: Vec<String> = self.set.platform.siblings.iter().map(|s| s.host_name.clone()).collect();
+        let names: Vec<String> = self
+            .settings
+            .platform
+            .siblings
+            .iter()
+            .map(|s| s.host_name.clone())
+            .collect();
         for name in names {
             let to = ControllerId::new(name);
-            let urgent = at_once && self.lacks_cancellations(&to);
+            let urgent = (at_once && self.lacks_cancellations(&to)) || self.contact_due(&to);
             let (told, span, _) = self.tell_cancellations(&to);
             let peer = self.member.peers.entry(to.clone()).or_default();
             let due = peer.asked == 0 || now >= peer.asked + every;
@@ -37,16 +43,18 @@
             } else {
                 Vec::new()
             };
-            let request = PeerRequest::Hello {
+            let liveness = self.liveness_for(&to);
+            let request = PeerRequest::Heartbeat {
                 name: self.me.as_str().to_owned(),
                 entitled: self.entitled(),
                 wants_grant,
                 relies: self.relies_on(&to),
                 digests,
                 told,
+                liveness,
             };
-            let timeout = self.set.report_ms() / 2;
-            let purpose = Purpose::Hello {
+            let timeout = self.settings.report_ms() / 2;
+            let purpose = Purpose::Heartbeat {
                 to: to.clone(),
                 sent: now,
                 told: span,
@@ -59,7 +67,7 @@
         let now = self.now.ms;
         let (entitled, wants_grant, relies) = stands;
         let (told, _, whole) = self.tell_cancellations(&from);
-        let granted = wants_grant && whole && self.promise();
+        let granted = wants_grant && whole && self.give_grant();
         self.note_reliance(&from, relies || granted);
         let lead = self.is_leader();
         if let Some(peer) = self.member.peers.get_mut(&from) {
@@ -81,7 +89,7 @@
                 .refused
                 .iter()
                 .filter(|(_, t)| now < **t)
-                .map(|((model, zone, spot), _)| Need {
+                .map(|((model, zone, spot), _)| MachineRequest {
                     model: model.clone(),
                     zone: zone.clone(),
                     spot: *spot,
@@ -93,25 +101,27 @@
         }
         let entitled = self.entitled();
         let relies = self.relies_on(&from);
+        let liveness = self.liveness_for(&from);
         self.out.push(crate::messages::Output::Tell {
             id,
-            reply: PeerReply::Hello {
+            reply: PeerReply::Heartbeat {
                 entitled,
                 granted,
                 relies,
                 moves,
                 refused,
                 told,
+                liveness,
             },
         });
     }
 
-    pub(crate) fn on_moves(&mut self, from: &ControllerId, moves: Vec<Move>, refused: Vec<Need>) {
+    pub(crate) fn on_moves(&mut self, from: &ControllerId, moves: Vec<Move>, refused: Vec<MachineRequest>) {
         let leads = self.member.leader.as_ref().is_some_and(|(l, _)| l.name == *from);
         if !leads || self.is_leader() {
             return;
         }
-        let until = self.now.ms + self.set.report_ms();
+        let until = self.now.ms + self.settings.report_ms();
         self.cloud.refused = refused
             .into_iter()
             .map(|n| ((n.model, n.zone, n.spot), until))
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -3,24 +3,26 @@
 use crate::admission::Admission;
 use crate::calls::{Asker, Purpose, is_lost_lease};
 use crate::cancellations::Cancellations;
-use crate::capacity::{Cloud, Wish};
+use crate::capacity::{Cloud, UnplacedTasks};
+use crate::failure_detection::FailureDetection;
 use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
-use crate::jobs::{Job, Over, Purpose as JobPurpose, StatusReads};
+use crate::jobs::{EndedJob, Job, Purpose as JobPurpose, StatusReads};
+use crate::machine_view::{Guest, Machine};
 use crate::membership::{Membership, Tenure};
 use crate::messages::{Answer, Input, Level, Method, Now, Output, PeerReply, PeerRequest, Target};
-use crate::picture::{Guest, Machine};
 use crate::placement::Amounts;
 use crate::protocol::{JobSpec, MachineType};
-use crate::queue::Learned;
-use crate::rate_limit::Bucket;
+use crate::queue::EstimateCorrections;
+use crate::rate_limit::TokenBucket;
 use crate::roster::Roster;
 use crate::settings::Settings;
 use crate::write_limits::Limits;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use tidelatch_failure_detector::Channel;
 
 /// One controller: its view of the cluster, the jobs and the machines.
 pub struct Controller {
-    pub(crate) set: Settings,
+    pub(crate) settings: Settings,
     pub(crate) me: ControllerId,
     pub(crate) now: Now,
     pub(crate) out: Vec<Output>,
@@ -37,20 +39,20 @@
     pub(crate) tenures: BTreeMap<Partition, Tenure>,
     pub(crate) types: Vec<MachineType>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
-    pub(crate) over: BTreeMap<JobId, Over>,
+    pub(crate) over: BTreeMap<JobId, EndedJob>,
     pub(crate) over_order: VecDeque<JobId>,
     pub(crate) status_reads: StatusReads,
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) cloud: Cloud,
     pub(crate) roster: Roster,
-    pub(crate) state_reads: Bucket,
-    pub(crate) state_writes: Bucket,
+    pub(crate) state_reads: TokenBucket,
+    pub(crate) state_writes: TokenBucket,
     pub(crate) limits: Limits,
     pub(crate) admission: Admission,
     pub(crate) batch_due: Option<u64>,
-    pub(crate) learned: Learned,
+    pub(crate) learned: EstimateCorrections,
     /// Jobs that a slice of the search left out, with what they would need, until when.
-    pub(crate) resting: BTreeMap<JobId, (Option<Wish>, u64)>,
+    pub(crate) resting: BTreeMap<JobId, (Option<UnplacedTasks>, u64)>,
     /// By team, room under its limit that is kept for one task of production work that found no machine.
     pub(crate) kept_room: BTreeMap<usize, Amounts>,
     /// Jobs within their teams' guarantees, as of the last batch.
@@ -67,19 +69,22 @@
     pub(crate) commands_sent: u64,
     pub(crate) guests: BTreeMap<MachineId, Guest>,
     pub(crate) cancellations: Cancellations,
+    /// None: the settings do not ask for it.
+    pub(crate) detection: Option<FailureDetection>,
     /// How often a machine was looked at for a task.
     pub(crate) evaluated: u64,
 }
 
 impl Controller {
     /// A controller that has just started. `incarnation` must differ from that of every earlier life.
-    pub fn new(set: Settings, incarnation: Incarnation, now: Now) -> Self {
-        let nodes = f64::from(set.partitions());
-        let state = &set.platform.facts.state;
-        let state_reads = Bucket::new(state.rps / nodes, state.rps / nodes);
-        let state_writes = Bucket::new(state.write_rps / nodes, state.write_rps / nodes);
-        let cloud = Cloud::new(&set);
-        let me = ControllerId::new(set.platform.host_name.clone());
+    pub fn new(settings: Settings, incarnation: Incarnation, now: Now) -> Self {
+        let nodes = f64::from(settings.partitions());
+        let state = &settings.platform.facts.state;
+        let state_reads = TokenBucket::new(state.rps / nodes, state.rps / nodes);
+        let state_writes = TokenBucket::new(state.write_rps / nodes, state.write_rps / nodes);
+        let cloud = Cloud::new(&settings);
+        let me = ControllerId::new(settings.platform.host_name.clone());
+        let detection = FailureDetection::new(&settings, incarnation, now.ms);
         Self {
             me,
             now,
@@ -89,7 +94,7 @@
             stale_below: 0,
             stale: false,
             pending: BTreeMap::new(),
-            member: Membership::new(incarnation, now.ms + set.lease_ms()),
+            member: Membership::new(incarnation, now.ms + settings.lease_ms()),
             tenures: BTreeMap::new(),
             types: Vec::new(),
             jobs: BTreeMap::new(),
@@ -102,12 +107,12 @@
             state_reads,
             state_writes,
             limits: Limits {
-                value: set.value_bytes(),
-                ops: set.txn_ops(),
+                value: settings.value_bytes(),
+                ops: settings.txn_ops(),
             },
-            admission: Admission::new(&set),
+            admission: Admission::new(&settings),
             batch_due: None,
-            learned: Learned::default(),
+            learned: EstimateCorrections::default(),
             resting: BTreeMap::new(),
             kept_room: BTreeMap::new(),
             guaranteed: BTreeSet::new(),
@@ -120,8 +125,9 @@
             commands_sent: 0,
             guests: BTreeMap::new(),
             cancellations: Cancellations::default(),
+            detection,
             evaluated: 0,
-            set,
+            settings,
         }
     }
 
@@ -130,7 +136,7 @@
         let paused_ms = now.ms.saturating_sub(self.stepped);
         self.stepped = now.ms;
         self.now = now;
-        if paused_ms > self.set.report_ms() / 4 {
+        if paused_ms > self.settings.report_ms() / 4 {
             self.stale_below = self.next_call;
             self.note_pause(paused_ms);
         }
@@ -171,7 +177,7 @@
         // Looking through all machines with each tick would cost a controller of a thousand a good part of
         // its processor, and nothing there is due by less than this.
         if self.now.ms >= self.machines_due {
-            self.machines_due = self.now.ms + self.set.report_ms() / 16;
+            self.machines_due = self.now.ms + self.settings.report_ms() / 16;
             self.tick_machines();
             self.finish_vacating();
             self.tick_shared_machines();
@@ -271,15 +277,17 @@
             PeerRequest::Relay { report } => self.on_beat(asker, &report, false),
             PeerRequest::Forward { job, withdraw: true } => self.on_withdraw(asker, &job, false),
             PeerRequest::Forward { job, withdraw: false } => self.on_status(asker, &job, false),
-            PeerRequest::Hello {
+            PeerRequest::Heartbeat {
                 name,
                 entitled,
                 wants_grant,
                 relies,
                 digests,
                 told,
+                liveness,
             } => {
                 let from = ControllerId::new(name);
+                self.on_liveness(&from, Channel::Scheduled, liveness);
                 self.take_cancellations(&from, &told);
                 self.on_hello(id, from, (entitled, wants_grant, relies), digests);
             }
@@ -302,12 +310,12 @@
             Purpose::Job(JobPurpose::End { .. }) => ("a job's end", true),
             Purpose::Job(JobPurpose::Flush { .. }) => ("done bits", true),
             Purpose::Job(JobPurpose::Sweep { .. }) => ("a clearing away", true),
-            Purpose::RacksNew | Purpose::Rack { .. } => ("a rack", true),
-            Purpose::Book { .. } => ("a book", true),
+            Purpose::NewGroups | Purpose::MachineGroup { .. } => ("a machine group", true),
+            Purpose::BootBatch { .. } => ("a boot batch", true),
             _ => return,
         };
         if *status == 429 {
-            let rate = self.set.write_rps() / f64::from(self.set.partitions());
+            let rate = self.settings.write_rps() / f64::from(self.settings.partitions());
             self.state_writes.set_rate(rate, rate);
             self.state_writes.empty(self.now.ms);
             self.log(
@@ -341,13 +349,15 @@
             Purpose::List { cursor, first_ledger } => self.on_list(cursor, first_ledger, result),
             Purpose::Watch { number } => self.on_watch(number, result),
             Purpose::Bits { partition, since } => self.on_bits(partition, since, result),
+            Purpose::BitsSince { partition, since } => self.on_bits_since(partition, since, result),
+            Purpose::ReadAhead { partition, attempt } => self.on_read_ahead(partition, attempt, result),
             Purpose::Job(purpose) => self.on_job_reply(purpose, result),
             Purpose::Types => self.on_types(result),
             Purpose::TypesWrite => self.cloud.types_writing = false,
             Purpose::Rent { rental, split } => self.on_rent(rental, split, result),
-            Purpose::RacksNew => self.on_racks_new(result),
-            Purpose::Rack { rack, stamp, changes } => self.on_rack(rack, stamp, changes, result),
-            Purpose::Book { book, askers } => self.on_book(book, askers, result),
+            Purpose::NewGroups => self.on_new_groups(result),
+            Purpose::MachineGroup { group, stamp, changes } => self.on_group(group, stamp, changes, result),
+            Purpose::BootBatch { batch, askers } => self.on_boot_batch(batch, askers, result),
             Purpose::Delete { machines } => self.on_delete(machines, result),
             Purpose::Hosts => self.on_hosts(result),
             Purpose::Confirm { machine, sent } => self.on_confirm(machine, sent, result),
@@ -358,7 +368,7 @@
                 epoch,
                 session,
             } => self.on_direct(machine, number, (epoch, session), result),
-            Purpose::Hello { .. }
+            Purpose::Heartbeat { .. }
             | Purpose::Relay { .. }
             | Purpose::ForwardStatus { .. }
             | Purpose::ForwardWithdraw { .. } => {}
@@ -368,14 +378,15 @@
     fn on_peer_reply(&mut self, purpose: Purpose, result: Option<PeerReply>) {
         match (purpose, result) {
             (
-                Purpose::Hello { to, sent, told },
-                Some(PeerReply::Hello {
+                Purpose::Heartbeat { to, sent, told },
+                Some(PeerReply::Heartbeat {
                     entitled,
                     granted,
                     relies,
                     moves,
                     refused,
                     told: news,
+                    liveness,
                 }),
             ) => {
                 if self.stale {
@@ -384,8 +395,9 @@
                 } else {
                     self.note_peer(&to, true, entitled);
                     self.note_reliance(&to, relies);
+                    self.on_liveness(&to, Channel::Answer, liveness);
                 }
-                // What a promise's giver knows is taken in before the promise counts.
+                // What a grant's giver knows is taken in before the grant counts.
                 self.take_cancellations(&to, &news);
                 self.note_taken(&to, news.life, told);
                 if granted {
@@ -396,7 +408,7 @@
                     self.greet(true);
                 }
             }
-            (Purpose::Hello { to, .. }, _) => self.note_peer(&to, false, false),
+            (Purpose::Heartbeat { to, .. }, _) => self.note_peer(&to, false, false),
             (Purpose::Relay { asker, report }, result) => self.on_relayed(asker, &report, result),
             (Purpose::ForwardStatus { asker, job }, result) => match result {
                 // The job's end may have come by the watch since its owner answered.
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -7,8 +7,8 @@
 
 pub(crate) use bitmap::Piece;
 pub use bitmap::bits_from_hex;
+pub(crate) use record::{EndedJob, bytes_of};
 pub use record::{JobRecord, Stored};
-pub(crate) use record::{Over, bytes_of};
 pub(crate) use status_reads::StatusReads;
 
 use bitmap::Chunk;
@@ -155,20 +155,20 @@
         if !self.readable(&record) {
             return;
         }
-        self.learn_job(id, record, stamp);
+        self.record_job(id, record, stamp);
     }
 
     /// The version before gangs cannot read what it stores of one.
     fn readable(&self, record: &JobRecord) -> bool {
         let gang = record.spec.as_ref().is_some_and(|s| s.shape == Shape::Gang);
-        self.set.features.gangs || !gang
+        self.settings.features.gangs || !gang
     }
 
-    pub(crate) fn learn_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
+    pub(crate) fn record_job(&mut self, id: JobId, record: JobRecord, stamp: Stamp) {
         if self.over.contains_key(&id) {
             return;
         }
-        if let Some(over) = Over::of(&record) {
+        if let Some(over) = EndedJob::of(&record) {
             if !over.done {
                 let was_open = self.jobs.contains_key(&id);
                 self.note_cancelled(&id, record.ended, was_open);
@@ -181,7 +181,7 @@
             return;
         }
         let Some(spec) = record.spec else { return };
-        let Some(partition) = self.set.partition_of_team(&spec.team) else {
+        let Some(partition) = self.settings.partition_of_team(&spec.team) else {
             return;
         };
         let gang = spec.shape == Shape::Gang;
@@ -201,9 +201,9 @@
 
     /// Keeps a final state at hand. Beyond a part of the memory the oldest are dropped: a question about
     /// one of those is answered by a read.
-    fn remember_over(&mut self, id: &JobId, over: Over) {
+    fn remember_over(&mut self, id: &JobId, over: EndedJob) {
         // A fifth of the memory, at about 300 bytes for each.
-        let most = (self.set.platform.facts.machine_limits.ram_mb * 1e6 / 5.0 / 300.0) as usize;
+        let most = (self.settings.platform.facts.machine_limits.ram_mb * 1e6 / 5.0 / 300.0) as usize;
         self.over.insert(id.clone(), over);
         self.over_order.push_back(id.clone());
         while self.over_order.len() > most.max(1000) {
@@ -213,7 +213,7 @@
         }
     }
 
-    fn job_over(&mut self, id: &JobId, over: Over) {
+    fn job_over(&mut self, id: &JobId, over: EndedJob) {
         self.remember_over(id, over);
         if let Some(job) = self.jobs.remove(id) {
             self.admission.job_closed(self.now.ms, &job.spec);
@@ -259,7 +259,7 @@
             n: job.spec.tasks,
             team: job.spec.team.clone(),
             size: Self::size(&job.spec),
-            ended: self.set.features.cancellations.then_some(self.now.wall_ms),
+            ended: self.settings.features.cancellations.then_some(self.now.wall_ms),
             spec: None,
         };
         let key = format!("{JOB_PREFIX}{id}");
@@ -365,7 +365,7 @@
         job.ending_sent = false;
         match result {
             Some((200, _)) => {
-                let over = Over {
+                let over = EndedJob {
                     done: ending == Ending::Done,
                     tasks: job.spec.tasks,
                     team: job.spec.team.clone(),
@@ -404,7 +404,7 @@
         if !self.entitled() || self.now.ms < self.flush_due {
             return;
         }
-        self.flush_due = self.now.ms + self.set.report_ms() / 3;
+        self.flush_due = self.now.ms + self.settings.report_ms() / 3;
         let acting = self.acting_partitions();
         let again: Vec<(JobId, Ending)> = self
             .jobs
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -9,13 +9,14 @@
 mod cancellations;
 pub mod capacity;
 mod controller;
+mod failure_detection;
 pub mod failures;
 mod gangs;
 pub mod ids;
 pub mod jobs;
+pub mod machine_view;
 pub mod membership;
 mod messages;
-pub mod picture;
 pub mod placement;
 pub mod protocol;
 pub mod queue;
@@ -25,9 +26,9 @@
 mod submissions;
 mod write_limits;
 
-pub use cancellations::Told;
+pub use cancellations::CancellationNotice;
 pub use controller::Controller;
 pub use messages::{
-    Answer, Digest, Idle, Input, Level, Method, Move, NOT_SENT, NOT_TRIED, Need, Now, Output, PeerReply, PeerRequest,
-    SpareRoom, Target, Want,
+    Answer, Digest, IdleMachine, Input, Level, MachineRequest, Method, Move, NOT_SENT, NOT_TRIED, Now, Output,
+    PeerReply, PeerRequest, SpareRoom, Target, WaitingTasks,
 };
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -32,13 +32,13 @@
 pub const TYPES_KEY: &str = "t/y";
 /// Prefix of job records.
 pub const JOB_PREFIX: &str = "t/j/";
-/// Prefix of the roster's racks.
+/// Prefix of the roster's machine groups.
 pub const ROSTER_PREFIX: &str = "t/m/";
-/// Prefix of the keys by which the steps exclude each other in which a rack is taken apart. The version before
+/// Prefix of the keys by which the steps exclude each other in which a machine group is taken apart. The version before
 /// gangs passes over them.
 pub const STEP_PREFIX: &str = "t/s/";
-/// Prefix of the roster's books: machines that have come up.
-pub const BOOK_PREFIX: &str = "t/u/";
+/// Prefix of the roster's boot batches: machines that have come up.
+pub const BOOT_BATCH_PREFIX: &str = "t/u/";
 
 /// A controller's own key, which lives as long as its lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,7 +68,7 @@
 
 /// Who owns a partition.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holding {
+pub struct PartitionOwner {
     /// The owner.
     pub owner: ControllerId,
     /// Its life.
@@ -87,10 +87,10 @@
     /// The epoch: the fencing token.
     pub n: Epoch,
     /// Holdings, by partition.
-    pub parts: Vec<Holding>,
+    pub parts: Vec<PartitionOwner>,
 }
 
-/// A peer's promise not to change the membership.
+/// A peer's grant not to change the membership.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Grant {
     /// When it ends, on this clock.
@@ -107,7 +107,7 @@
     pub(crate) entitled: bool,
     pub(crate) asked: u64,
     pub(crate) asking: bool,
-    /// The question that is out asks for a promise.
+    /// The question that is out asks for a grant.
     pub(crate) asked_grant: bool,
 }
 
@@ -139,16 +139,18 @@
     extend_failed: bool,
     /// The last call about a lease failed: the state service does not serve this controller.
     unserved: bool,
-    /// Peers' promises not to change the membership.
+    /// Peers' grants not to change the membership.
     grants: BTreeMap<ControllerId, Grant>,
-    /// This controller's own promises: it neither takes the lead nor raises an epoch before.
-    promised_until: u64,
-    /// A process that has just started may have forgotten promises: it leads only once every peer
+    /// This controller's own grants: it neither takes the lead nor raises an epoch before.
+    grants_given_until: u64,
+    /// A process that has just started may have forgotten grants: it leads only once every peer
     /// has said that it relies on none, or the longest would be over.
     fresh_until: u64,
     cleared: BTreeSet<ControllerId>,
     retry_at: u64,
     pub(crate) ledger: u64,
+    /// When the shared keys were last read, or their watch last answered.
+    pub(crate) viewed_at: u64,
     pub(crate) members: BTreeMap<ControllerId, MemberRecord>,
     pub(crate) leader: Option<(LeaderRecord, Stamp)>,
     taking: bool,
@@ -163,6 +165,16 @@
 }
 
 impl Membership {
+    /// Whether the members' keys have been read in this life of the process.
+    pub(crate) fn has_read_members(&self) -> bool {
+        self.listed && self.viewed_at > 0
+    }
+
+    /// When the last grant ends that this controller has given.
+    pub(crate) fn grants_given_until(&self) -> u64 {
+        self.grants_given_until
+    }
+
     pub(crate) fn new(inc: Incarnation, fresh_until: u64) -> Self {
         Self {
             inc,
@@ -185,11 +197,12 @@
             extend_failed: false,
             unserved: false,
             grants: BTreeMap::new(),
-            promised_until: 0,
+            grants_given_until: 0,
             fresh_until,
             cleared: BTreeSet::new(),
             retry_at: 0,
             ledger: 0,
+            viewed_at: 0,
             members: BTreeMap::new(),
             leader: None,
             taking: false,
@@ -264,7 +277,7 @@
                 }
                 wait.retain(|w| members.get(&w.name).is_some_and(|m| m.inc == w.inc));
                 wait.retain(|w| w.name != owner || w.inc != inc);
-                parts.push(Holding {
+                parts.push(PartitionOwner {
                     owner,
                     inc,
                     since: n,
@@ -277,17 +290,17 @@
 }
 
 impl Controller {
-    /// Whether this controller's promises, forgotten ones included, let it change the membership.
+    /// Whether this controller's grants, forgotten ones included, let it change the membership.
     fn may_change_membership(&self) -> bool {
         let now = self.now.ms;
         let (until, revision) = self.member.settle;
         if now < until && self.member.ledger < revision {
             return false;
         }
-        let siblings = &self.set.platform.siblings;
+        let siblings = &self.settings.platform.siblings;
         let clear = |name: &str| self.member.cleared.contains(&ControllerId::new(name));
         let fresh = now < self.member.fresh_until && !siblings.iter().all(|s| clear(&s.host_name));
-        now >= self.member.promised_until && !fresh
+        now >= self.member.grants_given_until && !fresh
     }
 
     pub(crate) fn epoch(&self) -> Option<Epoch> {
@@ -317,18 +330,18 @@
     pub(crate) fn txn(&mut self, conditions: Vec<Value>, changes: Vec<Value>, purpose: Purpose) {
         self.state_reads.force(self.now.ms, 1.0);
         self.state_writes.force(self.now.ms, changes.len() as f64);
-        let timeout = self.set.lease_ms() / 4;
+        let timeout = self.settings.lease_ms() / 4;
         let body = json!({ "if": conditions, "then": changes }).to_string();
         self.call(Target::State, Method::Post, "/txn", body, timeout, purpose);
     }
 
     pub(crate) fn tick_membership(&mut self) {
         let now = self.now.ms;
-        let quarter = self.set.lease_ms() / 4;
+        let quarter = self.settings.lease_ms() / 4;
         match self.member.permit {
             None if !self.member.leasing && now >= self.member.retry_at => {
                 self.member.leasing = true;
-                let body = json!({ "ttlMs": self.set.lease_ms() }).to_string();
+                let body = json!({ "ttlMs": self.settings.lease_ms() }).to_string();
                 self.state_reads.force(now, 1.0);
                 self.call(
                     Target::State,
@@ -364,6 +377,7 @@
         self.write_member();
         self.seek_leadership();
         self.lead_epoch();
+        self.tick_failure_detection();
         self.say_hello();
     }
 
@@ -375,7 +389,7 @@
         let record = MemberRecord {
             inc: self.member.inc,
             ack: self.epoch().map_or(0, |e| e.0),
-            knows: self.set.features.level(),
+            knows: self.settings.features.level(),
         };
         if self.member.written.as_ref() == Some(&record) {
             return;
@@ -402,7 +416,7 @@
             _ => {
                 // The watch tells what stands there now.
                 self.member.written = None;
-                self.member.write_from = self.now.ms + self.set.report_ms() / 16;
+                self.member.write_from = self.now.ms + self.settings.report_ms() / 16;
             }
         }
     }
@@ -449,23 +463,23 @@
             .as_ref()
             .and_then(|(_, body)| serde_json::from_slice::<TxnAnswer>(body).ok());
         let revision = answer.map_or(u64::MAX, |a| a.ledger);
-        self.member.settle = (self.now.ms + self.set.lease_ms() / 4, revision);
+        self.member.settle = (self.now.ms + self.settings.lease_ms() / 4, revision);
     }
 
     fn lead_epoch(&mut self) {
         if !self.is_leader() || self.member.epoch_writing || !self.member.watching || !self.may_change_membership() {
             return;
         }
-        let names = self.set.names();
+        let names = self.settings.names();
         // At the very first start the others get a moment to come up.
         let first = self.member.epoch.is_none();
-        let waited = self.now.ms.saturating_sub(self.member.leader_since) >= self.set.lease_ms() / 4;
+        let waited = self.now.ms.saturating_sub(self.member.leader_since) >= self.settings.lease_ms() / 4;
         if first && !waited && self.member.members.len() < names.len() {
             return;
         }
         let old = self.member.epoch.as_ref().map(|(e, _)| e);
         let members = self.members_for_partitions();
-        let Some(next) = next_epoch(&names, &members, old, self.set.partitions()) else {
+        let Some(next) = next_epoch(&names, &members, old, self.settings.partitions()) else {
             return;
         };
         self.member.epoch_writing = true;
@@ -480,7 +494,7 @@
 
     /// The members that may own partitions: while a machine may hold tasks of a partition that does not own it,
     /// only those that know such machines, for others would start those tasks a second time.
-    fn members_for_partitions(&self) -> BTreeMap<ControllerId, MemberRecord> {
+    pub(crate) fn members_for_partitions(&self) -> BTreeMap<ControllerId, MemberRecord> {
         let mut members = self.member.members.clone();
         if self.any_shared_machine() {
             members.retain(|_, member| member.knows >= SHARED_MACHINES_LEVEL);
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -1,4 +1,4 @@
-//! Whether this controller may act: its lease, and the promises of its peers.
+//! Whether this controller may act: its lease, and the grants of its peers.
 
 use super::lease_trouble::LeaseFailure;
 use super::{Grant, Peer};
@@ -8,7 +8,7 @@
 use crate::protocol::Granted;
 
 impl Controller {
-    /// Whether this controller may act now: inside its lease, or under the promises of all peers.
+    /// Whether this controller may act now: inside its lease, or under the grants of all peers.
     pub fn entitled(&self) -> bool {
         self.entitled_at(self.now.ms)
     }
@@ -17,12 +17,12 @@
         self.member.permit.is_some() && now < self.member.entitled_until.max(self.granted_until())
     }
 
-    /// The time up to which every peer has promised to leave the membership as it is.
+    /// The time up to which every peer has granted to leave the membership as it is.
     ///
     /// One of them at least has to come from a life that has read the store: those that have ended since then
     /// may have told users of cancellations that nobody else knows.
     pub(super) fn granted_until(&self) -> u64 {
-        let siblings = &self.set.platform.siblings;
+        let siblings = &self.settings.platform.siblings;
         let grant = |name: &str| self.member.grants.get(&ControllerId::new(name)).copied();
         let grants: Option<Vec<Grant>> = siblings.iter().map(|s| grant(&s.host_name)).collect();
         let grants = grants.unwrap_or_default();
@@ -31,40 +31,37 @@
         all.zip(read).map_or(0, |(all, read)| all.min(read))
     }
 
-    /// Whether the peers should be asked for promises: only they can say whether this is an outage.
+    /// Whether the peers should be asked for grants: only they can say whether this is an outage.
     pub(crate) fn wants_grants(&self) -> bool {
         self.member.extend_failed && self.entitled()
     }
 
-    /// Gives a promise, if this controller is not served either. One that is served refuses: whoever
+    /// Gives a grant, if this controller is not served either. One that is served refuses: whoever
     /// asked is then alone, and steps down at the end of its lease.
-    pub(crate) fn promise(&mut self) -> bool {
+    pub(crate) fn give_grant(&mut self) -> bool {
         if !self.member.unserved {
             return false;
         }
-        let until = self.now.ms + self.set.lease_ms();
-        self.member.promised_until = self.member.promised_until.max(until);
+        let until = self.now.ms + self.settings.lease_ms();
+        self.member.grants_given_until = self.member.grants_given_until.max(until);
         true
     }
 
-    /// A peer has answered a request for its promise that was sent at `sent`.
+    /// A peer has answered a request for its grant that was sent at `sent`.
     ///
     /// It counts from the sending, and only if it comes while this controller is still entitled: so
-    /// there is no moment between its lease and the promises in which others could have moved on.
+    /// there is no moment between its lease and the grants in which others could have moved on.
     pub(crate) fn note_grant(&mut self, from: &ControllerId, sent: u64, unread: bool) {
         if self.entitled() {
-            let until = sent + self.set.entitlement_ms();
-            if self.now.ms >= self.member.entitled_until.saturating_sub(self.set.lease_ms() / 4) {
-                self.log(
-                    Level::Debug,
-                    format!("{from} promises to leave the membership as it is"),
-                );
+            let until = sent + self.settings.entitlement_ms();
+            if self.now.ms >= self.member.entitled_until.saturating_sub(self.settings.lease_ms() / 4) {
+                self.log(Level::Debug, format!("{from} grants to leave the membership as it is"));
             }
             self.member.grants.insert(from.clone(), Grant { until, unread });
         }
     }
 
-    /// Whether this controller relies, or may come to rely, on a promise of a peer's.
+    /// Whether this controller relies, or may come to rely, on a grant of a peer's.
     pub(crate) fn relies_on(&self, peer: &ControllerId) -> bool {
         let given = self.member.grants.get(peer).is_some_and(|g| self.now.ms < g.until);
         given || self.member.peers.get(peer).is_some_and(|p| p.asked_grant)
@@ -84,11 +81,11 @@
         if self.entitled() {
             return self.member.ledger > 0;
         }
-        let recently = 2 * self.set.report_ms();
+        let recently = 2 * self.settings.report_ms();
         let heard = |p: &&Peer| p.heard.is_some_and(|t| self.now.ms.saturating_sub(t) < recently);
         let mut peers = self.member.peers.values().filter(heard).peekable();
         // Whoever hears neither the state service nor any peer is cut off from them: the cut is here.
-        let alone = peers.peek().is_none() && !self.set.platform.siblings.is_empty();
+        let alone = peers.peek().is_none() && !self.settings.platform.siblings.is_empty();
         self.member.was_entitled && self.member.permit.is_some() && !alone && !peers.any(|p| p.entitled)
     }
 
@@ -104,7 +101,7 @@
                 self.member.unserved = false;
                 self.member.permit = Some(g.permit);
                 self.member.extended_at = sent;
-                self.member.entitled_until = sent + self.set.entitlement_ms();
+                self.member.entitled_until = sent + self.settings.entitlement_ms();
                 self.member.lease_since = sent;
                 self.clear_lease_trouble();
                 self.note_served(sent);
@@ -130,7 +127,7 @@
         let failure = LeaseFailure::of(result.as_ref());
         match result {
             Some((200, _)) => {
-                let until = sent + self.set.entitlement_ms();
+                let until = sent + self.settings.entitlement_ms();
                 self.member.unserved = false;
                 // An answer that lay in this process's buffers may be about a lease that is over by now.
                 if !self.entitled() && self.now.ms < until {
@@ -156,8 +153,8 @@
                 self.member.extend_failed = true;
                 self.member.unserved = true;
                 // Try again soon: an extension that failed is worth more than a quiet line.
-                let soon = self.set.report_ms() / 4;
-                self.member.extended_at = (self.now.ms + soon).saturating_sub(self.set.lease_ms() / 4);
+                let soon = self.settings.report_ms() / 4;
+                self.member.extended_at = (self.now.ms + soon).saturating_sub(self.settings.lease_ms() / 4);
                 self.note_lease_failure(failure);
             }
         }
@@ -177,6 +174,7 @@
         self.member.grants.clear();
         self.member.unserved = false;
         self.member.inc = Incarnation(self.member.inc.0 + 1);
+        self.detect_as(self.member.inc);
         self.member.written = None;
         self.member.retry_at = self.now.ms;
         // The lease was lost behind some cut: so may be the watch.
@@ -208,7 +206,7 @@
     }
 
     pub(crate) fn reachable(&self, name: &ControllerId) -> bool {
-        let recently = 2 * self.set.report_ms();
+        let recently = 2 * self.settings.report_ms();
         self.member
             .peers
             .get(name)
--- a/crates/tidelatch-core/src/membership/shared.rs
+++ b/crates/tidelatch-core/src/membership/shared.rs
@@ -1,8 +1,8 @@
 //! What all controllers follow: reading the shared keys, and the watch that tells of their changes.
 
 use super::{
-    BOOK_PREFIX, EPOCH_KEY, EpochRecord, JOB_PREFIX, LEADER_KEY, MEMBER_PREFIX, MemberRecord, ROSTER_PREFIX, SHARED,
-    STEP_PREFIX, TYPES_KEY,
+    BOOT_BATCH_PREFIX, EPOCH_KEY, EpochRecord, JOB_PREFIX, LEADER_KEY, MEMBER_PREFIX, MemberRecord, ROSTER_PREFIX,
+    SHARED, STEP_PREFIX, TYPES_KEY,
 };
 use crate::calls::Purpose;
 use crate::controller::Controller;
@@ -19,7 +19,7 @@
         if !cursor.is_empty() {
             path.push_str(&format!("&since={cursor}"));
         }
-        let timeout = self.set.lease_ms() / 4;
+        let timeout = self.settings.lease_ms() / 4;
         self.call(
             Target::State,
             Method::Get,
@@ -35,7 +35,7 @@
         self.member.watch_number += 1;
         let number = self.member.watch_number;
         self.state_reads.force(self.now.ms, 1.0);
-        let wait = self.set.lease_ms();
+        let wait = self.settings.lease_ms();
         self.call(
             Target::State,
             Method::Get,
@@ -48,7 +48,7 @@
 
     /// How long to leave the state service alone after it failed to answer.
     pub(super) fn back_off(&mut self) {
-        self.member.retry_at = self.now.ms + self.set.report_ms() / 8;
+        self.member.retry_at = self.now.ms + self.settings.report_ms() / 8;
     }
 
     pub(crate) fn on_list(&mut self, cursor: String, first_ledger: u64, result: Option<(u16, Vec<u8>)>) {
@@ -78,6 +78,7 @@
             _ => {
                 self.member.listed = true;
                 self.member.ledger = ledger;
+                self.note_view();
                 self.roster_listed(ledger);
                 self.note_epoch();
                 self.tick_membership();
@@ -102,6 +103,7 @@
                         }
                     }
                     self.member.ledger = self.member.ledger.max(changes.ledger);
+                    self.note_view();
                     self.watch();
                     self.note_epoch();
                     self.tick_membership();
@@ -126,6 +128,13 @@
         }
     }
 
+    /// The shared keys are known as they are now, unless the answer has lain in this process's buffers.
+    fn note_view(&mut self) {
+        if !self.stale {
+            self.member.viewed_at = self.now.ms;
+        }
+    }
+
     /// One shared key has a new value, or is gone.
     pub(super) fn apply(&mut self, key: &str, value: Option<Value>, stamp: Stamp) {
         if let Some(id) = key.strip_prefix(JOB_PREFIX) {
@@ -133,11 +142,11 @@
                 self.apply_job(id, value, stamp);
             }
         } else if let Some(name) = key.strip_prefix(ROSTER_PREFIX) {
-            self.apply_rack(name, value, stamp);
+            self.apply_group(name, value, stamp);
         } else if let Some(name) = key.strip_prefix(STEP_PREFIX) {
             self.apply_step(name, value.map_or(Stamp(0), |_| stamp));
-        } else if let Some(name) = key.strip_prefix(BOOK_PREFIX) {
-            self.apply_book(name, value);
+        } else if let Some(name) = key.strip_prefix(BOOT_BATCH_PREFIX) {
+            self.apply_boot_batch(name, value);
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
             let name = ControllerId::new(name);
             if name == self.me {
--- a/crates/tidelatch-core/src/queue/limits.rs
+++ b/crates/tidelatch-core/src/queue/limits.rs
@@ -1,7 +1,7 @@
 //! Room under a team's own limit: its work of lower priority is stopped for its production work.
 
 use super::room::{StopOrder, Victim, Yard};
-use crate::capacity::Wish;
+use crate::capacity::UnplacedTasks;
 use crate::controller::Controller;
 use crate::ids::{JobId, Partition};
 use crate::messages::Level;
@@ -63,12 +63,12 @@
         over_limit: &[OverLimit],
         room: &[Amounts],
         yards: &mut Option<Vec<Yard>>,
-    ) -> Vec<Wish> {
+    ) -> Vec<UnplacedTasks> {
         // A machine that has not reported counts as full of each team: no team is known to be at its limit.
         if over_limit.is_empty() || self.unconfirmed(partition) > 0 {
             return Vec::new();
         }
-        let patience = 3 * self.set.report_ms();
+        let patience = 3 * self.settings.report_ms();
         let mut search = Search {
             yards: yards.get_or_insert_with(|| self.yards(partition, patience)),
             left: self.with_room_to_come(room, partition, patience),
@@ -80,7 +80,7 @@
             if !search.may_yield(job.team, &job.size) {
                 continue;
             }
-            if search.looks > self.set.search_evaluations() {
+            if search.looks > self.settings.search_evaluations() {
                 // The rest is tried with the next batch: beats and polls come first.
                 break;
             }
@@ -124,7 +124,7 @@
                 // A replica that is moved takes its room again.
                 let job = self.jobs.get(&h.task.job);
                 let yields = job.is_none_or(|j| j.ending.is_some() || j.spec.priority < Priority::Prod);
-                let team = self.set.team(&h.team).and_then(|(team, _)| left.get_mut(team));
+                let team = self.settings.team(&h.team).and_then(|(team, _)| left.get_mut(team));
                 if let Some(left) = team.filter(|_| yields) {
                     add(left, &h.size);
                 }
@@ -195,7 +195,7 @@
         own
     }
 
-    /// Books a plan: its victims' room is to come, and the task takes its own.
+    /// Boot batches a plan: its victims' room is to come, and the task takes its own.
     fn carry_out(&mut self, plan: &Plan, terms: &mut JobTerms) -> Vec<StopOrder> {
         let mut gangs: BTreeSet<JobId> = BTreeSet::new();
         let mut stops = Vec::new();
@@ -236,8 +236,8 @@
     }
 
     /// A wish for machines for the tasks that could have room under the limit, but have no machine.
-    fn wish(&mut self, partition: Partition, terms: &JobTerms, job: &OverLimit, waiting: u32) -> Option<Wish> {
-        let mut wish = Wish::new(partition, terms, true, job.slack_s);
+    fn wish(&mut self, partition: Partition, terms: &JobTerms, job: &OverLimit, waiting: u32) -> Option<UnplacedTasks> {
+        let mut wish = UnplacedTasks::new(partition, terms, true, job.slack_s);
         while wish.count < waiting && self.may_yield(job.team, &job.size) {
             wish.count += 1;
             subtract(self.left.get_mut(job.team)?, &job.size);
--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod cloud;
 pub mod faults;
 mod gang;
+pub mod loopback;
 mod state;
 pub mod support;
 mod worker;
@@ -20,7 +21,3 @@
 pub use state::Store;
 pub use worker::Worker;
 pub use world::{CANCEL_MS, Delivery, Message, Sent, Size, World, gang, job};
-
-// Earlier names, for tests that still use them.
-pub use faults as troubles;
-pub use world::{Delivery as Fate, Message as Letter};
--- a/crates/tidelatch/src/peers/convert.rs
+++ b/crates/tidelatch/src/peers/convert.rs
@@ -2,7 +2,11 @@
 
 use super::wire;
 use tidelatch_core::ids::{JobId, MachineId, Partition};
-use tidelatch_core::{Answer, Digest, Idle, Move, Need, PeerReply, PeerRequest, SpareRoom, Told, Want};
+use tidelatch_core::{
+    Answer, CancellationNotice, Digest, IdleMachine, MachineRequest, Move, PeerReply, PeerRequest, SpareRoom,
+    WaitingTasks,
+};
+use tidelatch_failure_detector::{Claim, Heartbeat, Incarnation, Life, MemberId, Opinion};
 
 /// The core has answered a request in the form of another kind of request.
 #[derive(Debug, thiserror::Error)]
@@ -21,13 +25,14 @@
         match request {
             PeerRequest::Relay { report } => Self::Relay(wire::RelayRequest { report }),
             PeerRequest::Forward { job, withdraw } => Self::Forward(wire::ForwardRequest { job, withdraw }),
-            PeerRequest::Hello {
+            PeerRequest::Heartbeat {
                 name,
                 entitled,
                 wants_grant,
                 relies,
                 digests,
                 told,
+                liveness,
             } => Self::Hello(wire::HelloRequest {
                 name,
                 entitled,
@@ -38,6 +43,7 @@
                 unread: told.unread,
                 cancelled: job_names(told.cancelled),
                 asked: job_names(told.asked),
+                liveness: liveness.map(Into::into),
             }),
         }
     }
@@ -60,18 +66,19 @@
 
 impl From<wire::HelloRequest> for PeerRequest {
     fn from(request: wire::HelloRequest) -> Self {
-        Self::Hello {
+        Self::Heartbeat {
             name: request.name,
             entitled: request.entitled,
             wants_grant: request.wants_grant,
             relies: request.relies,
             digests: convert_all(request.digests),
-            told: Told {
+            told: CancellationNotice {
                 life: request.life,
                 unread: request.unread,
                 cancelled: job_ids(&request.cancelled),
                 asked: job_ids(&request.asked),
             },
+            liveness: request.liveness.map(Into::into),
         }
     }
 }
@@ -105,13 +112,14 @@
     type Error = UnexpectedReply;
 
     fn try_from(reply: PeerReply) -> Result<Self, Self::Error> {
-        let PeerReply::Hello {
+        let PeerReply::Heartbeat {
             entitled,
             granted,
             relies,
             moves,
             refused,
             told,
+            liveness,
         } = reply
         else {
             return Err(UnexpectedReply);
@@ -126,24 +134,87 @@
             unread: told.unread,
             cancelled: job_names(told.cancelled),
             asked: job_names(told.asked),
+            liveness: liveness.map(Into::into),
         })
     }
 }
 
 impl From<wire::HelloReply> for PeerReply {
     fn from(reply: wire::HelloReply) -> Self {
-        Self::Hello {
+        Self::Heartbeat {
             entitled: reply.entitled,
             granted: reply.granted,
             relies: reply.relies,
             moves: convert_all(reply.moves),
             refused: convert_all(reply.refused),
-            told: Told {
+            told: CancellationNotice {
                 life: reply.life,
                 unread: reply.unread,
                 cancelled: job_ids(&reply.cancelled),
                 asked: job_ids(&reply.asked),
             },
+            liveness: reply.liveness.map(Into::into),
+        }
+    }
+}
+
+impl From<Heartbeat> for wire::Liveness {
+    fn from(heartbeat: Heartbeat) -> Self {
+        Self {
+            life: heartbeat.incarnation.life.0,
+            refutation: heartbeat.incarnation.refutation,
+            sequence: heartbeat.sequence,
+            claims: convert_all(heartbeat.claims),
+            probe: heartbeat
+                .probe
+                .map_or_else(String::new, |probe| probe.as_str().to_owned()),
+        }
+    }
+}
+
+impl From<wire::Liveness> for Heartbeat {
+    /// The sender is not named here: the core knows from whom it came.
+    fn from(liveness: wire::Liveness) -> Self {
+        Self {
+            from: MemberId::new(""),
+            incarnation: Incarnation {
+                life: Life(liveness.life),
+                refutation: liveness.refutation,
+            },
+            sequence: liveness.sequence,
+            claims: convert_all(liveness.claims),
+            probe: (!liveness.probe.is_empty()).then(|| MemberId::new(liveness.probe)),
+        }
+    }
+}
+
+impl From<Claim> for wire::MemberClaim {
+    fn from(claim: Claim) -> Self {
+        Self {
+            name: claim.member.as_str().to_owned(),
+            life: claim.incarnation.life.0,
+            refutation: claim.incarnation.refutation,
+            suspected: claim.opinion == Opinion::Suspected,
+            heard_ago_ms: claim.heard_ago_ms,
+        }
+    }
+}
+
+impl From<wire::MemberClaim> for Claim {
+    fn from(claim: wire::MemberClaim) -> Self {
+        let opinion = if claim.suspected {
+            Opinion::Suspected
+        } else {
+            Opinion::Alive
+        };
+        Self {
+            member: MemberId::new(claim.name),
+            incarnation: Incarnation {
+                life: Life(claim.life),
+                refutation: claim.refutation,
+            },
+            opinion,
+            heard_ago_ms: claim.heard_ago_ms,
         }
     }
 }
@@ -170,8 +241,8 @@
     }
 }
 
-impl From<Need> for wire::Need {
-    fn from(need: Need) -> Self {
+impl From<MachineRequest> for wire::Need {
+    fn from(need: MachineRequest) -> Self {
         Self {
             model: need.model,
             zone: need.zone,
@@ -183,7 +254,7 @@
     }
 }
 
-impl From<wire::Need> for Need {
+impl From<wire::Need> for MachineRequest {
     fn from(need: wire::Need) -> Self {
         Self {
             model: need.model,
@@ -213,8 +284,8 @@
     })
 }
 
-impl From<Idle> for wire::Idle {
-    fn from(idle: Idle) -> Self {
+impl From<IdleMachine> for wire::Idle {
+    fn from(idle: IdleMachine) -> Self {
         Self {
             machine: idle.machine.as_str().to_owned(),
             model: idle.model,
@@ -224,7 +295,7 @@
     }
 }
 
-impl From<wire::Idle> for Idle {
+impl From<wire::Idle> for IdleMachine {
     fn from(idle: wire::Idle) -> Self {
         Self {
             machine: MachineId::new(idle.machine),
@@ -235,8 +306,8 @@
     }
 }
 
-impl From<Want> for wire::Want {
-    fn from(want: Want) -> Self {
+impl From<WaitingTasks> for wire::Want {
+    fn from(want: WaitingTasks) -> Self {
         Self {
             models: want.models,
             zones: want.zones,
@@ -248,7 +319,7 @@
     }
 }
 
-impl From<wire::Want> for Want {
+impl From<wire::Want> for WaitingTasks {
     fn from(want: wire::Want) -> Self {
         let mut size = [0.0; 3];
         size.iter_mut().zip(want.size).for_each(|(s, v)| *s = v);
