--- a/crates/tidelatch-standin/tests/failure_detection.rs
+++ b/crates/tidelatch-standin/tests/failure_detection.rs
@@ -171,6 +171,71 @@
     }
 }
 
+#[test]
+fn a_leader_that_pauses_beyond_its_lease_comes_back_with_nothing_of_before() {
+    let mut world = busy_world(3, &detecting());
+    let leader = world.leader().expect("there is a leader");
+    world.freeze(leader);
+    world.run(LEASE_MS + 300);
+    // Requests that lie in its buffers until it goes on.
+    world.submit(leader, &job(301, 0, "sweep", 2));
+    world.withdraw(leader, "job-000100");
+    world.run(2_000);
+    world.thaw(leader);
+    world.run(20_000);
+    assert_no_breaches(&world);
+    assert_trace(&world, "suspected_while_paused_beyond_its_lease");
+}
+
+#[test]
+fn an_owner_that_pauses_while_machines_change_hands_loses_and_doubles_none() {
+    // Idle machines of one partition go to another, whose work waits; their owner pauses at every step of that.
+    let mut handed_over = 0;
+    for paused_after_ms in (0..4_000).step_by(400) {
+        let mut world = busy_world(3, &detecting());
+        world.cloud.most = world.cloud.machines.len();
+        world.accepted(0, &job(301, 0, "sweep", 20));
+        world.run(paused_after_ms);
+        let owner = world.owner_of_team(1);
+        world.freeze(owner);
+        world.run(LEASE_MS + 300);
+        world.thaw(owner);
+        assert!(
+            world.run_until(150_000, |w| is_done(w, "job-000301")),
+            "{}",
+            world.trace()
+        );
+        assert_recovers(&mut world, 3);
+        let mut roster = world.roster();
+        let machines = roster.len();
+        roster.sort();
+        roster.dedup();
+        assert_eq!(
+            roster.len(),
+            machines,
+            "a machine stands in two groups: {}",
+            world.trace()
+        );
+    }
+}
+
+#[test]
+fn a_slow_controller_is_suspected_by_nobody_for_long_and_loses_nothing() {
+    // It runs for a tenth of a second in each second, as at a full share of its processor.
+    let mut world = busy_world(4, &detecting());
+    let epoch = world.epoch();
+    for _ in 0..60 {
+        world.freeze(3);
+        world.run(900);
+        world.thaw(3);
+        world.run(100);
+    }
+    assert_eq!(world.epoch(), epoch, "{}", world.trace());
+    assert_eq!(lines(&world, "is confirmed as gone"), 0);
+    assert!(lines(&world, "suspects berth-3") <= 3, "{}", world.trace());
+    assert_recovers(&mut world, 4);
+}
+
 #[test]
 fn a_suspicion_that_is_refuted_leaves_no_trace_in_decisions() {
     let play = |operator: &Operator| {
@@ -190,6 +255,7 @@
     assert!(lines(&with, "is no longer suspected") >= 6, "{}", with.trace());
     assert_eq!(lines(&with, "is confirmed as gone"), 0);
     assert!(lines(&with, "preparation to take over dropped") >= 1);
+    assert_trace(&with, "suspicions_that_are_refuted");
     assert_eq!(decisions(&with), decisions(&without));
 }
 
@@ -222,6 +288,10 @@
                 }
             }
             assert!(lines(&world, "suspects berth-") > 0, "{}", world.trace());
+            if controllers == 4 {
+                let state = format!("{state:?}").to_lowercase();
+                assert_trace(&world, &format!("even_split_state_service_{state}"));
+            }
             assert_recovers(&mut world, controllers);
         }
     }
@@ -245,6 +315,7 @@
     world.meddle(faults::one_way(3, 0));
     world.run(60_000);
     assert_eq!(lines(&world, "suspects berth-"), 0, "{}", world.trace());
+    assert_trace(&world, "not_heard_by_one_sibling");
     assert_recovers(&mut world, 4);
 }
 
