--- a/crates/tidelatch-standin/tests/failure_detection.rs
+++ b/crates/tidelatch-standin/tests/failure_detection.rs
@@ -216,7 +216,9 @@
             "a machine stands in two groups: {}",
             world.trace()
         );
+        handed_over += lines(&world, "goes to partition");
     }
+    assert!(handed_over > 0, "no machine changed hands");
 }
 
 #[test]
