Package for disruption budgets, fenced permits and steps of a drain

Need: six paths stop tasks and none knows a budget, so nobody can say what a drain would take from a team at once. Change: tidelatch-disruption, a library without I/O, clock or randomness: budgets, the owner's ledger of permits, the asker's wishes, the steps of one machine's drain, and sets of machines as roaring bitmaps for small values.

--- /dev/null
+++ b/crates/tidelatch-disruption/tests/budgets.rs
@@ -0,0 +1,118 @@
+//! Properties of budgets and amounts, with fixed seeds.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use tidelatch_disruption::{Amount, Budget, MachineName, MachineSet};
+
+/// The same cases with every run.
+fn runner() -> TestRunner {
+    let config = Config {
+        cases: 512,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn amounts() -> impl Strategy<Value = Amount> {
+    prop_oneof![
+        (0u32..2_000).prop_map(Amount::Count),
+        (0u8..=100).prop_map(Amount::Percent),
+        (0u8..=100).prop_map(Amount::PercentOrOne),
+    ]
+}
+
+#[test]
+fn an_allowance_is_never_more_than_there_is_and_is_rounded_down() {
+    let case = (amounts(), 0u32..5_000);
+    let property = |(amount, size): (Amount, u32)| {
+        let most = Budget::MaxUnavailable(amount).allowance(size);
+        let least = Budget::MinAvailable(amount).allowance(size);
+        prop_assert!(most <= size && least <= size);
+        if let Amount::Percent(percent) = amount {
+            let exact = f64::from(size) * f64::from(percent) / 100.0;
+            prop_assert!(f64::from(most) <= exact + 1e-9 && exact < f64::from(most) + 1.0);
+            // What must stay available is kept whatever the rounding.
+            prop_assert!(f64::from(size - least) + 1e-9 >= exact);
+        }
+        if Budget::MaxUnavailable(amount).permits_nothing() {
+            prop_assert_eq!(most, 0);
+        }
+        if Budget::MinAvailable(amount).permits_nothing() {
+            prop_assert_eq!(least, 0);
+        }
+        Ok(())
+    };
+    runner().run(&case, property).expect("holds for each case");
+}
+
+#[test]
+fn an_allowance_grows_with_the_size() {
+    let case = (amounts(), 0u32..5_000, 0u32..500);
+    let property = |(amount, size, more): (Amount, u32, u32)| {
+        for budget in [Budget::MaxUnavailable(amount), Budget::MinAvailable(amount)] {
+            prop_assert!(budget.allowance(size) <= budget.allowance(size + more));
+        }
+        Ok(())
+    };
+    runner().run(&case, property).expect("holds for each case");
+}
+
+#[test]
+fn texts_are_read_as_they_are_written_and_others_are_refused() {
+    for text in ["0", "7", "0%", "25%", "100%"] {
+        assert_eq!(text.parse::<Amount>().expect("an amount").to_string(), text);
+    }
+    for text in ["", "-1", "101%", "1.5", "%", "7 %", "many"] {
+        assert!(text.parse::<Amount>().is_err(), "{text}");
+    }
+    assert_eq!(Amount::PercentOrOne(5).of(3), 1);
+    assert_eq!(Amount::Percent(5).of(19), 0);
+    assert_eq!(Budget::MinAvailable(Amount::Percent(90)).allowance(19), 1);
+}
+
+#[test]
+fn a_set_of_machines_is_the_same_after_it_was_stored() {
+    let names = prop_oneof![
+        (0u32..20_000).prop_map(|n| format!("n-{n:06}")),
+        (0u64..u64::MAX).prop_map(|n| format!("{n}")),
+        "[a-z]{1,8}",
+        "[a-z]{1,4}-[0-9]{1,12}",
+    ];
+    let case = prop::collection::btree_set(names, 0..400);
+    let property = |names: std::collections::BTreeSet<String>| {
+        let mut set = MachineSet::default();
+        names.iter().for_each(|name| set.insert(&MachineName::new(name)));
+        prop_assert_eq!(set.len(), names.len() as u64);
+        let mut restored = MachineSet::default();
+        for part in set.parts(600) {
+            let text = serde_json::to_string(&part).expect("it is JSON");
+            prop_assert!(text.len() <= 600, "{} bytes", text.len());
+            let part = serde_json::from_str(&text).expect("it is read");
+            restored.add_part(&part).expect("it is in order");
+        }
+        prop_assert_eq!(&restored, &set);
+        prop_assert!(names.iter().all(|name| restored.contains(&MachineName::new(name))));
+        prop_assert!(!restored.contains(&MachineName::new("none-such-1")));
+        Ok(())
+    };
+    runner().run(&case, property).expect("holds for each case");
+}
+
+#[test]
+fn four_thousand_machines_fit_small_values() {
+    let store = |numbers: &mut dyn Iterator<Item = u32>| {
+        let mut set = MachineSet::default();
+        numbers.for_each(|n| set.insert(&MachineName::new(format!("n-{n:06}"))));
+        let parts = set.parts(1_536);
+        let bytes = parts
+            .iter()
+            .map(|part| serde_json::to_string(part).expect("it is JSON").len());
+        (parts.len(), bytes.max().unwrap_or(0))
+    };
+    // Numbered one after the other, and each second one: the least and the most that bitmaps of one range take.
+    let (parts, bytes) = store(&mut (1..=4_000));
+    assert!(parts == 1 && bytes < 128, "{parts} parts of {bytes} bytes");
+    let (parts, bytes) = store(&mut (1..=8_000).step_by(2));
+    assert!(parts <= 8 && bytes <= 1_536, "{parts} parts of {bytes} bytes");
+}
