One gate for voluntary interruptions, and drains begun by the leader (off by default)

Need: emptied machines, moved replicas and vacated machines stop tasks without regard to what a team has away already, and no worker can be replaced but by being killed. Change: the owner of a team grants permits against its budgets, the owner of a machine uses them, over heartbeats where the two differ; the leader keeps drains in the state service, and owners of machines carry them out with replacements ahead.

--- a/crates/tidelatch-core/src/calls.rs
+++ b/crates/tidelatch-core/src/calls.rs
@@ -1,5 +1,6 @@
 //! Calls that are under way: why each was made, and who waits for its outcome.
 
+use crate::disruption::DrainWrite;
 use crate::ids::{ControllerId, Epoch, JobId, MachineId, Partition, Stamp};
 use crate::jobs::Purpose as JobPurpose;
 use crate::protocol::Rental;
@@ -77,6 +78,10 @@
         machines: Vec<MachineId>,
     },
     Hosts,
+    /// A change of a drain's keys by the leader.
+    Drain {
+        write: DrainWrite,
+    },
     Confirm {
         machine: MachineId,
         sent: u64,
--- a/crates/tidelatch-core/src/capacity.rs
+++ b/crates/tidelatch-core/src/capacity.rs
@@ -199,11 +199,13 @@
             self.carry_out(moves);
             self.adopt_strangers();
             self.write_roster();
+            self.lead_drains();
             self.list_hosts();
         } else {
             self.cloud.digests.clear();
             self.cloud.unlisted.clear();
             self.forget_new_groups();
+            self.forget_beginning();
             self.cloud.retry.clear();
             self.cloud.strangers.clear();
         }
--- a/crates/tidelatch-core/src/capacity/digests.rs
+++ b/crates/tidelatch-core/src/capacity/digests.rs
@@ -42,8 +42,8 @@
         let now = self.now.ms;
         let t = self.types.iter().find(|t| t.name == m.model)?;
         let up = m.usable(now, 3 * self.settings.report_ms());
-        let booting = m.is_booting() && m.moving.is_none();
-        if !up && !booting {
+        let booting = m.is_booting() && m.moving.is_none() && !m.cordoned;
+        if m.reserved || (!up && !booting) {
             return None;
         }
         let mut free = [t.cpus, t.gpus, t.memory_gb];
@@ -129,7 +129,7 @@
                 let spare = m
                     .idle_since
                     .is_some_and(|t| now.saturating_sub(t) > self.settings.report_ms());
-                if spare && m.usable(now, 2 * self.settings.report_ms()) {
+                if spare && !m.reserved && m.usable(now, 2 * self.settings.report_ms()) {
                     idle.push(IdleMachine {
                         machine: id.clone(),
                         model: m.model.clone(),
@@ -152,7 +152,8 @@
                 .sum::<f64>();
             let refused = |kind: &Kind| self.cloud.refused.get(kind).is_some_and(|t| now < *t);
             absorb(&mut wishes, &mut lanes, &self.types, &refused, self.guarantee_s());
-            let needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
+            let mut needs = plan(&wishes, Vec::new(), &self.types, &refused, &in_zones);
+            needs.extend(self.replacements_wanted(*p));
             yielding.sort_by(|a, b| a.0.total_cmp(&b.0));
             let unwanted = |room: &SpareRoom| {
                 !wants
--- a/crates/tidelatch-core/src/capacity/hand_over.rs
+++ b/crates/tidelatch-core/src/capacity/hand_over.rs
@@ -292,6 +292,10 @@
                 held.len()
             ),
         );
+        if self.disruption.is_some() {
+            self.evict_now(id);
+            return;
+        }
         for (task, attempt) in held {
             self.stop_held(id, &task, attempt);
         }
--- a/crates/tidelatch-core/src/capacity/heartbeats.rs
+++ b/crates/tidelatch-core/src/capacity/heartbeats.rs
@@ -3,7 +3,7 @@
 use crate::calls::Purpose;
 use crate::controller::Controller;
 use crate::ids::ControllerId;
-use crate::messages::{Digest, MachineRequest, Move, PeerReply, PeerRequest};
+use crate::messages::{Digest, MachineRequest, Move, PeerReply, PeerRequest, PermitGrants};
 
 impl Controller {
     pub(crate) fn say_hello(&mut self) {
@@ -44,6 +44,7 @@
                 Vec::new()
             };
             let liveness = self.liveness_for(&to);
+            let permits = self.permit_listing(&to);
             let request = PeerRequest::Heartbeat {
                 name: self.me.as_str().to_owned(),
                 entitled: self.entitled(),
@@ -52,6 +53,7 @@
                 digests,
                 told,
                 liveness,
+                permits,
             };
             let timeout = self.settings.report_ms() / 2;
             let purpose = Purpose::Heartbeat {
@@ -63,7 +65,14 @@
         }
     }
 
-    pub(crate) fn on_hello(&mut self, id: u64, from: ControllerId, stands: (bool, bool, bool), digests: Vec<Digest>) {
+    pub(crate) fn on_hello(
+        &mut self,
+        id: u64,
+        from: ControllerId,
+        stands: (bool, bool, bool),
+        digests: Vec<Digest>,
+        permits: Option<Box<PermitGrants>>,
+    ) {
         let now = self.now.ms;
         let (entitled, wants_grant, relies) = stands;
         let (told, _, whole) = self.tell_cancellations(&from);
@@ -112,6 +121,7 @@
                 refused,
                 told,
                 liveness,
+                permits,
             },
         });
     }
--- a/crates/tidelatch-core/src/capacity/renting.rs
+++ b/crates/tidelatch-core/src/capacity/renting.rs
@@ -166,7 +166,7 @@
             if !acting.contains(&m.partition) || m.retiring || m.gone || m.moving.is_some() || !m.up() {
                 continue;
             }
-            if !m.confirmed || !m.held.is_empty() {
+            if !m.confirmed || !m.held.is_empty() || (m.reserved && !m.suspect) {
                 continue;
             }
             if m.has_unstored_results(jobs) {
--- a/crates/tidelatch-core/src/capacity/spare_room.rs
+++ b/crates/tidelatch-core/src/capacity/spare_room.rs
@@ -32,7 +32,7 @@
 impl Controller {
     /// What a machine in use has free, if it could change hands with its tasks.
     pub(super) fn spare_room(&self, id: &MachineId, machine: &Machine) -> Option<SpareRoom> {
-        if machine.held.is_empty() || !self.may_share_machines() || !self.may_go_occupied(machine) {
+        if machine.held.is_empty() || machine.reserved || !self.may_share_machines() || !self.may_go_occupied(machine) {
             return None;
         }
         let model = self.types.iter().find(|t| t.name == machine.model)?;
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -4,6 +4,7 @@
 use crate::calls::{Asker, Purpose, is_lost_lease};
 use crate::cancellations::Cancellations;
 use crate::capacity::{Cloud, UnplacedTasks};
+use crate::disruption::Disruption;
 use crate::failure_detection::FailureDetection;
 use crate::ids::{ControllerId, Incarnation, JobId, MachineId, Partition};
 use crate::jobs::{EndedJob, Job, Purpose as JobPurpose, StatusReads};
@@ -71,6 +72,8 @@
     pub(crate) cancellations: Cancellations,
     /// None: the settings do not ask for it.
     pub(crate) detection: Option<FailureDetection>,
+    /// None: the settings do not ask for it.
+    pub(crate) disruption: Option<Disruption>,
     /// How often a machine was looked at for a task.
     pub(crate) evaluated: u64,
 }
@@ -85,6 +88,7 @@
         let cloud = Cloud::new(&settings);
         let me = ControllerId::new(settings.platform.host_name.clone());
         let detection = FailureDetection::new(&settings, incarnation, now.ms);
+        let disruption = Disruption::new(&settings);
         Self {
             me,
             now,
@@ -126,6 +130,7 @@
             guests: BTreeMap::new(),
             cancellations: Cancellations::default(),
             detection,
+            disruption,
             evaluated: 0,
             settings,
         }
@@ -182,6 +187,7 @@
             self.finish_vacating();
             self.tick_shared_machines();
             self.tick_gangs();
+            self.tick_disruption();
         }
         self.tick_roster();
         self.tick_batch();
@@ -285,11 +291,13 @@
                 digests,
                 told,
                 liveness,
+                permits,
             } => {
                 let from = ControllerId::new(name);
                 self.on_liveness(&from, Channel::Scheduled, liveness);
                 self.take_cancellations(&from, &told);
-                self.on_hello(id, from, (entitled, wants_grant, relies), digests);
+                let granted = permits.and_then(|listing| self.on_permit_listing(&from, &listing));
+                self.on_hello(id, from, (entitled, wants_grant, relies), digests, granted);
             }
         }
     }
@@ -312,6 +320,7 @@
             Purpose::Job(JobPurpose::Sweep { .. }) => ("a clearing away", true),
             Purpose::NewGroups | Purpose::MachineGroup { .. } => ("a machine group", true),
             Purpose::BootBatch { .. } => ("a boot batch", true),
+            Purpose::Drain { .. } => ("a drain", true),
             _ => return,
         };
         if *status == 429 {
@@ -360,6 +369,7 @@
             Purpose::BootBatch { batch, askers } => self.on_boot_batch(batch, askers, result),
             Purpose::Delete { machines } => self.on_delete(machines, result),
             Purpose::Hosts => self.on_hosts(result),
+            Purpose::Drain { write } => self.on_drain_write(&write, result),
             Purpose::Confirm { machine, sent } => self.on_confirm(machine, sent, result),
             Purpose::Probe { machine, sent } => self.on_probe(machine, sent, result),
             Purpose::Direct {
@@ -387,6 +397,7 @@
                     refused,
                     told: news,
                     liveness,
+                    permits,
                 }),
             ) => {
                 if self.stale {
@@ -403,6 +414,9 @@
                 if granted {
                     self.note_grant(&to, sent, news.unread);
                 }
+                if let Some(grants) = permits {
+                    self.on_permit_grants(&to, sent, &grants);
+                }
                 self.on_moves(&to, moves, refused);
                 if self.lacks_cancellations(&to) {
                     self.greet(true);
--- a/crates/tidelatch-core/src/gangs.rs
+++ b/crates/tidelatch-core/src/gangs.rs
@@ -209,7 +209,7 @@
         let Some(h) = held.filter(|h| h.stop.is_none_or(|s| s.grace_s > 0.0)) else {
             return false;
         };
-        h.stop = Some(Stop { grace_s: 0.0, at: now });
+        h.stop = Some(Stop::new(0.0, now));
         self.poked.insert(machine.clone());
         true
     }
@@ -223,6 +223,13 @@
         }
     }
 
+    /// All tasks of a gang that is whole and runs, each with its machine; none: it cannot be stopped as a whole now.
+    pub(crate) fn gang_tasks(&self, id: &JobId) -> Option<Vec<(MachineId, TaskId, Attempt)>> {
+        let job = self.jobs.get(id)?;
+        self.gang_loss(id, job)?;
+        Some(self.muster(id, job).held)
+    }
+
     /// What stopping a gang would lose, in seconds of work over all its tasks; none if it cannot be stopped
     /// as a whole just now: a machine of it may not hear that in time, or it is ending already.
     pub(crate) fn gang_loss(&self, id: &JobId, job: &Job) -> Option<f64> {
--- a/crates/tidelatch-core/src/lib.rs
+++ b/crates/tidelatch-core/src/lib.rs
@@ -9,6 +9,7 @@
 mod cancellations;
 pub mod capacity;
 mod controller;
+mod disruption;
 mod failure_detection;
 pub mod failures;
 mod gangs;
@@ -30,5 +31,5 @@
 pub use controller::Controller;
 pub use messages::{
     Answer, Digest, IdleMachine, Input, Level, MachineRequest, Method, Move, NOT_SENT, NOT_TRIED, Now, Output,
-    PeerReply, PeerRequest, SpareRoom, Target, WaitingTasks,
+    PeerReply, PeerRequest, PermitGrants, PermitListing, SpareRoom, Target, WaitingTasks,
 };
--- a/crates/tidelatch-core/src/machine_view.rs
+++ b/crates/tidelatch-core/src/machine_view.rs
@@ -53,6 +53,7 @@
             m.answered = None;
             m.directs.clear();
         }
+        self.reset_disruption(partition);
         self.reset_roster(partition);
         self.reset_jobs(partition);
         self.reset_shared_machines(partition);
--- a/crates/tidelatch-core/src/machine_view/commands.rs
+++ b/crates/tidelatch-core/src/machine_view/commands.rs
@@ -66,7 +66,7 @@
                 }
                 HeldState::Seen(state) => {
                     if !live && h.stop.is_none() {
-                        h.stop = Some(Stop { grace_s: 0.0, at: now });
+                        h.stop = Some(Stop::new(0.0, now));
                     }
                     if let Some(stop) = h.stop {
                         // A task that saves for longer than it may is ended.
@@ -108,7 +108,7 @@
         if let Some(m) = self.machines.get_mut(machine)
             && let Some(h) = m.held.iter_mut().find(|h| h.task == *task && h.attempt == attempt)
         {
-            h.stop.get_or_insert(Stop { grace_s, at: now });
+            h.stop.get_or_insert(Stop::new(grace_s, now));
             self.poked.insert(machine.clone());
         }
     }
--- a/crates/tidelatch-core/src/machine_view/machine.rs
+++ b/crates/tidelatch-core/src/machine_view/machine.rs
@@ -25,6 +25,19 @@
 pub(crate) struct Stop {
     pub(crate) grace_s: f64,
     pub(crate) at: u64,
+    /// The partition whose owner permitted it, and with what epoch that ownership began; none: no permit was needed.
+    pub(crate) permit: Option<(Partition, Epoch)>,
+}
+
+impl Stop {
+    /// A stop that needs no permit.
+    pub(crate) fn new(grace_s: f64, at: u64) -> Self {
+        Self {
+            grace_s,
+            at,
+            permit: None,
+        }
+    }
 }
 
 /// A task that a machine holds, or may hold.
@@ -67,6 +80,10 @@
     pub(crate) group: String,
     pub(super) last: (u64, u64),
     pub(crate) heard: Option<u64>,
+    /// When a report of it was last taken that says what is on it.
+    pub(crate) reported: Option<u64>,
+    /// The token that its worker had seen by then.
+    pub(crate) token: Epoch,
     /// When it was last heard with no other controller between.
     pub(super) heard_directly: Option<u64>,
     pub(crate) known_since: u64,
@@ -102,6 +119,10 @@
     pub(crate) retiring: bool,
     /// Being emptied for another partition, and since when.
     pub(crate) vacating: Option<(Partition, u64)>,
+    /// Nothing is started on it: it is drained.
+    pub(crate) cordoned: bool,
+    /// It is kept for what leaves a drained machine.
+    pub(crate) reserved: bool,
     /// Being emptied, to be returned then.
     pub(crate) draining: bool,
     pub(crate) deleting: bool,
@@ -166,6 +187,8 @@
             group: group.to_owned(),
             last,
             heard: None,
+            reported: None,
+            token: Epoch(0),
             heard_directly: None,
             known_since: now,
             confirmed: false,
@@ -188,6 +211,8 @@
             idle_since: None,
             moving: None,
             retiring: false,
+            cordoned: false,
+            reserved: false,
             draining: false,
             vacating: None,
             deleting: false,
@@ -229,6 +254,7 @@
             && !self.suspect
             && !self.retiring
             && !self.draining
+            && !self.cordoned
             && self.vacating.is_none()
             && !self.gone
             && self.moving.is_none()
--- a/crates/tidelatch-core/src/machine_view/reports.rs
+++ b/crates/tidelatch-core/src/machine_view/reports.rs
@@ -241,6 +241,8 @@
             m.missed += 2;
         }
         m.last = key;
+        m.reported = Some(now);
+        m.token = report.epoch;
         m.notice = report.notice_s.is_some();
         m.pins
             .retain(|_, pin| pin.epoch >= report.epoch && pin.session >= report.session);
@@ -413,7 +415,7 @@
                 attempt,
                 state: HeldState::Seen(state),
                 running_since: (state == TaskState::Running).then_some(now),
-                stop: twice.then_some(Stop { grace_s: 0.0, at: now }),
+                stop: twice.then_some(Stop::new(0.0, now)),
                 size,
                 team,
             },
--- a/crates/tidelatch-core/src/machine_view/shared_machines.rs
+++ b/crates/tidelatch-core/src/machine_view/shared_machines.rs
@@ -194,6 +194,8 @@
             return;
         }
         m.last = key;
+        m.reported = Some(self.now.ms);
+        m.token = report.epoch;
         for partition in self.acting_partitions() {
             // As after any take-over, a report counts once its worker has seen the token of the tenure.
             let tenure = self.acting(partition);
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -389,7 +389,7 @@
         let record = MemberRecord {
             inc: self.member.inc,
             ack: self.epoch().map_or(0, |e| e.0),
-            knows: self.settings.features.level(),
+            knows: self.settings.level(),
         };
         if self.member.written.as_ref() == Some(&record) {
             return;
--- a/crates/tidelatch-core/src/membership/entitlement.rs
+++ b/crates/tidelatch-core/src/membership/entitlement.rs
@@ -13,6 +13,12 @@
         self.entitled_at(self.now.ms)
     }
 
+    /// How long this controller may act yet.
+    pub(crate) fn entitlement_left_ms(&self) -> u64 {
+        let until = self.member.entitled_until.max(self.granted_until());
+        until.saturating_sub(self.now.ms)
+    }
+
     pub(super) fn entitled_at(&self, now: u64) -> bool {
         self.member.permit.is_some() && now < self.member.entitled_until.max(self.granted_until())
     }
@@ -175,6 +181,7 @@
         self.member.unserved = false;
         self.member.inc = Incarnation(self.member.inc.0 + 1);
         self.detect_as(self.member.inc);
+        self.forget_wishes();
         self.member.written = None;
         self.member.retry_at = self.now.ms;
         // The lease was lost behind some cut: so may be the watch.
--- a/crates/tidelatch-core/src/membership/shared.rs
+++ b/crates/tidelatch-core/src/membership/shared.rs
@@ -6,6 +6,7 @@
 };
 use crate::calls::Purpose;
 use crate::controller::Controller;
+use crate::disruption::DRAIN_PREFIX;
 use crate::ids::{ControllerId, JobId, Stamp};
 use crate::messages::{Level, Method, Target};
 use crate::protocol::{Changes, Items, MachineTypes};
@@ -67,6 +68,7 @@
             self.member.own_stamp = Stamp(0);
             self.member.leader = None;
             self.roster_listing_begins();
+            self.drain_listing_begins();
         }
         let ledger = if first_ledger == 0 { page.ledger } else { first_ledger };
         let last = page.items.last().map(|i| i.k.clone());
@@ -80,6 +82,7 @@
                 self.member.ledger = ledger;
                 self.note_view();
                 self.roster_listed(ledger);
+                self.drains_listed();
                 self.note_epoch();
                 self.tick_membership();
             }
@@ -145,6 +148,8 @@
             self.apply_group(name, value, stamp);
         } else if let Some(name) = key.strip_prefix(STEP_PREFIX) {
             self.apply_step(name, value.map_or(Stamp(0), |_| stamp));
+        } else if let Some(drain) = key.strip_prefix(DRAIN_PREFIX) {
+            self.apply_drain(drain, value, stamp);
         } else if let Some(name) = key.strip_prefix(BOOT_BATCH_PREFIX) {
             self.apply_boot_batch(name, value);
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
--- a/crates/tidelatch-core/src/membership/tenure.rs
+++ b/crates/tidelatch-core/src/membership/tenure.rs
@@ -100,6 +100,7 @@
                 self.reset_partition(partition);
             }
         }
+        self.drop_superseded_permits();
         self.plan_preparation();
     }
 
@@ -243,6 +244,7 @@
         };
         t.stage = Stage::Active;
         t.active_at = now;
+        let since = t.since;
         let (chunk_bits, piece_bits) = (self.chunk_bits(), self.piece_bits());
         for (key, value) in bits {
             let mut parts = key.split('/').skip(2);
@@ -266,6 +268,8 @@
             Level::Info,
             format!("acting for partition {partition}: {jobs} unfinished jobs, {machines} machines in the roster"),
         );
+        self.open_ledger(partition, since);
+        self.tick_drained_machines();
         self.confirm_machines(partition);
         self.complete_finished(partition);
         self.want_batch();
--- a/crates/tidelatch-core/src/messages.rs
+++ b/crates/tidelatch-core/src/messages.rs
@@ -3,6 +3,7 @@
 use crate::cancellations::CancellationNotice;
 use crate::capacity::room_for;
 use crate::ids::{ControllerId, MachineId, Partition};
+use tidelatch_disruption::{Permit, PermitMessage};
 use tidelatch_failure_detector::Heartbeat;
 
 /// Status of a call that was never sent: no connection came about, so nothing can have been executed.
@@ -180,6 +181,24 @@
     pub occupied: bool,
 }
 
+/// What a controller says of the permits to interrupt tasks that it wants, and has used, from another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PermitListing {
+    /// The life of who asks.
+    pub life: u64,
+    /// What it wants and has used.
+    pub message: PermitMessage,
+}
+
+/// What a controller permits in answer to a listing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PermitGrants {
+    /// Number of the listing.
+    pub sequence: u64,
+    /// What it permits.
+    pub permits: Vec<Permit>,
+}
+
 /// What one controller asks another.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PeerRequest {
@@ -211,6 +230,8 @@
         told: CancellationNotice,
         /// For the other's failure detector; none: the sender does not take part.
         liveness: Option<Heartbeat>,
+        /// Permits that it wants and has used; none: it has nothing to say of any.
+        permits: Option<Box<PermitListing>>,
     },
 }
 
@@ -235,6 +256,8 @@
         told: CancellationNotice,
         /// For the asker's failure detector; none: the answerer does not take part.
         liveness: Option<Heartbeat>,
+        /// What it permits; none: it was asked for nothing.
+        permits: Option<Box<PermitGrants>>,
     },
 }
 
--- a/crates/tidelatch-core/src/queue/emptying.rs
+++ b/crates/tidelatch-core/src/queue/emptying.rs
@@ -96,6 +96,9 @@
                 return;
             }
             budget -= cost;
+            if !held.iter().all(|(task, _)| self.has_disruption_budget(&task.job)) {
+                continue;
+            }
             let others = busy.iter().zip(&slots).filter(|(other, _)| **other != id);
             let others = others.map(|(_, s)| s.clone()).collect();
             if self.fits_elsewhere(others, &id, &held) {
@@ -106,8 +109,13 @@
                 if let Some(m) = self.machines.get_mut(&id) {
                     m.draining = true;
                 }
-                for (task, attempt) in held {
-                    self.stop_held(&id, &task, attempt);
+                if self.disruption.is_some() {
+                    self.begin_emptying(&id);
+                    self.evict_now(&id);
+                } else {
+                    for (task, attempt) in held {
+                        self.stop_held(&id, &task, attempt);
+                    }
                 }
                 self.consolidated.insert(partition, now);
                 return;
--- a/crates/tidelatch-core/src/queue/placing.rs
+++ b/crates/tidelatch-core/src/queue/placing.rs
@@ -69,6 +69,7 @@
             self.bar_listed(&w.id, &ids, terms);
         }
         for (w, terms) in waiting.iter().zip(jobs.iter_mut()) {
+            terms.barred.extend(self.reserved_for_others(&w.id, &ids));
             if self.has_failures(&w.id) {
                 terms.barred.extend(self.failed_places(&w.id, &ids));
             }
--- a/crates/tidelatch-core/src/queue/room.rs
+++ b/crates/tidelatch-core/src/queue/room.rs
@@ -2,6 +2,7 @@
 
 use super::Waiting;
 use crate::controller::Controller;
+use crate::disruption::Cause;
 use crate::ids::{Attempt, JobId, MachineId, Partition, TaskId};
 use crate::messages::Level;
 use crate::placement::{Amounts, JobTerms};
@@ -137,7 +138,15 @@
                 if victims.is_empty() {
                     continue;
                 }
-                victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+                // Of equal victims one whose team has budget left for it goes first.
+                let has_budget = |at: usize| {
+                    let victim = y.victims.get(at);
+                    victim.is_some_and(|v| self.has_disruption_budget(&v.task.job))
+                };
+                victims.sort_by(|a, b| {
+                    let by_budget = || has_budget(b.1).cmp(&has_budget(a.1));
+                    a.0.total_cmp(&b.0).then_with(by_budget)
+                });
                 let mut free = y.free;
                 let mut cost = 0.0;
                 let mut chosen = Vec::new();
@@ -195,6 +204,7 @@
         self.evaluated += looks as u64;
         for (machine, task, attempt) in stops {
             self.log(Level::Info, format!("{machine}: stopping {task} to make room"));
+            self.note_involuntary(&task, "preempted");
             self.stop_held(&machine, &task, attempt);
             if self.jobs.get(&task.job).is_some_and(|j| j.spec.shape == Shape::Gang) {
                 self.stop_gang(&task.job);
@@ -390,6 +400,10 @@
         }
         self.swapped.insert(partition, now);
         for (machine, task, attempt) in moves {
+            if self.disruption.is_some() {
+                self.move_by_permit(&machine, &task, attempt, 2 * settled);
+                continue;
+            }
             self.log(
                 Level::Info,
                 format!("{machine}: {task} moves to another zone, for a replica that may not"),
@@ -401,4 +415,16 @@
             self.stop_held(&machine, &task, attempt);
         }
     }
+
+    /// Moves a replica for another one if its budget permits it, and keeps it away from the zone that it leaves.
+    fn move_by_permit(&mut self, machine: &MachineId, task: &TaskId, attempt: Attempt, shunned_ms: u64) {
+        if self.interrupt(machine, task, attempt, Cause::Spreading).is_err() {
+            return;
+        }
+        let zone = self.machines.get(machine).map(|m| m.zone.clone()).unwrap_or_default();
+        let until = self.now.ms + shunned_ms;
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.shunned = Some((zone, until));
+        }
+    }
 }
--- a/crates/tidelatch-core/src/roster.rs
+++ b/crates/tidelatch-core/src/roster.rs
@@ -48,7 +48,7 @@
 
 impl Controller {
     /// Bytes that a machine group or a boot batch is filled up to: what it says of its machines may grow by some digits.
-    pub(super) fn fill(&self) -> usize {
+    pub(crate) fn fill(&self) -> usize {
         self.limits.value * 3 / 4
     }
 
--- a/crates/tidelatch-core/src/settings.rs
+++ b/crates/tidelatch-core/src/settings.rs
@@ -1,12 +1,14 @@
 //! What the platform hands over, what the operators set themselves, and what follows from both.
 
+mod disruption;
 mod failure_detection;
 mod features;
 mod operator;
 mod platform;
 
+pub use disruption::{BudgetRule, Disruption, DrainRule, Units};
 pub use failure_detection::{EstimatorChoice, FailureDetection};
-pub use features::{Features, SHARED_MACHINES_LEVEL};
+pub use features::{DISRUPTION_LEVEL, Features, SHARED_MACHINES_LEVEL};
 pub use operator::Operator;
 pub use platform::{
     CloudFacts, Facts, MachineLimits, NextState, Objective, Outside, Platform, Sibling, StateFacts, Team, WorkerFacts,
@@ -43,7 +45,17 @@
     /// What is impossible only where the platform's facts and the operators' settings come together.
     pub fn faults(&self) -> Vec<Fault> {
         let detection = self.operator.failure_detection.as_ref();
-        detection.map_or(Vec::new(), |detection| detection.faults(self.detection_timing()))
+        let mut faults = detection.map_or(Vec::new(), |detection| detection.faults(self.detection_timing()));
+        if let Some(disruption) = &self.operator.disruption {
+            faults.extend(disruption.deployment_faults(&self.platform.facts));
+        }
+        faults
+    }
+    /// The number by which this controller's own record says what it knows and does.
+    pub fn level(&self) -> u32 {
+        let level = self.features.level();
+        let disruption = self.operator.disruption.is_some() && level == SHARED_MACHINES_LEVEL;
+        if disruption { DISRUPTION_LEVEL } else { level }
     }
     /// Time between two heartbeats of a controller.
     pub fn heartbeat_ms(&self) -> u64 {
--- a/crates/tidelatch-core/src/settings/features.rs
+++ b/crates/tidelatch-core/src/settings/features.rs
@@ -2,6 +2,8 @@
 
 /// [`Features::level`] from which on a controller knows machines that hold tasks of several partitions.
 pub const SHARED_MACHINES_LEVEL: u32 = 3;
+/// Level of a controller that grants and asks for permits to interrupt tasks: the feature is turned on there.
+pub const DISRUPTION_LEVEL: u32 = 4;
 
 /// What a version of this program knows, as it tells the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/tidelatch-core/src/settings/operator.rs
+++ b/crates/tidelatch-core/src/settings/operator.rs
@@ -1,6 +1,6 @@
 //! The operators' own settings, their defaults, and the checks on them.
 
-use super::{FailureDetection, Fault};
+use super::{Disruption, FailureDetection, Fault};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +38,8 @@
     pub queue_jobs_per_team: Option<u32>,
     /// Controllers watch each other, and prepare to take over from one that is suspected. Without it they do not.
     pub failure_detection: Option<FailureDetection>,
+    /// Voluntary interruptions keep to budgets, and machines may be drained. Without it they do not.
+    pub disruption: Option<Disruption>,
 }
 
 impl Default for Operator {
@@ -53,6 +55,7 @@
             silent_per_worker_lease: 0.8,
             queue_jobs_per_team: None,
             failure_detection: None,
+            disruption: None,
         }
     }
 }
@@ -87,14 +90,15 @@
             ),
         ];
         let detection = self.failure_detection.iter().flat_map(FailureDetection::ranges);
-        checks
+        let disruption = self.disruption.iter().flat_map(Disruption::value_faults);
+        let out_of_range = checks
             .into_iter()
             .chain(detection)
             .filter(|(_, v, low, high)| !(v.is_finite() && v >= low && v <= high))
             .map(|(path, _, low, high)| Fault {
                 path: path.to_owned(),
                 fault: format!("must lie between {low} and {high}"),
-            })
-            .collect()
+            });
+        out_of_range.chain(disruption).collect()
     }
 }
--- a/crates/tidelatch-core/tests/failure_detection.rs
+++ b/crates/tidelatch-core/tests/failure_detection.rs
@@ -65,6 +65,7 @@
         digests: Vec::new(),
         told: CancellationNotice::default(),
         liveness: Some(liveness),
+        permits: None,
     };
     let input = Input::PeerRequest { id: ms, request };
     let outputs = controller.step(Now { ms, wall_ms: ms }, input);
--- a/crates/tidelatch-core/tests/settings.rs
+++ b/crates/tidelatch-core/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Settings: what is valid, and that what is impossible is named with its path.
 
 use serde_json::{Value, json};
-use tidelatch_core::settings::{FailureDetection, Features, Operator, Platform, Settings};
+use tidelatch_core::settings::{Disruption, FailureDetection, Features, Operator, Platform, Settings};
 
 fn platform(teams: Value) -> Platform {
     let platform = json!({
@@ -64,6 +64,7 @@
 fn each_of_the_operators_figures_is_checked() {
     let operator = Operator {
         failure_detection: Some(FailureDetection::default()),
+        disruption: Some(Disruption::default()),
         ..Operator::default()
     };
     let figures = serde_json::to_value(operator).expect("JSON");
@@ -115,3 +116,98 @@
     };
     assert_eq!(impossible(usual), Vec::<String>::new());
 }
+
+/// Paths of the faults of disruption settings, in a deployment with the team `shop`, the class `web` and two zones.
+fn disruption_faults(disruption: Value) -> Vec<String> {
+    let mut platform = platform(json!([{ "name": "shop" }]));
+    let aims = json!([{ "kind": "wait", "class": "web", "within_s": 10.0 }]);
+    platform.facts.objectives = serde_json::from_value(aims).expect("in form");
+    let operator: Operator = serde_json::from_value(json!({ "disruption": disruption })).expect("in form");
+    let values = operator.faults();
+    let settings = Settings {
+        platform,
+        operator,
+        features: Features::default(),
+    };
+    let faults = values.into_iter().chain(settings.faults());
+    faults.map(|fault| fault.path).collect()
+}
+
+#[test]
+fn impossible_budgets_and_drains_are_named_with_their_paths() {
+    let budget = |team: &str, rest: Value| {
+        let mut rule = json!({ "team": team });
+        rule.as_object_mut()
+            .expect("an object")
+            .extend(rest.as_object().expect("an object").clone());
+        disruption_faults(json!({ "budgets": [rule] }))
+    };
+    assert_eq!(
+        budget("sh*", json!({ "max_unavailable": 1, "classes": ["w?b", "web"] })),
+        Vec::<String>::new()
+    );
+    assert_eq!(
+        budget("none*", json!({ "max_unavailable": 1 })),
+        ["disruption.budgets[0].team"]
+    );
+    assert_eq!(
+        budget("", json!({ "max_unavailable": 1 })),
+        ["disruption.budgets[0].team"; 2]
+    );
+    let unknown = json!({ "max_unavailable": 1, "classes": ["web", "train"] });
+    assert_eq!(budget("shop", unknown), ["disruption.budgets[0].classes[1]"]);
+    assert_eq!(
+        budget("shop", json!({ "max_unavailable": "101%" })),
+        ["disruption.budgets[0].max_unavailable"]
+    );
+    assert_eq!(
+        budget("shop", json!({ "min_available": 200_000 })),
+        ["disruption.budgets[0].min_available"]
+    );
+    assert_eq!(
+        budget("shop", json!({ "min_available": 1, "max_unavailable": 1 })),
+        ["disruption.budgets[0]"]
+    );
+    assert_eq!(budget("shop", json!({})), ["disruption.budgets[0]"]);
+
+    let drain = |drain: Value| disruption_faults(json!({ "drains": [drain] }));
+    assert_eq!(
+        drain(json!({ "name": "d-1", "machine_type": "m2", "zone": "b" })),
+        Vec::<String>::new()
+    );
+    assert_eq!(drain(json!({ "name": "a/b" })), ["disruption.drains[0].name"]);
+    assert_eq!(drain(json!({ "name": "" })), ["disruption.drains[0].name"]);
+    assert_eq!(
+        drain(json!({ "name": "d", "zone": "c" })),
+        ["disruption.drains[0].zone"]
+    );
+    assert_eq!(
+        drain(json!({ "name": "d", "machine_type": "" })),
+        ["disruption.drains[0].machine_type"]
+    );
+    assert_eq!(
+        drain(json!({ "name": "d", "max_machines": 0 })),
+        ["disruption.drains[0].max_machines"]
+    );
+    assert_eq!(
+        drain(json!({ "name": "d", "surge": 1_001 })),
+        ["disruption.drains[0].surge"]
+    );
+    assert_eq!(
+        drain(json!({ "name": "d", "patience_s": -1.0 })),
+        ["disruption.drains[0].patience_s"]
+    );
+    let twice = json!({ "drains": [{ "name": "d" }, { "name": "d" }] });
+    assert_eq!(disruption_faults(twice), ["disruption.drains[1].name"]);
+}
+
+#[test]
+fn a_drain_that_no_budget_would_ever_permit_is_refused() {
+    for nothing in [json!({ "max_unavailable": "0%" }), json!({ "min_available": "100%" })] {
+        let mut rule = nothing.clone();
+        rule["team"] = json!("shop");
+        let with_surge = |surge: u32| json!({ "budgets": [rule], "drains": [{ "name": "d", "surge": surge }] });
+        assert_eq!(disruption_faults(with_surge(0)), ["disruption.drains[0].surge"]);
+        assert_eq!(disruption_faults(with_surge(1)), Vec::<String>::new());
+    }
+}
--- a/crates/tidelatch-disruption/src/ledger.rs
+++ b/crates/tidelatch-disruption/src/ledger.rs
@@ -50,7 +50,7 @@
         machines: u32,
     },
     /// The budget of a scope is used up.
-    #[error("{scope}: {unavailable} units are unavailable, {allowance} may be")]
+    #[error("{scope}: {unavailable} units would be unavailable, {allowance} may be")]
     BudgetSpent {
         /// The scope.
         scope: ScopeName,
@@ -88,8 +88,8 @@
     machine_tenure: Tenure,
     expires_ms: u64,
     used: bool,
-    /// Sequence number of the message that was last answered with it; 0: it was not granted by a message.
-    sequence: u64,
+    /// It was granted in answer to a message, and so returned by a later one that does not list it.
+    by_message: bool,
 }
 
 impl SpentPermit {
@@ -264,7 +264,7 @@
             machine_tenure: request.machine_tenure,
             expires_ms: earlier.map_or(expires_ms, |earlier| earlier.expires_ms.max(expires_ms)),
             used: earlier.is_some_and(|earlier| earlier.used),
-            sequence: earlier.map_or(0, |earlier| earlier.sequence),
+            by_message: earlier.is_some_and(|earlier| earlier.by_message),
         }
     }
 
@@ -344,22 +344,17 @@
             let mut all = message.wanted.iter().chain(&message.used);
             all.any(|wanted| wanted.unit == *unit && wanted.attempt == attempt)
         };
-        let sequence = message.sequence;
         self.spent.retain(|unit, permit| {
-            let returned = permit.asker == *asker
-                && !permit.used
-                && permit.sequence > 0
-                && permit.sequence < sequence
-                && !listed(unit, permit.attempt);
+            let returned = permit.asker == *asker && !permit.used && permit.by_message && !listed(unit, permit.attempt);
             !returned
         });
         true
     }
 
-    /// A message with this sequence number is answered with a permit for the unit.
-    pub fn note_answered(&mut self, unit: &Unit, sequence: u64) {
+    /// A message is answered with a permit for the unit.
+    pub fn note_answered(&mut self, unit: &Unit) {
         if let Some(permit) = self.spent.get_mut(unit) {
-            permit.sequence = permit.sequence.max(sequence);
+            permit.by_message = true;
         }
     }
 
--- a/crates/tidelatch-disruption/tests/ledger.rs
+++ b/crates/tidelatch-disruption/tests/ledger.rs
@@ -217,7 +217,7 @@
             machine_tenure: wanted.machine_tenure,
         };
         if let Ok(granted) = ledger.request(now_ms, VALID_MS, &[request], census) {
-            ledger.note_answered(&wanted.unit, message.sequence);
+            ledger.note_answered(&wanted.unit);
             permits.extend(granted);
         }
     }
@@ -264,7 +264,7 @@
     let permits = ledger
         .request(0, VALID_MS, &[request(0)], &all)
         .expect("a unit is left");
-    ledger.note_answered(&unit(0), first.sequence);
+    ledger.note_answered(&unit(0));
     // The answer is under way while the wish is dropped, and comes up again.
     holder.retain(|_| false);
     let second = holder.message_for(&granter());
--- a/crates/tidelatch-disruption/tests/model.rs
+++ b/crates/tidelatch-disruption/tests/model.rs
@@ -321,7 +321,7 @@
                 machine_tenure: wanted.machine_tenure,
             };
             if let Ok(granted) = self.ledger.request(now_ms, VALID_MS, &[request], &census) {
-                self.ledger.note_answered(&wanted.unit, message.sequence);
+                self.ledger.note_answered(&wanted.unit);
                 permits.extend(granted);
             }
         }
--- a/crates/tidelatch-standin/src/lib.rs
+++ b/crates/tidelatch-standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod cloud;
 pub mod faults;
 mod gang;
+mod interruptions;
 pub mod loopback;
 mod state;
 pub mod support;
@@ -18,6 +19,7 @@
 
 pub use checker::Checker;
 pub use cloud::Cloud;
+pub use interruptions::{Excess, Interruption, InterruptionRecorder};
 pub use state::Store;
 pub use worker::Worker;
 pub use world::{CANCEL_MS, Delivery, Message, Sent, Size, World, gang, job};
--- a/crates/tidelatch-standin/src/world/workers.rs
+++ b/crates/tidelatch-standin/src/world/workers.rs
@@ -114,6 +114,16 @@
             .count()
     }
 
+    /// All tasks that run, each with its machine.
+    pub fn running_units(&self) -> BTreeMap<String, String> {
+        let mut units = BTreeMap::new();
+        for worker in self.workers.values() {
+            let running = worker.tasks.iter().filter(|(_, attempt)| attempt.state == "running");
+            units.extend(running.map(|((task, _), _)| (task.clone(), worker.name.clone())));
+        }
+        units
+    }
+
     /// The machines that have a job's tasks.
     pub fn machines_of(&self, id: &str) -> Vec<String> {
         let prefix = format!("{id}/");
--- a/crates/tidelatch/src/peers/client.rs
+++ b/crates/tidelatch/src/peers/client.rs
@@ -110,7 +110,7 @@
                 Some(answer.into_inner().into())
             }
             WireRequest::Hello(request) => {
-                let reply = client.hello(request).await.ok()?;
+                let reply = client.hello(*request).await.ok()?;
                 Some(reply.into_inner().into())
             }
         }
--- a/crates/tidelatch/src/peers/convert.rs
+++ b/crates/tidelatch/src/peers/convert.rs
@@ -17,7 +17,7 @@
 pub(super) enum WireRequest {
     Relay(wire::RelayRequest),
     Forward(wire::ForwardRequest),
-    Hello(wire::HelloRequest),
+    Hello(Box<wire::HelloRequest>),
 }
 
 impl From<PeerRequest> for WireRequest {
@@ -33,7 +33,8 @@
                 digests,
                 told,
                 liveness,
-            } => Self::Hello(wire::HelloRequest {
+                permits,
+            } => Self::Hello(Box::new(wire::HelloRequest {
                 name,
                 entitled,
                 wants_grant,
@@ -44,7 +45,8 @@
                 cancelled: job_names(told.cancelled),
                 asked: job_names(told.asked),
                 liveness: liveness.map(Into::into),
-            }),
+                permits: permits.map(|permits| (*permits).into()),
+            })),
         }
     }
 }
@@ -79,6 +81,7 @@
                 asked: job_ids(&request.asked),
             },
             liveness: request.liveness.map(Into::into),
+            permits: request.permits.map(|permits| Box::new(permits.into())),
         }
     }
 }
@@ -120,6 +123,7 @@
             refused,
             told,
             liveness,
+            permits,
         } = reply
         else {
             return Err(UnexpectedReply);
@@ -135,6 +139,7 @@
             cancelled: job_names(told.cancelled),
             asked: job_names(told.asked),
             liveness: liveness.map(Into::into),
+            permits: permits.map(|permits| (*permits).into()),
         })
     }
 }
@@ -154,6 +159,7 @@
                 asked: job_ids(&reply.asked),
             },
             liveness: reply.liveness.map(Into::into),
+            permits: reply.permits.map(|permits| Box::new(permits.into())),
         }
     }
 }
--- a/crates/tidelatch/src/peers/mod.rs
+++ b/crates/tidelatch/src/peers/mod.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod convert;
+mod convert_permits;
 mod server;
 
 pub use client::PeerClients;
