--- a/crates/tidelatch-core/src/disruption/census.rs
+++ b/crates/tidelatch-core/src/disruption/census.rs
@@ -46,17 +46,20 @@
     /// The scopes of a job, each with its budget.
     fn scopes(&self, id: &JobId, job: &Job) -> Vec<(ScopeName, Budget)> {
         let spec = &job.spec;
-        let class = ScopeName::new(format!("{}/{}", spec.team, spec.class));
+        let class = format!("{}/{}", spec.team, spec.class);
         let settings = self.settings.operator.disruption.as_ref();
         if let Some(budget) = settings.and_then(|settings| settings.budget(&spec.team, &spec.class)) {
-            return vec![(class, budget)];
+            return vec![(ScopeName::new(class), budget)];
         }
+        // A class may have services and arrays: by default they share no budget.
         if counting(job) == Counting::Tasks {
-            return vec![(class, DisruptionSettings::default_for_tasks())];
+            let tasks = ScopeName::new(format!("tasks of {class}"));
+            return vec![(tasks, DisruptionSettings::default_for_tasks())];
         }
         let mut scopes = vec![(ScopeName::new(id.as_str()), DisruptionSettings::default_for_job())];
         if spec.priority >= Priority::Prod {
-            scopes.push((class, DisruptionSettings::default_for_production()));
+            let replicas = ScopeName::new(format!("replicas of {class}"));
+            scopes.push((replicas, DisruptionSettings::default_for_production()));
         }
         scopes
     }
--- a/crates/tidelatch-standin/src/interruptions.rs
+++ b/crates/tidelatch-standin/src/interruptions.rs
@@ -54,6 +54,8 @@
     groups: BTreeMap<String, Group>,
     running: BTreeMap<String, String>,
     lost_machines: BTreeSet<String>,
+    /// Machines on which all that ran was lost since the last sample.
+    lost_sessions: BTreeSet<String>,
     /// Units that are away by choice.
     stopped: BTreeSet<String>,
     /// Units that are away because a machine was lost, and since when.
@@ -84,11 +86,16 @@
         self.groups.insert(group.to_owned(), Group { most_away, jobs });
     }
 
-    /// The test has lost a machine, or what ran on it: nobody chose to stop that.
+    /// A machine is lost with all that runs on it: nobody chose to stop that.
     pub fn machine_lost(&mut self, machine: &str) {
         self.lost_machines.insert(machine.to_owned());
     }
 
+    /// What ran on a machine until now was lost; what runs there from now on was not.
+    pub fn session_lost(&mut self, machine: &str) {
+        self.lost_sessions.insert(machine.to_owned());
+    }
+
     /// The units that run at a moment, each with its machine.
     pub fn sample(&mut self, at_ms: u64, running: BTreeMap<String, String>) {
         let before = std::mem::replace(&mut self.running, running);
@@ -96,16 +103,20 @@
             self.stopped.remove(unit);
             self.lost.remove(unit);
         }
+        let chosen = self.interruptions.len();
         for (unit, machine) in before {
             if !self.running.contains_key(&unit) {
                 self.unit_stopped(at_ms, unit, machine);
             }
         }
-        self.check_groups(at_ms);
+        self.lost_sessions.clear();
+        if self.interruptions.len() > chosen {
+            self.check_groups(at_ms);
+        }
     }
 
     fn unit_stopped(&mut self, at_ms: u64, unit: String, machine: String) {
-        if self.lost_machines.contains(&machine) {
+        if self.lost_machines.contains(&machine) || self.lost_sessions.contains(&machine) {
             self.lost.insert(unit, at_ms);
             return;
         }
--- /dev/null
+++ b/crates/tidelatch-standin/tests/drains_of_shared_machines.rs
@@ -0,0 +1,196 @@
+//! Drains of machines that hold tasks of several partitions: the owner of the machine asks the owner of each team, over
+//! their heartbeats.
+
+mod drain_support;
+
+use drain_support::{DRAIN_MS, GRACE_MS, LEASE_MS, operator, with_drain};
+use serde_json::json;
+use tidelatch_core::settings::Operator;
+use tidelatch_standin::support::assert_no_breaches;
+use tidelatch_standin::{InterruptionRecorder, World, faults, job};
+
+/// Tasks of teams 0 and 1 on a machine each, and of team 2 beside one of them.
+const SERVICES: [&str; 3] = ["job-000001", "job-000002", "job-000003"];
+
+/// A machine of one partition that holds another one's replica.
+struct SharedMachine {
+    world: World,
+    recorder: InterruptionRecorder,
+    machine: String,
+    /// The team of the replica that was there first. Its owner is asked.
+    tenant_team: usize,
+}
+
+/// The cloud has two machines, a replica runs on each, and a third team's finds room beside one of them.
+fn with_shared_machine() -> SharedMachine {
+    let mut world = World::with(&operator(&json!({})));
+    world.cloud.most = 2;
+    world.run(3_000);
+    for (team, id) in (0..).zip(SERVICES) {
+        world.accepted(0, &job(team + 1, team, "standing", 1));
+        assert!(world.run_until(90_000, |w| w.running(id) == 1), "{}", world.trace());
+    }
+    let machine = world.machines_of(SERVICES[2]).pop().expect("a machine");
+    let beside = |id: &&str| world.machines_of(id).contains(&machine);
+    let tenant_team = SERVICES[..2].iter().position(beside).expect("a replica beside it");
+    let mut recorder = InterruptionRecorder::new(GRACE_MS);
+    for id in SERVICES {
+        recorder.limit(id, &[id], 1);
+    }
+    SharedMachine {
+        world,
+        recorder,
+        machine,
+        tenant_team,
+    }
+}
+
+impl SharedMachine {
+    fn run(&mut self, ms: u64) {
+        let until = self.world.now + ms;
+        while self.world.now < until {
+            self.world.run(20);
+            self.recorder.sample(self.world.now, self.world.running_units());
+        }
+    }
+
+    /// All controllers begin again with a drain of all machines, and the cloud has room for replacements.
+    fn drain(&mut self, operator: &Operator) {
+        self.world.cloud.most = 6;
+        for node in 0..3 {
+            self.world.crash(node);
+            self.world.operator(node, operator);
+        }
+        self.run(200);
+        (0..3).for_each(|node| self.world.start(node));
+    }
+
+    fn is_done(&self) -> bool {
+        self.world.store.get("t/d/all").is_some_and(|head| head["done"] == true)
+    }
+
+    fn assert_ends(&mut self, case: &str) {
+        let until = self.world.now + DRAIN_MS;
+        let all_run = |w: &World| SERVICES.iter().all(|id| w.running(id) == 1);
+        while self.world.now < until && !(self.is_done() && all_run(&self.world)) {
+            self.run(500);
+        }
+        assert!(self.is_done(), "{case}: the drain does not end\n{}", self.world.trace());
+        assert!(all_run(&self.world), "{case}\n{}", self.world.trace());
+        assert_eq!(self.recorder.excesses(), [], "{case}\n{}", self.world.trace());
+        assert_no_breaches(&self.world);
+        assert!(!self.world.cloud.machines.contains_key(&self.machine), "{case}");
+    }
+
+    fn permitted_by_another(&self) -> usize {
+        self.world.trace().matches("; permitted by berth-").count()
+    }
+}
+
+fn drain_of_all() -> Operator {
+    with_drain(&json!({ "name": "all", "surge": 1, "max_machines": 2 }))
+}
+
+#[test]
+fn the_owner_of_the_team_permits_what_the_owner_of_the_machine_stops() {
+    let mut shared = with_shared_machine();
+    shared.drain(&drain_of_all());
+    shared.assert_ends("undisturbed");
+    assert_eq!(shared.permitted_by_another(), 1, "{}", shared.world.trace());
+}
+
+#[test]
+fn whichever_controllers_end_at_any_step_of_an_exchange() {
+    // Two of three: the machine's owner, the team's owner, the third.
+    for left in 0..3 {
+        for ends_after_ms in (8_000..20_000).step_by(1_500) {
+            let mut shared = with_shared_machine();
+            shared.drain(&drain_of_all());
+            shared.run(ends_after_ms);
+            let ended = [(left + 1) % 3, (left + 2) % 3];
+            for node in ended {
+                shared.world.crash(node);
+                shared.run(700);
+            }
+            shared.run(LEASE_MS);
+            ended.iter().for_each(|node| shared.world.start(*node));
+            shared.assert_ends(&format!("{ended:?} end after {ends_after_ms} ms"));
+        }
+    }
+}
+
+#[test]
+fn whichever_controllers_pause_at_any_step_of_an_exchange() {
+    for node in 0..3 {
+        for pauses_after_ms in (8_000..20_000).step_by(1_000) {
+            let mut shared = with_shared_machine();
+            shared.drain(&drain_of_all());
+            shared.run(pauses_after_ms);
+            shared.world.freeze(node);
+            shared.run(LEASE_MS / 2);
+            shared.world.freeze((node + 1) % 3);
+            shared.run(LEASE_MS);
+            shared.world.thaw(node);
+            shared.run(1_000);
+            shared.world.thaw((node + 1) % 3);
+            shared.assert_ends(&format!("berth-{node} pauses after {pauses_after_ms} ms"));
+        }
+    }
+}
+
+#[test]
+fn lost_late_copied_and_overtaken_wishes_and_permits() {
+    for seed in 1..=20 {
+        let mut shared = with_shared_machine();
+        shared.drain(&drain_of_all());
+        shared.run(6_000);
+        shared.world.meddle(faults::rough_peer_network(seed));
+        shared.run(60_000);
+        shared.world.calm();
+        shared.assert_ends(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_team_that_is_not_to_be_interrupted_keeps_its_replica_on_another_ones_machine() {
+    let mut shared = with_shared_machine();
+    let team = format!("team-{}", shared.tenant_team);
+    let rules = json!({
+        "budgets": [{ "team": team, "max_unavailable": 0 }],
+        "drains": [{ "name": "all", "surge": 1, "max_machines": 2 }],
+    });
+    shared.drain(&operator(&rules));
+    shared.run(DRAIN_MS / 4);
+    assert!(!shared.is_done());
+    assert_eq!(shared.permitted_by_another(), 0);
+    let tenant = format!("{}/0", SERVICES[shared.tenant_team]);
+    assert!(
+        !shared.recorder.interruptions().iter().any(|i| i.unit == tenant),
+        "{}",
+        shared.world.trace()
+    );
+}
+
+#[test]
+fn a_controller_that_grants_no_permits_is_not_asked() {
+    let mut shared = with_shared_machine();
+    let owner = shared.world.owner_of_team(shared.tenant_team);
+    let with = drain_of_all();
+    shared.drain(&with);
+    // It comes back as one that has budgets turned off.
+    shared.world.crash(owner);
+    shared.world.operator(owner, &Operator::default());
+    shared.world.start(owner);
+    shared.run(DRAIN_MS / 4);
+    assert_eq!(shared.permitted_by_another(), 0, "{}", shared.world.trace());
+    let tenant = format!("{}/0", SERVICES[shared.tenant_team]);
+    assert!(
+        !shared.recorder.interruptions().iter().any(|i| i.unit == tenant),
+        "{}",
+        shared.world.trace()
+    );
+    shared.world.crash(owner);
+    shared.world.operator(owner, &with);
+    shared.world.start(owner);
+    shared.assert_ends("budgets are turned on everywhere");
+}
