Drains may wait until a leader has run for a while; loopback test of a drain with four controllers

Need: a drain that is in the settings from the start covers machines before all controllers have the settings; and real processes have to show what simulated ones do. Change: delay_s; four processes drain twelve workers while the leader is killed, a team's owner frozen past its lease, an owner cut from the state service and one killed right after a permit; the recorder replays all events in their order.

--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -88,7 +88,7 @@
         let cloud = Cloud::new(&settings);
         let me = ControllerId::new(settings.platform.host_name.clone());
         let detection = FailureDetection::new(&settings, incarnation, now.ms);
-        let disruption = Disruption::new(&settings);
+        let disruption = Disruption::new(&settings, now.ms);
         Self {
             me,
             now,
--- a/crates/tidelatch-core/src/disruption.rs
+++ b/crates/tidelatch-core/src/disruption.rs
@@ -31,6 +31,8 @@
 /// What this controller has granted, wishes for and drains.
 #[derive(Default)]
 pub(crate) struct Disruption {
+    /// When this controller began to run.
+    started_ms: u64,
     /// The permits that this controller has granted, by the partition of the teams.
     ledgers: BTreeMap<Partition, PermitLedger>,
     /// Partitions for which it has been presumed what earlier owners interrupted.
@@ -49,8 +51,11 @@
 
 impl Disruption {
     /// None: the settings do not ask for it, or an older version is imitated.
-    pub(crate) fn new(settings: &Settings) -> Option<Self> {
-        (settings.level() >= DISRUPTION_LEVEL).then(Self::default)
+    pub(crate) fn new(settings: &Settings, now_ms: u64) -> Option<Self> {
+        (settings.level() >= DISRUPTION_LEVEL).then(|| Self {
+            started_ms: now_ms,
+            ..Self::default()
+        })
     }
 }
 
--- a/crates/tidelatch-core/src/disruption/drain_records.rs
+++ b/crates/tidelatch-core/src/disruption/drain_records.rs
@@ -289,6 +289,11 @@
 
     /// Decides which machines a drain covers: those that are in the roster now.
     fn begin_drain(&mut self, rule: &DrainRule) -> bool {
+        let started_ms = self.disruption.as_ref().map_or(self.now.ms, |d| d.started_ms);
+        let ran_ms = self.now.ms.saturating_sub(started_ms);
+        if (ran_ms as f64) < rule.delay_s * 1000.0 {
+            return false;
+        }
         let mut targets = MachineSet::default();
         let machines = self.machines.iter().filter(|(_, m)| !m.gone && !m.retiring);
         for (id, _) in machines.filter(|(_, m)| rule.selects(&m.model, &m.zone, m.spot)) {
--- a/crates/tidelatch-core/src/settings/disruption.rs
+++ b/crates/tidelatch-core/src/settings/disruption.rs
@@ -11,8 +11,8 @@
 const MOST_UNITS: u32 = 100_000;
 /// Longest name of a drain.
 const MOST_NAME_BYTES: usize = 40;
-/// Longest patience with a task, in seconds: a day.
-const MOST_PATIENCE_S: f64 = 86_400.0;
+/// Longest patience with a task, and longest delay of a drain, in seconds: a day.
+const MOST_SECONDS: f64 = 86_400.0;
 
 /// Replicas of one service that may be away at a time where no budget is set.
 const DEFAULT_REPLICAS_OF_A_JOB: u32 = 1;
@@ -83,6 +83,10 @@
     /// Seconds for which a task of an array or a gang is waited for where waiting costs less than an interruption.
     #[schemars(range(min = 0.0, max = 86_400.0))]
     pub patience_s: f64,
+    /// Seconds for which a leader has to have run before it begins the drain: time for the other controllers to get the
+    /// same settings.
+    #[schemars(range(min = 0.0, max = 86_400.0))]
+    pub delay_s: f64,
 }
 
 impl Default for DrainRule {
@@ -95,6 +99,7 @@
             surge: 1,
             max_machines: 1,
             patience_s: 600.0,
+            delay_s: 0.0,
         }
     }
 }
@@ -181,8 +186,10 @@
         if self.surge > 1_000 {
             add("surge", "must lie between 0 and 1000");
         }
-        if !(0.0..=MOST_PATIENCE_S).contains(&self.patience_s) {
-            add("patience_s", "must lie between 0 and 86400");
+        for (field, seconds) in [("patience_s", self.patience_s), ("delay_s", self.delay_s)] {
+            if !(0.0..=MOST_SECONDS).contains(&seconds) {
+                add(field, "must lie between 0 and 86400");
+            }
         }
         if self.machine_type.as_ref().is_some_and(String::is_empty) {
             add("machine_type", "must not be empty");
--- a/crates/tidelatch-core/tests/settings.rs
+++ b/crates/tidelatch-core/tests/settings.rs
@@ -197,6 +197,10 @@
         drain(json!({ "name": "d", "patience_s": -1.0 })),
         ["disruption.drains[0].patience_s"]
     );
+    assert_eq!(
+        drain(json!({ "name": "d", "delay_s": 1e9 })),
+        ["disruption.drains[0].delay_s"]
+    );
     let twice = json!({ "drains": [{ "name": "d" }, { "name": "d" }] });
     assert_eq!(disruption_faults(twice), ["disruption.drains[1].name"]);
 }
--- a/crates/tidelatch-standin/src/loopback/controllers.rs
+++ b/crates/tidelatch-standin/src/loopback/controllers.rs
@@ -63,6 +63,8 @@
     between: BTreeMap<(usize, usize), Proxy>,
     to_state: Vec<Proxy>,
     directory: PathBuf,
+    program: PathBuf,
+    configs: Vec<String>,
 }
 
 /// A port that is free now.
@@ -70,6 +72,10 @@
     TcpListener::bind(("127.0.0.1", 0))?.local_addr()
 }
 
+fn operator_path(directory: &Path) -> PathBuf {
+    directory.join("operator.json")
+}
+
 fn name(index: usize) -> String {
     format!("berth-{index}")
 }
@@ -83,8 +89,7 @@
     pub fn start(program: &Path, operator: &str, count: usize, services: &Services) -> io::Result<Self> {
         let directory = std::env::temp_dir().join(format!("tidelatch-loopback-{}", std::process::id()));
         fs::create_dir_all(&directory)?;
-        let operator_file = directory.join("operator.json");
-        fs::write(&operator_file, operator)?;
+        fs::write(operator_path(&directory), operator)?;
         let addresses = (0..count)
             .map(|_| free_address())
             .collect::<io::Result<Vec<SocketAddr>>>()?;
@@ -97,6 +102,8 @@
             between: BTreeMap::new(),
             to_state: Vec::new(),
             directory,
+            program: program.to_owned(),
+            configs: Vec::new(),
         };
         for from in 0..count {
             controllers.to_state.push(Proxy::start(services.state)?);
@@ -107,7 +114,8 @@
         }
         for (index, peer) in peers.iter().enumerate() {
             let config = controllers.config(index, *peer, services);
-            let process = controllers.spawn(program, &operator_file, index, &config)?;
+            controllers.configs.push(config);
+            let process = controllers.spawn(index)?;
             controllers.processes.push(process);
         }
         let named = controllers.addresses.iter().enumerate();
@@ -119,15 +127,17 @@
         }
     }
 
-    fn spawn(&self, program: &Path, operator: &Path, index: usize, config: &str) -> io::Result<Process> {
+    fn spawn(&self, index: usize) -> io::Result<Process> {
         let config_file = self.directory.join(format!("{}.toml", name(index)));
+        let config = self.configs.get(index).ok_or(io::ErrorKind::NotFound)?;
         fs::write(&config_file, config)?;
-        let log = File::create(self.log_path(index))?;
-        let child = Command::new(program)
+        // A controller that begins again goes on with its log.
+        let log = File::options().create(true).append(true).open(self.log_path(index))?;
+        let child = Command::new(&self.program)
             .args(["serve", "--config"])
             .arg(config_file)
             .arg("--operator")
-            .arg(operator)
+            .arg(operator_path(&self.directory))
             .env("LOG_LEVEL", "info")
             .stderr(log)
             .stdout(Stdio::null())
@@ -135,6 +145,45 @@
         Ok(Process { child })
     }
 
+    /// From its next start on, each controller has these settings of the operators'.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written.
+    pub fn set_operator(&self, operator: &str) -> io::Result<()> {
+        fs::write(operator_path(&self.directory), operator)
+    }
+
+    /// Kills a controller.
+    ///
+    /// # Errors
+    ///
+    /// It has ended by itself.
+    pub fn kill(&mut self, index: usize) -> io::Result<()> {
+        let process = self.processes.get_mut(index).ok_or(io::ErrorKind::NotFound)?;
+        process.child.kill()?;
+        process.child.wait()?;
+        Ok(())
+    }
+
+    /// Starts a controller that was killed.
+    ///
+    /// # Errors
+    ///
+    /// The process does not start.
+    pub fn restart(&mut self, index: usize) -> io::Result<()> {
+        let process = self.spawn(index)?;
+        *self.processes.get_mut(index).ok_or(io::ErrorKind::NotFound)? = process;
+        Ok(())
+    }
+
+    /// A controller alone loses the state service.
+    pub fn cut_from_state(&self, index: usize) {
+        if let Some(proxy) = self.to_state.get(index) {
+            proxy.cut();
+        }
+    }
+
     fn config(&self, index: usize, peer: SocketAddr, services: &Services) -> String {
         let count = self.addresses.len();
         let address = self.addresses.get(index).map_or_else(String::new, ToString::to_string);
--- a/crates/tidelatch-standin/src/loopback/mod.rs
+++ b/crates/tidelatch-standin/src/loopback/mod.rs
@@ -17,6 +17,7 @@
 pub use recorder::{Breach, Recorder};
 pub use services::Services;
 pub use users::Users;
+pub use workers::ReplicaEvent;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
--- a/crates/tidelatch-standin/src/loopback/services.rs
+++ b/crates/tidelatch-standin/src/loopback/services.rs
@@ -1,7 +1,7 @@
 //! State service and cloud on 127.0.0.1, and the machines that the cloud rents.
 
 use super::http::{Handler, Request, Response, serve};
-use super::workers::{Fleet, start_worker};
+use super::workers::{Fleet, ReplicaEvent, start_worker};
 use super::{Clock, Recorder, lock};
 use crate::cloud::Cloud;
 use crate::state::{Said, Store};
@@ -16,6 +16,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// Boot time of machines.
 const BOOT_MS: u64 = 200;
+/// Most machines at a time.
+const MOST_MACHINES: usize = 40;
 
 /// The services round the controllers.
 #[derive(Clone)]
@@ -73,6 +75,38 @@
             .unwrap_or(0)
     }
 
+    /// The number of the controller that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let store = lock(&self.store);
+        let name = store.get("t/c/leader")?["name"].as_str()?.to_owned();
+        name.strip_prefix("berth-")?.parse().ok()
+    }
+
+    /// The number of the controller that owns a team.
+    pub fn owner_of_team(&self, team: usize) -> Option<usize> {
+        let store = lock(&self.store);
+        let owner = store.get("t/c/epoch")?["parts"][team]["owner"].as_str()?.to_owned();
+        owner.strip_prefix("berth-")?.parse().ok()
+    }
+
+    /// A drain as stored.
+    pub fn drain(&self, name: &str) -> Option<serde_json::Value> {
+        lock(&self.store).get(&format!("t/d/{name}")).cloned()
+    }
+
+    /// The machines in the stored roster.
+    pub fn roster(&self) -> Vec<String> {
+        let store = lock(&self.store);
+        let groups = store.keys("t/m/");
+        let machines = groups.iter().filter_map(|key| store.get(key)?["m"].as_object());
+        machines.flat_map(|machines| machines.keys().cloned()).collect()
+    }
+
+    /// What replicas of services have run where, in order.
+    pub fn replica_history(&self) -> Vec<ReplicaEvent> {
+        self.fleet.history()
+    }
+
     /// Number of tasks of a job that run.
     pub fn running(&self, job: &str) -> usize {
         self.fleet.running(job)
@@ -122,7 +156,9 @@
 }
 
 fn cloud_handler(fleet: Arc<Fleet>) -> Handler {
-    let cloud = Mutex::new(Cloud::default());
+    let mut cloud = Cloud::default();
+    cloud.most = MOST_MACHINES;
+    let cloud = Mutex::new(cloud);
     Arc::new(move |request| {
         let mut cloud = lock(&cloud);
         let (status, body, rented) = cloud.request(&request.method, &request.path, &request.body);
--- a/crates/tidelatch-standin/src/loopback/workers.rs
+++ b/crates/tidelatch-standin/src/loopback/workers.rs
@@ -27,6 +27,30 @@
     pub(super) jobs: Mutex<BTreeMap<String, Value>>,
     pub(super) recorder: Arc<Mutex<Recorder>>,
     workers: Mutex<BTreeMap<String, Worker>>,
+    /// What has run where, in order.
+    history: Mutex<Vec<ReplicaEvent>>,
+}
+
+/// Something that happened to replicas of services.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReplicaEvent {
+    /// From a moment on these run, each on a machine.
+    Running {
+        /// Milliseconds since the beginning.
+        at_ms: u64,
+        /// The replicas and their machines.
+        replicas: BTreeMap<String, String>,
+    },
+    /// A worker's session ends, and with it what it ran.
+    SessionEnded {
+        /// Its machine.
+        machine: String,
+    },
+    /// A controller returns a machine.
+    Deleted {
+        /// The machine.
+        machine: String,
+    },
 }
 
 impl Fleet {
@@ -37,9 +61,19 @@
             jobs: Mutex::default(),
             recorder: Arc::default(),
             workers: Mutex::default(),
+            history: Mutex::default(),
         }
     }
 
+    /// What has run where, in order.
+    pub(super) fn history(&self) -> Vec<ReplicaEvent> {
+        lock(&self.history).clone()
+    }
+
+    fn note(&self, event: ReplicaEvent) {
+        lock(&self.history).push(event);
+    }
+
     pub(super) fn running(&self, job: &str) -> usize {
         let workers = lock(&self.workers);
         let tasks = workers.values().flat_map(|worker| &worker.tasks);
@@ -54,6 +88,11 @@
     /// Machines that a controller has returned are gone with all that is on them.
     pub(super) fn remove_deleted(&self, deleted: &BTreeSet<String>) {
         for name in deleted {
+            if !lock(&self.workers).contains_key(name) {
+                continue;
+            }
+            let machine = name.clone();
+            self.note(ReplicaEvent::Deleted { machine });
             self.change(name, |worker, _| worker.tasks.clear());
             lock(&self.workers).remove(name);
         }
@@ -75,6 +114,11 @@
         for replica in before.difference(&after) {
             recorder.replica_stops(now_ms, replica, name);
         }
+        if before != after {
+            let replicas = all_replicas(&workers, &jobs);
+            let at_ms = now_ms;
+            self.note(ReplicaEvent::Running { at_ms, replicas });
+        }
         Some(result)
     }
 
@@ -83,6 +127,8 @@
         let now_ms = self.clock.now_ms();
         let finished = self.change(name, |worker, jobs| {
             if now_ms > worker.answered + WORKER_LEASE_MS {
+                let machine = name.to_owned();
+                self.note(ReplicaEvent::SessionEnded { machine });
                 worker.next_session(now_ms);
             }
             let pace = Pace {
@@ -191,6 +237,16 @@
     running.map(|((task, _), _)| task).filter(of_service).cloned().collect()
 }
 
+/// All replicas of services that run, each with its machine.
+fn all_replicas(workers: &BTreeMap<String, Worker>, jobs: &BTreeMap<String, Value>) -> BTreeMap<String, String> {
+    let mut replicas = BTreeMap::new();
+    for worker in workers.values() {
+        let running = running_replicas(worker, jobs).into_iter();
+        replicas.extend(running.map(|replica| (replica, worker.name.clone())));
+    }
+    replicas
+}
+
 /// A machine boots; its worker runs until the machine is deleted.
 pub(super) fn start_worker(fleet: &Arc<Fleet>, name: String, zone: String, spot: bool, boot: Duration) {
     let fleet = fleet.clone();
--- a/crates/tidelatch-standin/tests/drains.rs
+++ b/crates/tidelatch-standin/tests/drains.rs
@@ -214,6 +214,18 @@
     }
 }
 
+#[test]
+fn a_drain_with_a_delay_begins_when_the_leader_has_run_for_that_long() {
+    let mut deployment = Deployment::start(3);
+    let drain = json!({ "name": "all", "surge": 1, "max_machines": 3, "delay_s": 60.0 });
+    deployment.restart_all(&with_drain(&drain));
+    deployment.run(59_000);
+    assert_eq!(deployment.head("all"), None);
+    deployment.run(3_000);
+    assert!(deployment.head("all").is_some(), "{}", deployment.trace());
+    deployment.assert_ends("all", "delay");
+}
+
 #[test]
 fn two_drains_over_the_same_machines_end() {
     let mut deployment = Deployment::start(3);
--- a/crates/tidelatch-standin/tests/drains_under_faults.rs
+++ b/crates/tidelatch-standin/tests/drains_under_faults.rs
@@ -121,21 +121,41 @@
 // Several tests, so that they run beside each other.
 
 #[test]
-fn no_budget_is_exceeded_and_each_drain_ends_seeds_1_to_50() {
-    play_all(1..51);
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_1_to_25() {
+    play_all(1..26);
 }
 
 #[test]
-fn no_budget_is_exceeded_and_each_drain_ends_seeds_51_to_100() {
-    play_all(51..101);
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_26_to_50() {
+    play_all(26..51);
 }
 
 #[test]
-fn no_budget_is_exceeded_and_each_drain_ends_seeds_101_to_150() {
-    play_all(101..151);
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_51_to_75() {
+    play_all(51..76);
 }
 
 #[test]
-fn no_budget_is_exceeded_and_each_drain_ends_seeds_151_to_200() {
-    play_all(151..201);
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_76_to_100() {
+    play_all(76..101);
+}
+
+#[test]
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_101_to_125() {
+    play_all(101..126);
+}
+
+#[test]
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_126_to_150() {
+    play_all(126..151);
+}
+
+#[test]
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_151_to_175() {
+    play_all(151..176);
+}
+
+#[test]
+fn no_budget_is_exceeded_and_each_drain_ends_seeds_176_to_200() {
+    play_all(176..201);
 }
--- /dev/null
+++ b/crates/tidelatch/tests/drain_loopback.rs
@@ -0,0 +1,229 @@
+//! Four real controllers on 127.0.0.1 drain twelve workers, while the leader is killed, a team's owner is frozen, another
+//! is cut from the state service, and one is killed right after a permit. A recorder that shares no code with the
+//! controllers judges by the order of events.
+
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use tidelatch_standin::loopback::{Breach, CONTROLLER_LEASE_MS, Clock, Controllers, ReplicaEvent, Services, Users};
+use tidelatch_standin::{InterruptionRecorder, job};
+
+const CONTROLLERS: usize = 4;
+const REPLICAS: u32 = 3;
+/// Workers at the beginning: two replicas share a machine.
+const WORKERS: usize = 12;
+/// Time for what must come about on any machine that can run the tests.
+const PATIENCE: Duration = Duration::from_secs(120);
+/// Seconds from the submission of an array to its deadline.
+const DEADLINE_S: f64 = 90.0;
+
+struct Deployment {
+    services: Services,
+    controllers: Controllers,
+    users: Users,
+    next_job: u32,
+    replicas: Vec<(usize, String)>,
+    arrays: Vec<(String, Instant)>,
+    /// Arrays that their users were told are done, with the time that it took.
+    done: Vec<(String, Duration)>,
+}
+
+impl Deployment {
+    fn start() -> Self {
+        let services = Services::start(Clock::start()).expect("the stand-ins listen");
+        let program = Path::new(env!("CARGO_BIN_EXE_tidelatch"));
+        let operator = include_str!("../../../deploy/disruption.json");
+        let controllers =
+            Controllers::start(program, operator, CONTROLLERS, &services).expect("the controllers come up");
+        let users = Users::start(&controllers.addresses, &services);
+        Self {
+            services,
+            controllers,
+            users,
+            next_job: 1,
+            replicas: Vec::new(),
+            arrays: Vec::new(),
+            done: Vec::new(),
+        }
+    }
+
+    fn submit(&mut self, team: usize, shape: &str, tasks: u32) -> String {
+        let mut body: Value = job(self.next_job, team as u32, shape, tasks);
+        if shape == "sweep" {
+            body["dueS"] = json!(DEADLINE_S);
+        }
+        self.next_job += 1;
+        assert!(self.users.submit(&self.services, &body), "{}", self.controllers.logs());
+        body["uid"].as_str().expect("an id").to_owned()
+    }
+
+    fn submit_arrays(&mut self) {
+        for team in 0..CONTROLLERS {
+            let array = self.submit(team, "sweep", 2);
+            self.arrays.push((array, Instant::now()));
+        }
+    }
+
+    fn note_done(&mut self) {
+        let (users, done) = (&self.users, &mut self.done);
+        self.arrays.retain(|(array, submitted)| {
+            let is_done = users.is_done(array);
+            if is_done {
+                done.push((array.clone(), submitted.elapsed()));
+            }
+            !is_done
+        });
+    }
+
+    fn wait_for(&mut self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let deadline = Instant::now() + PATIENCE;
+        while !holds(self) {
+            let state = || format!("{}\n{}", self.services.describe(), self.controllers.logs());
+            assert!(Instant::now() < deadline, "{what} did not come about:\n{}", state());
+            self.note_done();
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn says(&self, text: &str) -> usize {
+        (0..CONTROLLERS)
+            .map(|i| self.controllers.log(i).matches(text).count())
+            .sum()
+    }
+
+    fn all_run(&self) -> bool {
+        let runs = |(_, job): &(usize, String)| self.services.running(job) == REPLICAS as usize;
+        self.replicas.iter().all(runs)
+    }
+
+    fn is_drained(&self) -> bool {
+        self.services.drain("all").is_some_and(|head| head["done"] == true)
+    }
+
+    /// Waits for the next permit that is used, and returns the controller that used it.
+    fn next_permit(&mut self) -> usize {
+        let count = |d: &Self, i: usize| d.controllers.log(i).matches("permit used").count();
+        let before: Vec<usize> = (0..CONTROLLERS).map(|i| count(self, i)).collect();
+        let used = |d: &Self| (0..CONTROLLERS).find(|i| count(d, *i) > before[*i]);
+        self.wait_for("a permit", |d| used(d).is_some());
+        used(self).expect("a permit was used")
+    }
+
+    /// Machines that controllers gave up on evidence: what ran there was not stopped by choice.
+    fn given_up(&self) -> BTreeSet<String> {
+        let logs = self.controllers.logs();
+        let lines = logs.lines().filter(|line| line.contains("giving it up"));
+        let machines = lines.filter_map(|line| line.split_whitespace().find(|word| word.starts_with("n-")));
+        machines
+            .map(|machine| machine.trim_end_matches(':').to_owned())
+            .collect()
+    }
+
+    /// All events in their order, judged against budgets of one replica for each team.
+    fn judge(&self) -> InterruptionRecorder {
+        let given_up = self.given_up();
+        let mut recorder = InterruptionRecorder::new(CONTROLLER_LEASE_MS);
+        for team in 0..CONTROLLERS {
+            let of_team = self.replicas.iter().filter(|(t, _)| *t == team);
+            let jobs: Vec<&str> = of_team.map(|(_, job)| job.as_str()).collect();
+            recorder.limit(&format!("team-{team}"), &jobs, 1);
+        }
+        for event in self.services.replica_history() {
+            match event {
+                ReplicaEvent::Running { at_ms, replicas } => recorder.sample(at_ms, replicas),
+                ReplicaEvent::SessionEnded { machine } => recorder.session_lost(&machine),
+                ReplicaEvent::Deleted { machine } if given_up.contains(&machine) => recorder.session_lost(&machine),
+                ReplicaEvent::Deleted { .. } => {}
+            }
+        }
+        recorder
+    }
+}
+
+#[test]
+fn twelve_workers_are_drained_within_budgets_while_controllers_are_killed_frozen_and_cut_off() {
+    let mut deployment = Deployment::start();
+    for team in 0..CONTROLLERS {
+        for _ in 0..2 {
+            let job = deployment.submit(team, "standing", REPLICAS);
+            deployment.replicas.push((team, job));
+        }
+    }
+    deployment.wait_for("all replicas run", Deployment::all_run);
+    let before: BTreeSet<String> = deployment.services.roster().into_iter().collect();
+    assert!(before.len() >= WORKERS, "{before:?}");
+
+    // All controllers begin again, with the drain in their settings.
+    let mut operator: Value = serde_json::from_str(include_str!("../../../deploy/disruption.json")).expect("JSON");
+    operator["disruption"]["drains"] =
+        json!([{ "name": "all", "machine_type": "m2", "surge": 2, "max_machines": 3, "patience_s": 30.0 }]);
+    deployment
+        .controllers
+        .set_operator(&operator.to_string())
+        .expect("it is written");
+    for index in 0..CONTROLLERS {
+        deployment.controllers.kill(index).expect("it runs");
+        deployment.controllers.restart(index).expect("it starts");
+    }
+    deployment.next_permit();
+    deployment.submit_arrays();
+
+    // The leader is killed.
+    let epoch = deployment.services.epoch();
+    let leader = deployment.services.leader().expect("there is a leader");
+    deployment.controllers.kill(leader).expect("it runs");
+    deployment.wait_for("a take-over", |d| d.services.epoch() > epoch);
+    deployment.controllers.restart(leader).expect("it starts");
+    deployment.next_permit();
+
+    // A team's owner is frozen past its lease, and resumed.
+    let epoch = deployment.services.epoch();
+    let owner = deployment.services.owner_of_team(1).expect("it has an owner");
+    deployment.controllers.processes[owner].freeze().expect("it runs");
+    deployment.wait_for("a take-over", |d| d.services.epoch() > epoch);
+    deployment.submit_arrays();
+    deployment.controllers.processes[owner].resume().expect("it runs");
+    deployment.next_permit();
+
+    // An owner of machines is cut from the state service.
+    let epoch = deployment.services.epoch();
+    let owner = deployment.services.owner_of_team(2).expect("it has an owner");
+    deployment.controllers.cut_from_state(owner);
+    deployment.wait_for("a take-over", |d| d.services.epoch() > epoch);
+    deployment.controllers.heal();
+
+    // Another one is killed right after a permit.
+    let used = deployment.next_permit();
+    deployment.controllers.kill(used).expect("it runs");
+    deployment.submit_arrays();
+    std::thread::sleep(Duration::from_millis(CONTROLLER_LEASE_MS));
+    deployment.controllers.restart(used).expect("it starts");
+
+    deployment.wait_for("the end of the drain", Deployment::is_drained);
+    deployment.wait_for("all replicas run again", Deployment::all_run);
+    deployment.wait_for("the end of all arrays", |d| d.arrays.is_empty());
+
+    let after: BTreeSet<String> = deployment.services.roster().into_iter().collect();
+    assert!(before.is_disjoint(&after), "{before:?} {after:?}");
+    let recorder = deployment.judge();
+    assert_eq!(recorder.excesses(), [], "{}", deployment.controllers.logs());
+    let replicas = 2 * CONTROLLERS * REPLICAS as usize;
+    assert!(
+        recorder.interruptions().len() >= replicas,
+        "{:?}",
+        recorder.interruptions()
+    );
+    let late: Vec<_> = deployment
+        .done
+        .iter()
+        .filter(|(_, time)| time.as_secs_f64() > DEADLINE_S)
+        .collect();
+    assert!(late.is_empty(), "{late:?}\n{}", deployment.controllers.logs());
+    let twice = |breach: &&Breach| !matches!(breach, Breach::WatchGap { .. });
+    let answers = deployment.services.recorder();
+    let answers = answers.lock().expect("no thread has failed");
+    let twice: Vec<&Breach> = answers.breaches().iter().filter(twice).collect();
+    assert!(twice.is_empty(), "{twice:?}\n{}", deployment.controllers.logs());
+    assert!(deployment.says("permit used") >= replicas);
+}
