--- a/crates/tidelatch-core/src/capacity/digests.rs
+++ b/crates/tidelatch-core/src/capacity/digests.rs
@@ -58,7 +58,7 @@
                 }
                 let ran_s = h.running_since.map_or(0.0, |t| now.saturating_sub(t) as f64 / 1000.0);
                 // Whoever has run for longer than expected is expected to need a part of that again.
-                let left_s = (self.learned.run_s(&job.spec) - ran_s).max(0.3 * ran_s);
+                let left_s = (self.estimates.run_s(&job.spec) - ran_s).max(0.3 * ran_s);
                 Some((if h.stop.is_some() { 0.0 } else { left_s }, h.size))
             })
             .collect();
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -51,7 +51,7 @@
     pub(crate) limits: Limits,
     pub(crate) admission: Admission,
     pub(crate) batch_due: Option<u64>,
-    pub(crate) learned: EstimateCorrections,
+    pub(crate) estimates: EstimateCorrections,
     /// Jobs that a slice of the search left out, with what they would need, until when.
     pub(crate) resting: BTreeMap<JobId, (Option<UnplacedTasks>, u64)>,
     /// By team, room under its limit that is kept for one task of production work that found no machine.
@@ -116,7 +116,7 @@
             },
             admission: Admission::new(&settings),
             batch_due: None,
-            learned: EstimateCorrections::default(),
+            estimates: EstimateCorrections::default(),
             resting: BTreeMap::new(),
             kept_room: BTreeMap::new(),
             guaranteed: BTreeSet::new(),
--- a/crates/tidelatch-core/src/machine_view/reports.rs
+++ b/crates/tidelatch-core/src/machine_view/reports.rs
@@ -440,7 +440,8 @@
                 let own = |job: &&Job| self.acting(job.partition).is_some();
                 if let Some(job) = self.jobs.get(&task.job).filter(own) {
                     if let Some(began) = began.filter(|_| job.spec.shape != Shape::Service) {
-                        self.learned.note(&job.spec, now.saturating_sub(began) as f64 / 1000.0);
+                        self.estimates
+                            .note(&job.spec, now.saturating_sub(began) as f64 / 1000.0);
                     }
                     self.note_success(&task.job, id);
                     self.task_done(task);
--- a/crates/tidelatch-core/src/queue.rs
+++ b/crates/tidelatch-core/src/queue.rs
@@ -5,8 +5,10 @@
 mod emptying;
 mod limits;
 mod placing;
+mod preemption;
 mod ranking;
-mod room;
+mod spreading;
+mod victims;
 
 pub use ranking::{Claim, EstimateCorrections, next_in_turn, starved_s, urgency};
 
--- a/crates/tidelatch-core/src/queue/collecting.rs
+++ b/crates/tidelatch-core/src/queue/collecting.rs
@@ -29,7 +29,7 @@
         let mut waiting = Vec::new();
         let mut without_room: BTreeMap<usize, Amounts> = BTreeMap::new();
         let mut over_limit = Vec::new();
-        let learned = &self.learned;
+        let estimates = &self.estimates;
         let objectives = &self.settings.platform.facts.objectives;
         for (id, job) in &mut self.jobs {
             if job.partition != partition || !job.startable(now.ms) || self.resting.contains_key(id) {
@@ -59,7 +59,7 @@
             let slack_s = job
                 .spec
                 .deadline_s
-                .map_or(f64::MAX, |d| d - age_s - learned.run_s(&job.spec));
+                .map_or(f64::MAX, |d| d - age_s - estimates.run_s(&job.spec));
             if most == 0 && job.spec.priority >= Priority::Prod && job.waiting_count() > 0 {
                 without_room.entry(team).or_insert(size);
                 if job.spec.shape != Shape::Gang && !job.failures.is_suspected() {
@@ -96,7 +96,7 @@
                 }
             }
             waiting.push(Waiting {
-                work_s: f64::from(job.waiting_count()) * learned.run_s(&job.spec),
+                work_s: f64::from(job.waiting_count()) * estimates.run_s(&job.spec),
                 small: 1.0,
                 starved,
                 id: id.clone(),
--- a/crates/tidelatch-core/src/queue/limits.rs
+++ b/crates/tidelatch-core/src/queue/limits.rs
@@ -1,6 +1,6 @@
 //! Room under a team's own limit: its work of lower priority is stopped for its production work.
 
-use super::room::{StopOrder, Victim, Yard};
+use super::victims::{CandidateMachine, StopOrder, Victim, add, subtract};
 use crate::capacity::UnplacedTasks;
 use crate::controller::Controller;
 use crate::ids::{JobId, Partition};
@@ -47,7 +47,7 @@
 
 /// The machines and what could be stopped there, with the room that is left under the teams' limits.
 struct Search<'a> {
-    yards: &'a mut Vec<Yard>,
+    machines: &'a mut Vec<CandidateMachine>,
     left: Vec<Amounts>,
     looks: usize,
 }
@@ -62,7 +62,7 @@
         partition: Partition,
         over_limit: &[OverLimit],
         room: &[Amounts],
-        yards: &mut Option<Vec<Yard>>,
+        machines: &mut Option<Vec<CandidateMachine>>,
     ) -> Vec<UnplacedTasks> {
         // A machine that has not reported counts as full of each team: no team is known to be at its limit.
         if over_limit.is_empty() || self.unconfirmed(partition) > 0 {
@@ -70,7 +70,7 @@
         }
         let patience = 3 * self.settings.report_ms();
         let mut search = Search {
-            yards: yards.get_or_insert_with(|| self.yards(partition, patience)),
+            machines: machines.get_or_insert_with(|| self.candidate_machines(partition, patience)),
             left: self.with_room_to_come(room, partition, patience),
             looks: 0,
         };
@@ -141,7 +141,7 @@
         let Some(mut room) = self.left.get(team).copied() else {
             return false;
         };
-        let victims = self.yards.iter().flat_map(|y| &y.victims);
+        let victims = self.machines.iter().flat_map(|y| &y.victims);
         for v in victims.filter(|v| yields_to(v, team)) {
             add(&mut room, &v.size);
         }
@@ -154,7 +154,7 @@
         let own = self.own_work(terms.team);
         let mut best: Option<Plan> = None;
         let mut with_room = false;
-        for (machine, y) in self.yards.iter().enumerate() {
+        for (machine, y) in self.machines.iter().enumerate() {
             if !terms.admits(&y.model, &y.zone, y.spot) {
                 continue;
             }
@@ -179,7 +179,7 @@
     fn own_work(&self, team: usize) -> Vec<Candidate> {
         let mut own: Vec<Candidate> = Vec::new();
         let mut gangs: BTreeMap<JobId, usize> = BTreeMap::new();
-        for (machine, y) in self.yards.iter().enumerate() {
+        for (machine, y) in self.machines.iter().enumerate() {
             for (i, v) in y.victims.iter().enumerate().filter(|(_, v)| yields_to(v, team)) {
                 let of_gang = gangs.get(&v.task.job).and_then(|at| own.get_mut(*at));
                 if let Some(gang) = of_gang.filter(|_| v.gang) {
@@ -201,7 +201,7 @@
         let mut gangs: BTreeSet<JobId> = BTreeSet::new();
         let mut stops = Vec::new();
         for (machine, i) in &plan.victims {
-            let Some(y) = self.yards.get_mut(*machine) else {
+            let Some(y) = self.machines.get_mut(*machine) else {
                 continue;
             };
             let Some(v) = y.victims.get_mut(*i) else { continue };
@@ -217,16 +217,15 @@
             }
         }
         // With a gang's task go all others of the gang, wherever they are.
-        for y in self.yards.iter_mut().filter(|_| !gangs.is_empty()) {
-            for v in y.victims.iter_mut().filter(|v| gangs.contains(&v.task.job)) {
-                v.taken = true;
-                add(&mut y.free, &v.size);
-                if let Some(left) = self.left.get_mut(v.team) {
+        let Self { machines, left, .. } = self;
+        for y in machines.iter_mut().filter(|_| !gangs.is_empty()) {
+            y.take_gangs(&gangs, |v| {
+                if let Some(left) = left.get_mut(v.team) {
                     add(left, &v.size);
                 }
-            }
+            });
         }
-        if let Some(y) = self.yards.get_mut(plan.machine) {
+        if let Some(y) = self.machines.get_mut(plan.machine) {
             subtract(&mut y.free, &terms.size);
             *terms.in_zone.entry(y.zone.clone()).or_default() += 1;
         }
@@ -262,8 +261,8 @@
 }
 
 /// What could be stopped on a machine, what loses least first, or the team's own work before others'.
-fn here(machine: usize, yard: &Yard, team: usize, own_first: bool) -> Vec<Candidate> {
-    let victims = yard.victims.iter().enumerate();
+fn here(machine: usize, candidates: &CandidateMachine, team: usize, own_first: bool) -> Vec<Candidate> {
+    let victims = candidates.victims.iter().enumerate();
     let lower = victims.filter(|(_, v)| !v.taken && v.priority < Priority::Prod);
     let mut here: Vec<(bool, Candidate)> = lower
         .map(|(i, v)| (own_first && v.team != team, candidate((machine, i), v)))
@@ -337,11 +336,3 @@
 fn is_met(need: &Amounts) -> bool {
     need.iter().all(|n| *n <= ROUNDING)
 }
-
-fn add(amounts: &mut Amounts, more: &Amounts) {
-    amounts.iter_mut().zip(more).for_each(|(a, m)| *a += m);
-}
-
-fn subtract(amounts: &mut Amounts, less: &Amounts) {
-    amounts.iter_mut().zip(less).for_each(|(a, l)| *a -= l);
-}
--- a/crates/tidelatch-core/src/queue/placing.rs
+++ b/crates/tidelatch-core/src/queue/placing.rs
@@ -137,7 +137,7 @@
             }
         }
         let mut wishes: BTreeMap<usize, UnplacedTasks> = BTreeMap::new();
-        let mut needy: Vec<usize> = Vec::new();
+        let mut without_machine: Vec<usize> = Vec::new();
         for (j, _) in &unplaced {
             let Some(terms) = jobs.get(*j) else { continue };
             // Beyond its team's limit more machines would not help.
@@ -147,7 +147,7 @@
             }
             left.iter_mut().zip(terms.size).for_each(|(l, s)| *l -= s);
             if !terms.gang {
-                needy.push(*j);
+                without_machine.push(*j);
             }
             let Some(w) = waiting.get(*j) else { continue };
             let zone = || self.gang_zone(terms, &slots);
@@ -160,9 +160,9 @@
                 })
                 .count += 1;
         }
-        let mut made = self.preempt(partition, &needy, &waiting, &jobs, &used);
-        let limited = self.yield_under_limits(partition, &over_limit, &room, &mut made.yards);
-        self.swap_replicas(partition, &made.stuck, &jobs, made.yards.unwrap_or_default());
+        let mut made = self.preempt(partition, &without_machine, &waiting, &jobs, &used);
+        let limited = self.yield_under_limits(partition, &over_limit, &room, &mut made.machines);
+        self.swap_replicas(partition, &made.stuck, &jobs, made.machines.unwrap_or_default());
         if *budget == 0 {
             // What found no machine rests for a while, so that the next slice gets to the others; its
             // wishes stand meanwhile.
@@ -356,7 +356,7 @@
             image_gb: spec.image_gb,
             guaranteed: self.guaranteed.contains(id),
             deadline_s: spec.deadline_s.unwrap_or(0.0),
-            estimate_s: self.learned.run_s(spec),
+            estimate_s: self.estimates.run_s(spec),
             rank: f64::from(spec.priority as u8) * 10.0 + urgency,
             service: spec.shape == Shape::Service,
             gang: spec.shape == Shape::Gang,
