--- a/crates/tidelatch-core/src/disruption/evictions.rs
+++ b/crates/tidelatch-core/src/disruption/evictions.rs
@@ -70,6 +70,7 @@
     }
 
     fn evict(&mut self, id: &MachineId, cause: Cause, denied: &mut BTreeSet<(String, String)>) {
+        self.stop_what_has_not_begun(id);
         let mut blocked = None;
         for leaving in self.leaving(id, cause) {
             let class = (leaving.team.clone(), leaving.class.clone());
@@ -90,6 +91,22 @@
         }
     }
 
+    /// Tasks of arrays that do not run yet leave at once: nothing is interrupted by that, and nothing lost.
+    fn stop_what_has_not_begun(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get(id) else { return };
+        let of_array = |task: &TaskId| {
+            self.jobs
+                .get(&task.job)
+                .is_some_and(|job| job.spec.shape == Shape::Array)
+        };
+        let begun = |held: &Held| held.running_since.is_some() || held.stop.is_some();
+        let waiting = m.held.iter().filter(|held| !begun(held) && of_array(&held.task));
+        let waiting: Vec<(TaskId, Attempt)> = waiting.map(|held| (held.task.clone(), held.attempt)).collect();
+        for (task, attempt) in waiting {
+            self.stop_held(id, &task, attempt);
+        }
+    }
+
     /// The tasks that are to leave a machine, in the order in which they do.
     fn leaving(&self, id: &MachineId, cause: Cause) -> Vec<Leaving> {
         let Some(m) = self.machines.get(id) else {
