4,000 machines: what a drain stores and what its steps cost, bounded by a test

Need: no cost of a drain may grow with the fleet for each machine. Change: a fleet of 600 and of 4,000 machines is drained, 32 at a time, in values of 2 KiB; taking a census counts as looks.

--- a/crates/tidelatch-core/src/disruption/exchange.rs
+++ b/crates/tidelatch-core/src/disruption/exchange.rs
@@ -67,6 +67,7 @@
             return None;
         }
         let census = self.census(&task.job)?;
+        self.evaluated += census.units();
         let request = PermitRequest {
             unit: wanted.unit.clone(),
             attempt: wanted.attempt,
--- a/crates/tidelatch-core/src/disruption/gate.rs
+++ b/crates/tidelatch-core/src/disruption/gate.rs
@@ -151,6 +151,7 @@
             .ok_or(Blocked::NoOwner)?;
         let first = candidates.first().ok_or(Blocked::NoOwner)?;
         let census = self.census(&first.task.job).ok_or(Blocked::NoOwner)?;
+        self.evaluated += census.units();
         let requests: Vec<PermitRequest> = candidates.iter().map(|candidate| candidate.request(&self.me)).collect();
         let (now_ms, valid_for_ms) = (self.now.ms, self.permit_ms());
         let ledger = self.disruption.as_mut().and_then(|d| d.ledgers.get_mut(&partition));
--- a/crates/tidelatch-disruption/src/census.rs
+++ b/crates/tidelatch-disruption/src/census.rs
@@ -114,6 +114,11 @@
         self.unaccounted
     }
 
+    /// Units of all jobs together: what taking the census cost.
+    pub fn units(&self) -> u64 {
+        self.jobs.values().map(|job| u64::from(job.size)).sum()
+    }
+
     /// A job.
     pub fn job(&self, name: &JobName) -> Option<&JobCensus> {
         self.jobs.get(name)
--- a/crates/tidelatch-standin/tests/scale.rs
+++ b/crates/tidelatch-standin/tests/scale.rs
@@ -1,6 +1,7 @@
 //! What grows with machines, tasks and jobs, as counts: never wall time.
 
-use serde_json::Value;
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use tidelatch_core::settings::Operator;
 use tidelatch_standin::{Size, World, job};
 
@@ -249,3 +250,78 @@
         assert!(costs.largest_value < 8 * 1024, "{costs:?}");
     }
 }
+
+/// What a drain of some machines of a fleet has cost, in counts.
+#[derive(Debug)]
+struct DrainCosts {
+    drained: usize,
+    changes: f64,
+    looks: f64,
+    stored_bytes: usize,
+    largest_value: usize,
+}
+
+/// A fleet with a service of 100 replicas for each 50 machines, of which 32 at a time are drained for 40 s.
+fn play_drain(machines: u32) -> DrainCosts {
+    const REPLICAS_PER_JOB: u32 = 100;
+    let drain = json!({ "name": "all", "surge": 32, "max_machines": 32, "delay_s": 100.0 });
+    let settings = json!({ "disruption": { "drains": [drain] } });
+    let operator: Operator = serde_json::from_value(settings).expect("in form");
+    let size = Size {
+        teams: 6,
+        guarantee: f64::from(machines),
+        limit: 2.0 * f64::from(machines),
+        write_rps: 120.0,
+        value_kb: 2.0,
+        ..Size::default()
+    };
+    let mut world = World::sized(&operator, size);
+    world.cloud.most = 2 * machines as usize;
+    world.run(3000);
+    let jobs = machines * 2 / REPLICAS_PER_JOB;
+    for i in 0..jobs {
+        let body = job(i, i % 6, "standing", REPLICAS_PER_JOB);
+        world.accepted(i as usize % 3, &body);
+    }
+    let replicas = (jobs * REPLICAS_PER_JOB) as usize;
+    let all_run = move |w: &World| (0..jobs).map(|i| w.running(&format!("job-{i:06}"))).sum::<usize>() == replicas;
+    assert!(
+        run_in_steps(&mut world, 95, all_run),
+        "{} machines up",
+        world.workers.len()
+    );
+    let before: BTreeSet<String> = world.roster().into_iter().collect();
+    world.run(100_000 - world.now);
+    let (changes, looks) = (world.sent.changes, world.evaluations());
+    world.run(40_000);
+    let after: BTreeSet<String> = world.roster().into_iter().collect();
+    let drained = before.difference(&after).count();
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let keys = world.store.keys("t/d/");
+    let sizes: Vec<usize> = keys
+        .iter()
+        .filter_map(|key| Some(world.store.get(key)?.to_string().len()))
+        .collect();
+    DrainCosts {
+        drained,
+        changes: (world.sent.changes - changes) as f64 / drained as f64,
+        looks: (world.evaluations() - looks) as f64 / drained as f64 / f64::from(machines),
+        stored_bytes: sizes.iter().sum(),
+        largest_value: sizes.into_iter().max().unwrap_or(0),
+    }
+}
+
+#[test]
+fn a_drain_of_four_thousand_machines_stores_little_and_costs_no_more_for_each_than_a_small_one() {
+    for machines in [600, 4_000] {
+        let costs = play_drain(machines);
+        println!("{machines} machines: {costs:?}");
+        assert!(costs.drained >= 10, "{costs:?}");
+        // Guard: a head for each machine that is done; its leaving, and the renting and coming up of replacements, of which
+        // more are under way than machines are done.
+        assert!(costs.changes < 6.0, "{costs:?}");
+        assert!(costs.looks < 20.0, "{costs:?}");
+        assert!(costs.stored_bytes < 3 * 1024, "{costs:?}");
+        assert!(costs.largest_value < 2 * 1024, "{costs:?}");
+    }
+}
