A permit whose holder ends without having heard of it is freed: test

Need: the guard that frees it was noticed by no test. Change: a test in which the answers with the permit are lost and the holder ends. Result: passes; without the guard it fails.

--- a/crates/tidelatch-standin/tests/drains_of_shared_machines.rs
+++ b/crates/tidelatch-standin/tests/drains_of_shared_machines.rs
@@ -284,3 +284,24 @@
     shared.world.start(0);
     shared.assert_ends("taken back");
 }
+
+#[test]
+fn a_permit_whose_holder_ends_without_having_heard_of_it_is_freed() {
+    let mut shared = with_shared_machine();
+    shared.drain(&drain_of_all());
+    shared.run(6_000);
+    // The machine's owner asks, the team's owner grants, and the answers are lost.
+    let team_owner = format!("berth-{}", shared.world.owner_of_team(shared.tenant_team));
+    let machine_owner = shared.world.owner_of_team(2);
+    let asker = format!("berth-{machine_owner}");
+    shared.world.meddle(move |message| {
+        let asks = message.from == asker && message.to == team_owner && message.what == "hello";
+        if asks { Delivery::AnswerLost } else { Delivery::Pass }
+    });
+    shared.run(15_000);
+    assert_eq!(shared.permitted_by_another(), 0, "{}", shared.world.trace());
+    shared.world.crash(machine_owner);
+    shared.world.calm();
+    // Guard: it would count as spent for ever, and the next owner of the machine would get no permit for that replica.
+    shared.assert_ends("its holder has ended");
+}
