--- a/crates/tidelatch-core/src/queue/placing.rs
+++ b/crates/tidelatch-core/src/queue/placing.rs
@@ -2,12 +2,14 @@
 
 use super::drawing::{Drawn, draw};
 use super::ranking::{BEGIN_WITHIN_S, Claim, urgency};
+use super::victims::{fits, subtract};
 use super::{Queued, Waiting};
 use crate::capacity::UnplacedTasks;
 use crate::controller::Controller;
 use crate::ids::{JobId, MachineId, Partition, TaskId};
 use crate::placement::{Amounts, Batch, JobTerms, Slot};
 use crate::protocol::{JobSpec, Priority, Shape};
+use crate::settings::Team;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Boot times of the slowest type for which a new service keeps to the zones that are cheap for it.
@@ -16,65 +18,118 @@
 /// Part of the four minutes after which machines are kept for a gang, and for which they are.
 const KEPT_PART: f64 = 0.25;
 
+/// How far the batches of a partition have come.
+struct BatchSearch {
+    /// By job, the first of its tasks that no batch has drawn.
+    next: Vec<usize>,
+    /// Jobs of which a task found no machine.
+    stuck: BTreeSet<usize>,
+    /// Tasks that found none, each with its job's place.
+    unplaced: Vec<(usize, u32)>,
+    claims: Vec<Claim>,
+}
+
 impl Controller {
     pub(super) fn place_partition(&mut self, partition: Partition, budget: &mut usize) -> Vec<UnplacedTasks> {
-        let teams = self.settings.platform.facts.teams.clone();
         let used = self.used_by_teams();
-        let limits: Vec<Amounts> = teams
-            .iter()
-            .map(|t| {
-                let cap = |v: f64| if v > 0.0 { v } else { f64::MAX };
-                [cap(t.cpus_max), cap(t.gpus_max), f64::MAX]
-            })
-            .collect();
-        let mut room: Vec<Amounts> = limits
-            .iter()
-            .zip(&used)
-            .map(|(l, u)| [l[0] - u[0], l[1] - u[1], l[2]])
-            .collect();
+        let mut room = self.room_under_limits(&used);
         let Queued { waiting, over_limit } = self.collect(partition, &room);
         if waiting.is_empty() && over_limit.is_empty() {
             return Vec::new();
         }
-        // Machines without room for the smallest of what waits need not be looked at: most are full.
+        let (ids, mut slots) = self.slots(partition, &self.least_size(&waiting));
+        let mut jobs = self.terms_of_waiting(partition, &waiting, &ids);
+        let mut search = BatchSearch {
+            next: vec![0; waiting.len()],
+            stuck: BTreeSet::new(),
+            unplaced: Vec::new(),
+            claims: self.claims(&used),
+        };
+        self.place_batches(
+            &mut search,
+            &waiting,
+            (&ids, &mut slots),
+            (&mut jobs, &mut room),
+            budget,
+        );
+        let BatchSearch { stuck, unplaced, .. } = search;
+        for (j, w) in waiting.iter().enumerate().filter(|(j, _)| stuck.contains(j)) {
+            if let Some(terms) = jobs.get(j).filter(|_| w.priority >= Priority::Prod) {
+                self.kept_room.entry(w.team).or_insert(terms.size);
+            }
+        }
+        let (mut wishes, without_machine) = self.wishes(partition, &unplaced, &waiting, &jobs, (&mut room, &slots));
+        let mut made = self.preempt(partition, &without_machine, &waiting, &jobs, &used);
+        let limited = self.yield_under_limits(partition, &over_limit, &room, &mut made.machines);
+        self.swap_replicas(partition, &made.stuck, &jobs, made.machines.unwrap_or_default());
+        if *budget == 0 {
+            // What found no machine rests for a while, so that the next slice gets to the others; its
+            // wishes stand meanwhile.
+            let until = self.now.ms + self.settings.batch_retry_ms();
+            for j in stuck {
+                if let Some(w) = waiting.get(j) {
+                    self.resting.insert(w.id.clone(), (wishes.remove(&j), until));
+                }
+            }
+        }
+        wishes.into_values().chain(limited).collect()
+    }
+
+    /// Room that is left under the teams' limits.
+    fn room_under_limits(&self, used: &[Amounts]) -> Vec<Amounts> {
+        let limit = |most: f64| if most > 0.0 { most } else { f64::MAX };
+        let teams = self.settings.platform.facts.teams.iter();
+        teams
+            .zip(used)
+            .map(|(team, used)| [limit(team.cpus_max) - used[0], limit(team.gpus_max) - used[1], f64::MAX])
+            .collect()
+    }
+
+    /// The least that any task takes: machines without room for that need not be looked at, and most are full.
+    fn least_size(&self, waiting: &[Waiting]) -> Amounts {
         let mut least = [f64::MAX; 3];
         for job in waiting.iter().filter_map(|w| self.jobs.get(&w.id)) {
+            let size = Self::size(&job.spec);
             least
                 .iter_mut()
-                .zip(Self::size(&job.spec))
-                .for_each(|(l, s)| *l = l.min(s));
+                .zip(size)
+                .for_each(|(least, size)| *least = least.min(size));
         }
-        let (ids, mut slots) = self.slots(partition, &least);
-        let mut claims: Vec<Claim> = teams
-            .iter()
-            .enumerate()
-            .map(|(i, t)| Claim {
-                used: used.get(i).map_or(0.0, |u| self.measure(i, u)),
-                share: if t.gpus > 0.0 || t.gpus_max > 0.0 {
-                    t.gpus.max(0.5)
-                } else {
-                    t.cpus.max(1.0)
-                },
-            })
-            .collect();
-        let mut jobs: Vec<JobTerms> = waiting
-            .iter()
-            .filter_map(|w| {
-                let mut terms = self.terms(&w.id, w.team, w.slack_s)?;
-                terms.rank = f64::from(w.priority as u8) * 10.0 + w.urgency;
-                Some(terms)
-            })
-            .collect();
+        least
+    }
+
+    /// What each team uses, and its share.
+    fn claims(&self, used: &[Amounts]) -> Vec<Claim> {
+        let teams = self.settings.platform.facts.teams.iter().enumerate();
+        let claim = |(i, team): (usize, &Team)| Claim {
+            used: used.get(i).map_or(0.0, |used| self.measure(i, used)),
+            share: if team.gpus > 0.0 || team.gpus_max > 0.0 {
+                team.gpus.max(0.5)
+            } else {
+                team.cpus.max(1.0)
+            },
+        };
+        teams.map(claim).collect()
+    }
+
+    /// The terms of all jobs that wait, and the machines that are barred to each.
+    fn terms_of_waiting(&mut self, partition: Partition, waiting: &[Waiting], ids: &[MachineId]) -> Vec<JobTerms> {
+        let terms = |w: &Waiting| {
+            let mut terms = self.terms(&w.id, w.team, w.slack_s)?;
+            terms.rank = f64::from(w.priority as u8) * 10.0 + w.urgency;
+            Some(terms)
+        };
+        let mut jobs: Vec<JobTerms> = waiting.iter().filter_map(terms).collect();
         for (w, terms) in waiting.iter().zip(jobs.iter_mut()).filter(|(_, t)| t.gang) {
-            self.bar_listed(&w.id, &ids, terms);
+            self.bar_listed(&w.id, ids, terms);
         }
         for (w, terms) in waiting.iter().zip(jobs.iter_mut()) {
-            terms.barred.extend(self.reserved_for_others(&w.id, &ids));
+            terms.barred.extend(self.reserved_for_others(&w.id, ids));
             if self.has_failures(&w.id) {
-                terms.barred.extend(self.failed_places(&w.id, &ids));
+                terms.barred.extend(self.failed_places(&w.id, ids));
             }
         }
-        if let Some((gang, machines)) = self.reserve(partition, &waiting, &jobs) {
+        if let Some((gang, machines)) = self.reserve(partition, waiting, &jobs) {
             let kept: BTreeSet<usize> = (0..ids.len())
                 .filter(|i| ids.get(*i).is_some_and(|m| machines.contains(m)))
                 .collect();
@@ -85,12 +140,21 @@
                 }
             }
         }
-        let mut next = vec![0usize; waiting.len()];
-        let mut stuck: BTreeSet<usize> = BTreeSet::new();
-        let mut unplaced: Vec<(usize, u32)> = Vec::new();
+        jobs
+    }
+
+    /// Draws and places batches, until nothing more can be placed or the budget is used up.
+    fn place_batches(
+        &mut self,
+        search: &mut BatchSearch,
+        waiting: &[Waiting],
+        (ids, slots): (&[MachineId], &mut Vec<Slot>),
+        (jobs, room): (&mut Vec<JobTerms>, &mut Vec<Amounts>),
+        budget: &mut usize,
+    ) {
         let size = self.settings.operator.batch_tasks as usize;
         loop {
-            let batch = draw(&waiting, &mut next, &stuck, &mut claims, &jobs, size);
+            let batch = draw(waiting, &mut search.next, &search.stuck, &mut search.claims, jobs, size);
             if batch.is_empty() {
                 break;
             }
@@ -102,24 +166,18 @@
             let moves = most.min(budget.saturating_sub(n * width) / width.max(1));
             *budget = budget.saturating_sub((n + moves) * width.max(4));
             self.evaluated += ((n + moves) * width) as u64;
-            let choices = Batch::new(&mut slots, &mut jobs, &mut room, &tasks)
+            let choices = Batch::new(slots, jobs, room, &tasks)
                 .guaranteed_first(first)
                 .place(moves);
             for (Drawn { job, index, .. }, choice) in batch.into_iter().zip(choices) {
-                match choice.and_then(|c| ids.get(c)) {
-                    Some(machine) => {
-                        if let Some(w) = waiting.get(job) {
-                            let task = TaskId {
-                                job: w.id.clone(),
-                                index,
-                            };
-                            self.book_start(&machine.clone(), task);
-                        }
-                    }
-                    None => {
-                        stuck.insert(job);
-                        unplaced.push((job, index));
-                    }
+                let Some(machine) = choice.and_then(|c| ids.get(c)) else {
+                    search.stuck.insert(job);
+                    search.unplaced.push((job, index));
+                    continue;
+                };
+                if let Some(w) = waiting.get(job) {
+                    let job = w.id.clone();
+                    self.book_start(machine, TaskId { job, index });
                 }
             }
             if *budget == 0 {
@@ -127,30 +185,37 @@
             }
         }
         // Tasks of jobs that stuck wait too, even if no batch drew them; their room is limited.
-        for (j, w) in waiting.iter().enumerate().filter(|(j, _)| stuck.contains(j)) {
-            let from = next.get(j).copied().unwrap_or(0);
-            unplaced.extend(w.tasks.iter().skip(from).map(|i| (j, *i)));
-        }
-        for (j, w) in waiting.iter().enumerate().filter(|(j, _)| stuck.contains(j)) {
-            if let Some(terms) = jobs.get(j).filter(|_| w.priority >= Priority::Prod) {
-                self.kept_room.entry(w.team).or_insert(terms.size);
-            }
+        for (j, w) in waiting.iter().enumerate().filter(|(j, _)| search.stuck.contains(j)) {
+            let from = search.next.get(j).copied().unwrap_or(0);
+            search.unplaced.extend(w.tasks.iter().skip(from).map(|i| (j, *i)));
         }
+    }
+
+    /// Wishes for machines for tasks that found none, by job; and the jobs of those tasks, gangs left out, one entry for
+    /// each task.
+    fn wishes(
+        &self,
+        partition: Partition,
+        unplaced: &[(usize, u32)],
+        waiting: &[Waiting],
+        jobs: &[JobTerms],
+        (room, slots): (&mut [Amounts], &[Slot]),
+    ) -> (BTreeMap<usize, UnplacedTasks>, Vec<usize>) {
         let mut wishes: BTreeMap<usize, UnplacedTasks> = BTreeMap::new();
         let mut without_machine: Vec<usize> = Vec::new();
-        for (j, _) in &unplaced {
+        for (j, _) in unplaced {
             let Some(terms) = jobs.get(*j) else { continue };
             // Beyond its team's limit more machines would not help.
             let Some(left) = room.get_mut(terms.team) else { continue };
-            if !terms.size.iter().zip(left.iter()).all(|(s, l)| *s <= l + 1e-6) {
+            if !fits(&terms.size, left) {
                 continue;
             }
-            left.iter_mut().zip(terms.size).for_each(|(l, s)| *l -= s);
+            subtract(left, &terms.size);
             if !terms.gang {
                 without_machine.push(*j);
             }
             let Some(w) = waiting.get(*j) else { continue };
-            let zone = || self.gang_zone(terms, &slots);
+            let zone = || self.gang_zone(terms, slots);
             wishes
                 .entry(*j)
                 .or_insert_with(|| {
@@ -160,20 +225,7 @@
                 })
                 .count += 1;
         }
-        let mut made = self.preempt(partition, &without_machine, &waiting, &jobs, &used);
-        let limited = self.yield_under_limits(partition, &over_limit, &room, &mut made.machines);
-        self.swap_replicas(partition, &made.stuck, &jobs, made.machines.unwrap_or_default());
-        if *budget == 0 {
-            // What found no machine rests for a while, so that the next slice gets to the others; its
-            // wishes stand meanwhile.
-            let until = self.now.ms + self.settings.batch_retry_ms();
-            for j in stuck {
-                if let Some(w) = waiting.get(j) {
-                    self.resting.insert(w.id.clone(), (wishes.remove(&j), until));
-                }
-            }
-        }
-        wishes.into_values().chain(limited).collect()
+        (wishes, without_machine)
     }
 
     /// Machines that are kept for a gang which waits for too long: small jobs would else take what becomes
