--- a/crates/tidelatch-standin/tests/drains.rs
+++ b/crates/tidelatch-standin/tests/drains.rs
@@ -5,7 +5,8 @@
 use drain_support::{DRAIN_MS, Deployment, LEASE_MS, operator, with_drain};
 use serde_json::{Value, json};
 use tidelatch_core::settings::Operator;
-use tidelatch_standin::{Excess, InterruptionRecorder, faults};
+use tidelatch_standin::support::is_done;
+use tidelatch_standin::{Delivery, Excess, InterruptionRecorder, faults};
 
 fn all_machines() -> Value {
     json!({ "name": "all", "machine_type": "m2", "surge": 1, "max_machines": 2 })
@@ -372,3 +373,56 @@
         }]
     );
 }
+
+#[test]
+fn a_drain_whose_head_was_written_without_an_answer_goes_on() {
+    let mut deployment = Deployment::start(3);
+    let mut lost = 0;
+    deployment.world.meddle(move |message| {
+        let writes_head = message.what == "POST /txn" && message.body.contains("t/d/all\"") && lost < 3;
+        if writes_head {
+            lost += 1;
+            Delivery::AnswerLost
+        } else {
+            Delivery::Pass
+        }
+    });
+    deployment.restart_all(&with_drain(&all_machines()));
+    // Guard: its leader would write the beginning again for ever, which can only fail.
+    deployment.assert_ends("all", "answers lost");
+}
+
+#[test]
+fn a_replacement_is_kept_for_what_leaves_the_drained_machine() {
+    let mut deployment = Deployment::start(3);
+    let rules = json!({
+        "budgets": [{ "team": "team-1", "classes": ["c"], "max_unavailable": 0 }],
+        "drains": [{ "name": "all", "surge": 9, "max_machines": 9 }],
+    });
+    deployment.restart_all(&operator(&rules));
+    let ready = |d: &Deployment| d.says("berth-1: n-") > 0 && d.says("replacement is ready") >= 9;
+    assert!(deployment.run_until(60_000, ready), "{}", deployment.trace());
+    let of_team: Vec<String> = deployment
+        .trace()
+        .lines()
+        .filter(|line| line.contains("berth-1: ") && line.contains("replacement is ready"))
+        .filter_map(|line| Some(line.split(['(', ')']).nth(1)?.to_owned()))
+        .collect();
+    assert_eq!(of_team.len(), 3, "{}", deployment.trace());
+    // The budget lets nothing leave: the replacements stay empty, whatever else the team runs.
+    deployment.submit_array(501, 1, 8);
+    assert!(
+        deployment.run_until(90_000, |d| is_done(&d.world, "job-000501")),
+        "{}",
+        deployment.trace()
+    );
+    for machine in of_team {
+        assert_eq!(
+            deployment.says(&format!("{machine} starts")),
+            0,
+            "{machine}: {}",
+            deployment.trace()
+        );
+    }
+    deployment.assert_within_budgets("kept");
+}
