--- a/crates/tidelatch-standin/tests/scale.rs
+++ b/crates/tidelatch-standin/tests/scale.rs
@@ -175,20 +175,10 @@
     })
 }
 
-/// Rents a fleet for services that fill it, lets the owner of a partition end, and then a third of the machines.
-fn play_fleet(machines: u32) -> FleetCosts {
+/// Rents a fleet for services that fill it, within some seconds, and returns whether all of their replicas run.
+fn rent_fleet(world: &mut World, machines: u32, seconds: u32) -> impl Fn(&World) -> bool + use<> {
     const REPLICAS_PER_JOB: u32 = 100;
-    let mut world = World::sized(
-        &Operator::default(),
-        Size {
-            teams: 6,
-            guarantee: f64::from(machines),
-            limit: 2.0 * f64::from(machines),
-            write_rps: 120.0,
-            ..Size::default()
-        },
-    );
-    // As many again are there to be rented in the place of those that are lost.
+    // As many again are there to be rented in the place of those that are lost or drained.
     world.cloud.most = 2 * machines as usize;
     world.run(3000);
     let jobs = machines * 2 / REPLICAS_PER_JOB;
@@ -199,10 +189,26 @@
     let replicas = (jobs * REPLICAS_PER_JOB) as usize;
     let all_run = move |w: &World| (0..jobs).map(|i| w.running(&format!("job-{i:06}"))).sum::<usize>() == replicas;
     assert!(
-        run_in_steps(&mut world, 600, all_run),
+        run_in_steps(world, seconds, &all_run),
         "{} machines up",
         world.workers.len()
     );
+    all_run
+}
+
+/// Rents a fleet for services that fill it, lets the owner of a partition end, and then a third of the machines.
+fn play_fleet(machines: u32) -> FleetCosts {
+    let mut world = World::sized(
+        &Operator::default(),
+        Size {
+            teams: 6,
+            guarantee: f64::from(machines),
+            limit: 2.0 * f64::from(machines),
+            write_rps: 120.0,
+            ..Size::default()
+        },
+    );
+    let all_run = rent_fleet(&mut world, machines, 600);
     let per_machine = |count: u64| count as f64 / f64::from(machines);
     let changes_to_rent = per_machine(world.sent.changes);
     let cloud_calls_to_rent = world.sent.cloud_calls;
@@ -221,7 +227,7 @@
         world.cloud.machines.remove(name);
     }
     world.run(1);
-    assert!(run_in_steps(&mut world, 600, all_run), "replicas are missing");
+    assert!(run_in_steps(&mut world, 600, &all_run), "replicas are missing");
     assert!(world.broken.is_empty(), "{:?}", world.broken);
     let keys = world.store.keys("t/");
     let sizes = keys.iter().filter_map(|key| world.store.get(key));
@@ -263,7 +269,6 @@
 
 /// A fleet with a service of 100 replicas for each 50 machines, of which 32 at a time are drained for 40 s.
 fn play_drain(machines: u32) -> DrainCosts {
-    const REPLICAS_PER_JOB: u32 = 100;
     let drain = json!({ "name": "all", "surge": 32, "max_machines": 32, "delay_s": 100.0 });
     let settings = json!({ "disruption": { "drains": [drain] } });
     let operator: Operator = serde_json::from_value(settings).expect("in form");
@@ -276,20 +281,7 @@
         ..Size::default()
     };
     let mut world = World::sized(&operator, size);
-    world.cloud.most = 2 * machines as usize;
-    world.run(3000);
-    let jobs = machines * 2 / REPLICAS_PER_JOB;
-    for i in 0..jobs {
-        let body = job(i, i % 6, "standing", REPLICAS_PER_JOB);
-        world.accepted(i as usize % 3, &body);
-    }
-    let replicas = (jobs * REPLICAS_PER_JOB) as usize;
-    let all_run = move |w: &World| (0..jobs).map(|i| w.running(&format!("job-{i:06}"))).sum::<usize>() == replicas;
-    assert!(
-        run_in_steps(&mut world, 95, all_run),
-        "{} machines up",
-        world.workers.len()
-    );
+    rent_fleet(&mut world, machines, 95);
     let before: BTreeSet<String> = world.roster().into_iter().collect();
     world.run(100_000 - world.now);
     let (changes, looks) = (world.sent.changes, world.evaluations());
