--- a/crates/tidelatch-standin/tests/scale.rs
+++ b/crates/tidelatch-standin/tests/scale.rs
@@ -176,7 +176,7 @@
 }
 
 /// Rents a fleet for services that fill it, within some seconds, and returns whether all of their replicas run.
-fn rent_fleet(world: &mut World, machines: u32, seconds: u32) -> impl Fn(&World) -> bool + use<> {
+fn rent_fleet(world: &mut World, machines: u32, seconds: u32) -> impl Fn(&World) -> bool + Copy + use<> {
     const REPLICAS_PER_JOB: u32 = 100;
     // As many again are there to be rented in the place of those that are lost or drained.
     world.cloud.most = 2 * machines as usize;
@@ -189,7 +189,7 @@
     let replicas = (jobs * REPLICAS_PER_JOB) as usize;
     let all_run = move |w: &World| (0..jobs).map(|i| w.running(&format!("job-{i:06}"))).sum::<usize>() == replicas;
     assert!(
-        run_in_steps(world, seconds, &all_run),
+        run_in_steps(world, seconds, all_run),
         "{} machines up",
         world.workers.len()
     );
@@ -227,7 +227,7 @@
         world.cloud.machines.remove(name);
     }
     world.run(1);
-    assert!(run_in_steps(&mut world, 600, &all_run), "replicas are missing");
+    assert!(run_in_steps(&mut world, 600, all_run), "replicas are missing");
     assert!(world.broken.is_empty(), "{:?}", world.broken);
     let keys = world.store.keys("t/");
     let sizes = keys.iter().filter_map(|key| world.store.get(key));
@@ -281,9 +281,10 @@
         ..Size::default()
     };
     let mut world = World::sized(&operator, size);
-    rent_fleet(&mut world, machines, 95);
+    let all_run = rent_fleet(&mut world, machines, 95);
     let before: BTreeSet<String> = world.roster().into_iter().collect();
     world.run(100_000 - world.now);
+    assert!(all_run(&world), "replicas are missing before the drain");
     let (changes, looks) = (world.sent.changes, world.evaluations());
     world.run(40_000);
     let after: BTreeSet<String> = world.roster().into_iter().collect();
