Loopback controllers listen on ports that systems do not hand out by themselves

The stand-in chose ports that the system hands out by itself, let go of them, and started its proxies, which may get the same ones. Change: ports below that range, none given twice by a process; so none is taken while a controller is restarted, either.

--- a/crates/tidelatch-standin/src/loopback/controllers.rs
+++ b/crates/tidelatch-standin/src/loopback/controllers.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 /// Time within which a controller must come up.
@@ -67,9 +68,26 @@
     configs: Vec<String>,
 }
 
-/// A port that is free now.
+/// Ports for controllers: below those that systems hand out by themselves. One of those could be given to a proxy or to
+/// an outgoing connection before its controller listens on it, or while its controller is being restarted.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+
+/// How many ports of this process have been tried.
+static TRIED_PORTS: AtomicU16 = AtomicU16::new(0);
+
+/// An address that nobody listens on now. Processes begin at different ports, and no process gives one twice.
 fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+    let begin = u64::from(std::process::id()) * 64;
+    for _ in 0..PORTS {
+        let tried = TRIED_PORTS.fetch_add(1, Ordering::SeqCst);
+        let offset = (begin + u64::from(tried)) % u64::from(PORTS);
+        let port = FIRST_PORT + u16::try_from(offset).unwrap_or(0);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
 }
 
 fn operator_path(directory: &Path) -> PathBuf {
