Review, case 1: a repeated start runs a task twice after its machine was lent and returned

Cause: hand-overs of a machine drop what direct commands started there, so the attempt is forgotten at once when the machine comes back, and a repeat of the command starts it again under the same token. Change: a script with stand-ins (state service, cloud, workers, users) that starts three controllers by the deploy file; nothing of the service is changed.

--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,212 @@
+//! The cases.
+
+use crate::json::Json;
+use crate::machines::Fleet;
+use crate::platform::{CANCEL_S, Controllers, Users, job, wait};
+use crate::record::Record;
+use crate::store::Store;
+use std::path::PathBuf;
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// Latest end of a case.
+const LIMIT_S: f64 = 112.0;
+
+struct Deployment {
+    controllers: Controllers,
+    users: Users,
+    fleet: Fleet,
+    record: Record,
+}
+
+type Outcome = Result<(), String>;
+
+fn deploy(root: PathBuf, record: &Record, capacity: &[(&str, usize)], boot_s: f64) -> Result<Deployment, String> {
+    let io = |e: std::io::Error| e.to_string();
+    let (state, _store) = Store::start().map_err(io)?;
+    let (cloud, fleet) = Fleet::start(record, capacity, boot_s).map_err(io)?;
+    let controllers = Controllers::start(root, record, state, cloud).map_err(io)?;
+    let named = controllers.addresses.iter().enumerate().map(|(n, a)| (format!("berth-{n}"), *a));
+    fleet.set_nodes(named.collect());
+    let users = Users { nodes: controllers.addresses.clone(), fleet: fleet.clone(), record: record.clone() };
+    if !controllers.healthy(20.0) {
+        return Err("the controllers are not healthy".to_owned());
+    }
+    Ok(Deployment { controllers, users, fleet, record: record.clone() })
+}
+
+pub fn play(case: &str, root: PathBuf, record: &Record, trouble: bool) -> Outcome {
+    let mut deployment = match case {
+        "1" => deploy(root, record, &[("quay", 2)], 21.0)?,
+        "2" => deploy(root, record, &[("quay", 3)], 21.0)?,
+        "3" => deploy(root, record, &[("quay", 1)], 21.0)?,
+        _ => return Err(format!("no case {case}")),
+    };
+    let outcome = match case {
+        "1" => ran_twice(&mut deployment, trouble),
+        "2" => hang(&mut deployment, trouble),
+        _ => handed(&mut deployment, trouble),
+    };
+    deployment.controllers.stop();
+    outcome
+}
+
+fn id(job: &Json) -> String {
+    job.get("uid").str().to_owned()
+}
+
+fn first_task(job: &Json) -> String {
+    format!("{}/0", id(job))
+}
+
+impl Deployment {
+    fn fail(&self, what: &str) -> Outcome {
+        Err(format!("{what}, after {:.0} s", self.record.seconds()))
+    }
+
+    fn submit(&self, job: &Json) -> Outcome {
+        if self.users.submit(job) { Ok(()) } else { self.fail(&format!("{} was not accepted", id(job))) }
+    }
+
+    /// Waits until a task is on a machine other than `not`, and returns the machine.
+    fn placed(&self, task: &str, not: &str, within_s: f64) -> Result<String, String> {
+        let find = || self.record.machines_of(task).into_iter().find(|m| m != not);
+        if !wait(within_s, || find().is_some()) {
+            return Err(format!("{task} was not started, after {:.0} s", self.record.seconds()));
+        }
+        Ok(find().unwrap_or_default())
+    }
+
+    /// Runs a short task, so that a machine is up and idle. What is started there next goes by direct command.
+    fn warm_up(&self) -> Outcome {
+        let short = job(900, 0, "sweep", 1, [20.0, 1.0, 54.0], 1.0);
+        self.submit(&short)?;
+        self.placed(&first_task(&short), "", 60.0)?;
+        let task = first_task(&short);
+        if !wait(10.0, || self.record.machines_of(&task).is_empty()) {
+            return self.fail("the first task did not end");
+        }
+        sleep(Duration::from_millis(1500));
+        Ok(())
+    }
+
+    fn left(&self) -> f64 {
+        (LIMIT_S - self.record.seconds()).max(0.0)
+    }
+}
+
+/// A machine goes to another team's controller and back, which forgets what direct commands started there. Then the
+/// controller ends, and the network repeats one of them.
+fn ran_twice(d: &mut Deployment, trouble: bool) -> Outcome {
+    let replay = job(1, 0, "sweep", 1, [10.0, 1.0, 54.0], 600.0);
+    let watch = job(2, 0, "standing", 1, [16.0, 2.0, 86.0], 0.0);
+    d.warm_up()?;
+    d.submit(&replay)?;
+    let task = first_task(&replay);
+    let first = d.placed(&task, "", 60.0)?;
+    let run = *d.fleet.runs(&first, &task).first().ok_or("no attempt")?;
+    // Production work of the same team stops it there, and it goes on elsewhere.
+    d.submit(&watch)?;
+    let on = d.placed(&first_task(&watch), "", 30.0)?;
+    let second = d.placed(&task, &first, 60.0)?;
+    if on != first {
+        return d.fail("the service did not take the first machine");
+    }
+    d.users.cancel(&id(&watch), 0);
+    // Short work of another team takes the first machine, then short work of the first team again.
+    let mut number = 10;
+    for crew in [1, 0] {
+        let mut borrowed = false;
+        while !borrowed && d.left() > 15.0 {
+            number += 1;
+            let short = job(number, crew, "sweep", 1, [20.0, 1.0, 54.0], 1.0);
+            d.submit(&short)?;
+            borrowed = d.placed(&first_task(&short), "", 30.0)? == first;
+            wait(10.0, || d.record.machines_of(&first_task(&short)).is_empty());
+        }
+    }
+    let forgotten = wait(15.0f64.min(d.left()), || d.fleet.with(&first, |m| !m.lists(&task, run)).unwrap_or(false));
+    d.record.log(format!("{first} lists {task} run {run}: {}; it runs on {second}", !forgotten));
+    if trouble {
+        d.controllers.kill(0);
+        sleep(Duration::from_millis(300));
+        d.fleet.repeat_start(&first, &task, run).ok_or("the start was not sent by direct command")?;
+        sleep(Duration::from_millis(5700));
+        d.controllers.spawn(0).map_err(|e| e.to_string())?;
+    }
+    sleep(Duration::from_secs(4));
+    Ok(())
+}
+
+/// Jobs are cancelled, their machines hang, and the controller of their team ends and returns.
+fn hang(d: &mut Deployment, trouble: bool) -> Outcome {
+    let jobs: Vec<Json> = (1..=3).map(|n| job(n, 0, "sweep", 1, [16.0, 2.0, 86.0], 600.0)).collect();
+    for job in &jobs {
+        d.submit(job)?;
+    }
+    let mut machines = Vec::new();
+    for job in &jobs {
+        machines.push(d.placed(&first_task(job), "", 60.0)?);
+    }
+    sleep(Duration::from_secs(3));
+    if trouble {
+        machines.iter().for_each(|m| d.fleet.hang(m, 75.0));
+    }
+    let cancelled = Instant::now();
+    let users: Vec<_> = jobs
+        .iter()
+        .map(|job| {
+            let users = Users {
+                nodes: d.users.nodes.clone(),
+                fleet: d.fleet.clone(),
+                record: d.record.clone(),
+            };
+            let id = id(job);
+            spawn(move || users.cancel(&id, 0))
+        })
+        .collect();
+    for user in users {
+        if !user.join().unwrap_or(false) {
+            return d.fail("a job could not be cancelled");
+        }
+    }
+    let at = |s: f64| sleep(Duration::from_secs_f64(s).saturating_sub(cancelled.elapsed()));
+    if trouble {
+        at(12.0);
+        d.controllers.kill(0);
+        at(18.0);
+        d.controllers.spawn(0).map_err(|e| e.to_string())?;
+    }
+    at(CANCEL_S + 15.0);
+    Ok(())
+}
+
+/// A job is cancelled and its machine goes to another team's controller. Long after, the first controller ends, and the
+/// network repeats its command.
+fn handed(d: &mut Deployment, trouble: bool) -> Outcome {
+    d.warm_up()?;
+    let replay = job(1, 0, "sweep", 1, [10.0, 1.0, 54.0], 600.0);
+    d.submit(&replay)?;
+    let task = first_task(&replay);
+    let machine = d.placed(&task, "", 60.0)?;
+    let run = *d.fleet.runs(&machine, &task).first().ok_or("no attempt")?;
+    sleep(Duration::from_secs(1));
+    if !d.users.cancel(&id(&replay), 0) {
+        return d.fail("the job could not be cancelled");
+    }
+    let told = Instant::now();
+    let watch = job(2, 1, "standing", 1, [8.0, 1.0, 43.0], 0.0);
+    d.submit(&watch)?;
+    d.placed(&first_task(&watch), "", 30.0)?;
+    let until = Duration::from_secs_f64(CANCEL_S + 2.0);
+    sleep(until.saturating_sub(told.elapsed()));
+    if trouble {
+        d.controllers.kill(0);
+        sleep(Duration::from_millis(300));
+        d.fleet.repeat_start(&machine, &task, run).ok_or("the start was not sent by direct command")?;
+        sleep(Duration::from_millis(5700));
+        d.controllers.spawn(0).map_err(|e| e.to_string())?;
+    }
+    sleep(Duration::from_secs(4));
+    Ok(())
+}
