--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -2,8 +2,9 @@
 
 use crate::json::Json;
 use crate::machines::Fleet;
-use crate::platform::{CANCEL_S, Controllers, Users, job, wait};
+use crate::platform::{Controllers, Users, job, wait};
 use crate::record::Record;
+use crate::site::site;
 use crate::store::Store;
 use std::path::PathBuf;
 use std::thread::{sleep, spawn};
@@ -21,10 +22,10 @@
 
 type Outcome = Result<(), String>;
 
-fn deploy(root: PathBuf, record: &Record, capacity: &[(&str, usize)], boot_s: f64) -> Result<Deployment, String> {
+fn deploy(root: PathBuf, record: &Record, machines: usize) -> Result<Deployment, String> {
     let io = |e: std::io::Error| e.to_string();
     let (state, _store) = Store::start().map_err(io)?;
-    let (cloud, fleet) = Fleet::start(record, capacity, boot_s).map_err(io)?;
+    let (cloud, fleet) = Fleet::start(record, &[(site().zones[0], machines)]).map_err(io)?;
     let controllers = Controllers::start(root, record, state, cloud).map_err(io)?;
     let named = controllers.addresses.iter().enumerate().map(|(n, a)| (format!("berth-{n}"), *a));
     fleet.set_nodes(named.collect());
@@ -35,16 +36,28 @@
     Ok(Deployment { controllers, users, fleet, record: record.clone() })
 }
 
+/// The site whose figures a case has.
+pub fn site_of(case: &str) -> &'static str {
+    match case {
+        "cloud" | "flood" => "hanbit-railplan",
+        _ => "frostmark-yards",
+    }
+}
+
 pub fn play(case: &str, root: PathBuf, record: &Record, trouble: bool) -> Outcome {
     let mut deployment = match case {
-        "1" => deploy(root, record, &[("quay", 2)], 21.0)?,
-        "2" => deploy(root, record, &[("quay", 3)], 21.0)?,
-        "3" => deploy(root, record, &[("quay", 1)], 21.0)?,
+        "1" => deploy(root, record, 2)?,
+        "2" => deploy(root, record, 3)?,
+        "cloud" => deploy(root, record, 3)?,
+        "flood" => deploy(root, record, 1)?,
+        "3" => deploy(root, record, 1)?,
         _ => return Err(format!("no case {case}")),
     };
     let outcome = match case {
         "1" => ran_twice(&mut deployment, trouble),
         "2" => hang(&mut deployment, trouble),
+        "cloud" => cloud(&mut deployment, trouble),
+        "flood" => flood(&mut deployment, trouble),
         _ => handed(&mut deployment, trouble),
     };
     deployment.controllers.stop();
@@ -90,6 +103,28 @@
         Ok(())
     }
 
+    /// Cancels jobs at the same moment, and waits until their users are told.
+    fn cancel_now(&self, jobs: &[Json]) -> Outcome {
+        let users: Vec<_> = jobs
+            .iter()
+            .map(|job| {
+                let users = Users {
+                    nodes: self.users.nodes.clone(),
+                    fleet: self.fleet.clone(),
+                    record: self.record.clone(),
+                };
+                let id = id(job);
+                spawn(move || users.cancel(&id, 0))
+            })
+            .collect();
+        for user in users {
+            if !user.join().unwrap_or(false) {
+                return self.fail("a job could not be cancelled");
+            }
+        }
+        Ok(())
+    }
+
     fn left(&self) -> f64 {
         (LIMIT_S - self.record.seconds()).max(0.0)
     }
@@ -153,23 +188,7 @@
         machines.iter().for_each(|m| d.fleet.hang(m, 75.0));
     }
     let cancelled = Instant::now();
-    let users: Vec<_> = jobs
-        .iter()
-        .map(|job| {
-            let users = Users {
-                nodes: d.users.nodes.clone(),
-                fleet: d.fleet.clone(),
-                record: d.record.clone(),
-            };
-            let id = id(job);
-            spawn(move || users.cancel(&id, 0))
-        })
-        .collect();
-    for user in users {
-        if !user.join().unwrap_or(false) {
-            return d.fail("a job could not be cancelled");
-        }
-    }
+    d.cancel_now(&jobs)?;
     let at = |s: f64| sleep(Duration::from_secs_f64(s).saturating_sub(cancelled.elapsed()));
     if trouble {
         at(12.0);
@@ -177,7 +196,7 @@
         at(18.0);
         d.controllers.spawn(0).map_err(|e| e.to_string())?;
     }
-    at(CANCEL_S + 15.0);
+    at(site().cancel_s + 15.0);
     Ok(())
 }
 
@@ -198,7 +217,7 @@
     let watch = job(2, 1, "standing", 1, [8.0, 1.0, 43.0], 0.0);
     d.submit(&watch)?;
     d.placed(&first_task(&watch), "", 30.0)?;
-    let until = Duration::from_secs_f64(CANCEL_S + 2.0);
+    let until = Duration::from_secs_f64(site().cancel_s + 2.0);
     sleep(until.saturating_sub(told.elapsed()));
     if trouble {
         d.controllers.kill(0);
@@ -210,3 +229,49 @@
     sleep(Duration::from_secs(4));
     Ok(())
 }
+
+fn cloud(d: &mut Deployment, trouble: bool) -> Outcome {
+    let jobs: Vec<Json> = (1..=3).map(|n| job(n, 0, "sweep", 1, [40.0, 4.0, 200.0], 600.0)).collect();
+    for job in &jobs {
+        d.submit(job)?;
+    }
+    let mut machines = Vec::new();
+    for job in &jobs {
+        machines.push(d.placed(&first_task(job), "", 60.0)?);
+    }
+    sleep(Duration::from_secs(3));
+    if trouble {
+        machines.iter().for_each(|m| d.fleet.hang(m, 75.0));
+    }
+    let cancelled = Instant::now();
+    d.cancel_now(&jobs)?;
+    let at = |s: f64| sleep(Duration::from_secs_f64(s).saturating_sub(cancelled.elapsed()));
+    if trouble {
+        at(22.0);
+        d.fleet.set_down(true);
+        at(52.0);
+        d.fleet.set_down(false);
+    }
+    at(site().cancel_s + 10.0);
+    Ok(())
+}
+
+fn flood(d: &mut Deployment, _trouble: bool) -> Outcome {
+    let watch = job(2, 0, "standing", 1, [8.0, 1.0, 43.0], 0.0);
+    d.submit(&watch)?;
+    d.placed(&first_task(&watch), "", 60.0)?;
+    let mut j = job(1, 0, "sweep", 20000, [0.25, 0.0, 1.35], 4.0);
+    if let Json::Obj(f) = &mut j {
+        for (k, v) in f.iter_mut() {
+            match k.as_str() {
+                "crew" => *v = Json::text("port-link"),
+                "consist" => *v = Json::text("wagon-census"),
+                "precedence" => *v = Json::text("low"),
+                _ => {}
+            }
+        }
+    }
+    d.submit(&j)?;
+    sleep(Duration::from_secs(70));
+    Ok(())
+}
--- a/review/standin/machines.rs
+++ b/review/standin/machines.rs
@@ -4,19 +4,13 @@
 use crate::http::{self, Request, call, serve};
 use crate::json::Json;
 use crate::record::Record;
+use crate::site::site;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
-pub const REPORT_S: f64 = 2.5;
-pub const LEASE_S: f64 = 18.0;
-pub const MODEL: &str = "rack-cooler";
-const TYPE: [f64; 3] = [24.0, 2.0, 144.0];
-const BOOT_S: f64 = 35.0;
-const LIST_LAG_S: f64 = 8.0;
-const CLOUD_RPS: f64 = 4.0;
 /// What a worker waits for an answer.
 const ANSWER_S: f64 = 4.0;
 const STEP: Duration = Duration::from_millis(10);
@@ -80,7 +74,7 @@
         Json::obj(&[
             ("berth", Json::text(&self.name)),
             ("addr", Json::text(self.address.map_or(String::new(), |a| a.to_string()))),
-            ("model", Json::text(MODEL)),
+            ("model", Json::text(site().model)),
             ("yard", Json::text(&self.zone)),
             ("standby", Json::Bool(self.spot)),
             ("shift", Json::num(self.session)),
@@ -100,6 +94,8 @@
     next: usize,
     /// Calls left, and when that was so.
     rate: (f64, Instant),
+    /// The cloud's interface is down.
+    down: bool,
 }
 
 /// The cloud, its machines, and what their workers know.
@@ -120,7 +116,6 @@
     pub fn start(
         record: &Record,
         capacity: &[(&str, usize)],
-        boot_s: f64,
     ) -> std::io::Result<(SocketAddr, Fleet)> {
         let fleet = Fleet {
             cloud: Arc::new(Mutex::new(Cloud {
@@ -128,13 +123,14 @@
                 charters: BTreeMap::new(),
                 machines: BTreeMap::new(),
                 next: 0,
-                rate: (2.0 * CLOUD_RPS, Instant::now()),
+                rate: (2.0 * site().cloud_rps, Instant::now()),
+                down: false,
             })),
             nodes: Arc::default(),
             jobs: Arc::default(),
             results: Arc::default(),
             record: record.clone(),
-            boot_s,
+            boot_s: 0.6 * site().boot_s,
         };
         let serving = fleet.clone();
         let address = serve(Arc::new(move |request| {
@@ -157,6 +153,12 @@
         self.cloud.lock().unwrap()
     }
 
+    /// Begins or ends an outage of the cloud's interface.
+    pub fn set_down(&self, down: bool) {
+        self.record.log(format!("cloud: its interface is down: {down}"));
+        self.lock().down = down;
+    }
+
     /// Calls `read` with a machine.
     pub fn with<T>(&self, name: &str, read: impl FnOnce(&mut Machine) -> T) -> Option<T> {
         self.lock().machines.get_mut(name).map(read)
@@ -198,8 +200,12 @@
         {
             // Bursts worth two seconds are allowed.
             let mut cloud = self.lock();
+            if cloud.down {
+                return (503, Json::obj(&[("error", Json::text("trouble"))]).to_string());
+            }
             let (left, at) = cloud.rate;
-            let left = (left + (now - at).as_secs_f64() * CLOUD_RPS).min(2.0 * CLOUD_RPS);
+            let rps = site().cloud_rps;
+            let left = (left + (now - at).as_secs_f64() * rps).min(2.0 * rps);
             cloud.rate = (if left >= 1.0 { left - 1.0 } else { left }, now);
             if left < 1.0 {
                 return (429, "{}".to_owned());
@@ -211,15 +217,15 @@
             ("GET", "/machine_types") => {
                 let zones: Vec<Json> = self.lock().capacity.keys().map(Json::text).collect();
                 let model = Json::obj(&[
-                    ("label", Json::text(MODEL)),
-                    ("vcpus", Json::num(TYPE[0])),
-                    ("accelerators", Json::num(TYPE[1])),
-                    ("ramGb", Json::num(TYPE[2])),
-                    ("localGb", Json::num(120.0)),
+                    ("label", Json::text(site().model)),
+                    ("vcpus", Json::num(site().size[0])),
+                    ("accelerators", Json::num(site().size[1])),
+                    ("ramGb", Json::num(site().size[2])),
+                    ("localGb", Json::num(site().cache_gb)),
                     ("pullGbPerS", Json::num(1.0)),
-                    ("rate", Json::num(7.31)),
-                    ("marketPrice", Json::num(3.42)),
-                    ("startupS", Json::num(BOOT_S)),
+                    ("rate", Json::num(site().price[0])),
+                    ("marketPrice", Json::num(site().price[1])),
+                    ("startupS", Json::num(site().boot_s)),
                     ("yards", Json::Arr(zones)),
                 ]);
                 (200, Json::obj(&[("models", Json::Arr(vec![model]))]).to_string())
@@ -313,7 +319,7 @@
     fn list(&self, path: &str) -> String {
         let since = path.split("since=").nth(1).and_then(|s| s.split('&').next()).unwrap_or("");
         let cloud = self.lock();
-        let (now, lag) = (Instant::now(), secs(LIST_LAG_S));
+        let (now, lag) = (Instant::now(), secs(site().list_lag_s));
         let at_that_time = |m: &&Machine| now - m.created > lag && m.gone_at.is_none_or(|t| now - t < lag);
         let machines = cloud.machines.values().filter(at_that_time).filter(|m| m.name.as_str() > since);
         let berths = machines.map(|m| {
@@ -321,7 +327,7 @@
             Json::obj(&[
                 ("uid", Json::text(&m.name)),
                 ("addr", Json::text(m.address.map_or(String::new(), |a| a.to_string()))),
-                ("model", Json::text(MODEL)),
+                ("model", Json::text(site().model)),
                 ("yard", Json::text(&m.zone)),
                 ("standby", Json::Bool(m.spot)),
                 ("status", Json::text(if up { "running" } else { "starting" })),
@@ -360,7 +366,7 @@
             if m.hangs() {
                 return true;
             }
-            if now - m.lease_from > secs(LEASE_S) {
+            if now - m.lease_from > secs(site().lease_s) {
                 for ((task, run), a) in std::mem::take(&mut m.attempts) {
                     if a.state == "running" {
                         events.push((task, run, Some("the worker's lease has ended")));
@@ -487,7 +493,7 @@
             for ((task, _), _) in m.attempts.iter().filter(|(_, a)| a.state != "ended") {
                 used.iter_mut().zip(size(task)).for_each(|(u, s)| *u += s);
             }
-            let full = used.iter().zip(size(&key.0)).zip(TYPE).any(|((u, s), t)| u + s > t + 1e-6);
+            let full = used.iter().zip(size(&key.0)).zip(site().size).any(|((u, s), t)| u + s > t + 1e-6);
             let busy = m.attempts.iter().any(|((task, _), a)| *task == key.0 && a.state != "ended");
             let attempt = match known {
                 None => Attempt { state: "ended", cause: "no_such", next: None },
@@ -528,7 +534,7 @@
             number = number.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
             let part = (number >> 33) as f64 / (1u64 << 31) as f64;
             last = now;
-            due = now + secs(REPORT_S * (0.75 + 0.5 * part));
+            due = now + secs(site().report_s * (0.75 + 0.5 * part));
             if !self.report_once(name, now) {
                 due = Instant::now() + secs(1.0);
             }
@@ -545,6 +551,10 @@
         let Some((body, session, node)) = taken else { return true };
         let Some((_, address)) = nodes.get(node) else { return false };
         let answer = http::call(*address, "POST", "/agent/beat", &body, secs(ANSWER_S));
+        if answer.as_ref().map_or(0, |a| a.0) != 200 {
+            let status = answer.as_ref().map_or("no answer".to_owned(), |a| a.0.to_string());
+            self.record.log(format!("{name} reports {} bytes to berth-{node}: {status}", body.len()));
+        }
         while self.with(name, |m| m.hangs() && !m.is_gone()) == Some(true) {
             sleep(STEP);
         }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod machines;
 mod platform;
 mod record;
+mod site;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -19,7 +20,8 @@
     let (Some(case), Some(record)) = (arguments.get(1), arguments.get(2)) else { exit(2) };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let root = std::env::current_dir().unwrap_or_else(|_| PathBuf::from("."));
-    let Ok(record) = record::Record::new(Path::new(record), platform::CANCEL_S) else { exit(2) };
+    site::choose(cases::site_of(case));
+    let Ok(record) = record::Record::new(Path::new(record), site::site().cancel_s) else { exit(2) };
     record.log(format!("case {case}, trouble: {trouble}"));
     let outcome = cases::play(case, root, &record, trouble);
     let broken = record.broken_rules();
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -2,9 +2,9 @@
 
 use crate::http::call;
 use crate::json::Json;
-use crate::machines::{Fleet, LEASE_S, REPORT_S};
+use crate::machines::Fleet;
 use crate::record::Record;
-use crate::store::{RPS, TXN_OPS, VALUE_KB, WRITE_RPS};
+use crate::site::site;
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -12,10 +12,6 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-pub const CANCEL_S: f64 = 38.0;
-const ZONES: [&str; 3] = ["quay", "north", "annex"];
-const TEAMS: usize = 16;
-
 pub struct Controllers {
     folder: PathBuf,
     root: PathBuf,
@@ -36,7 +32,7 @@
 }
 
 pub fn team(number: usize) -> String {
-    format!("yard-crew-{number:02}")
+    format!("{}-{number:02}", site().team)
 }
 
 impl Controllers {
@@ -146,41 +142,42 @@
     state: SocketAddr,
     cloud: SocketAddr,
 ) -> String {
+    let site = site();
     let mut text = format!(
         "host_name = \"berth-{node}\"\narea = \"{}\"\napi_addr = \"{}\"\npeer_listen = \"{}\"\n",
-        ZONES[node], addresses[node], peers[node]
+        site.zones[node], addresses[node], peers[node]
     );
     for other in (0..3).filter(|other| *other != node) {
         text += &format!(
             "[[siblings]]\nhost_name = \"berth-{other}\"\narea = \"{}\"\naddress = \"{}\"\n",
-            ZONES[other], peers[other]
+            site.zones[other], peers[other]
         );
     }
     text += &format!("[outside]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n");
-    text += "[facts]\nnodes = 3\nzones = [\"annex\", \"north\", \"quay\"]\nskew_ms = 25.0\n";
-    for number in 0..TEAMS {
+    let zones = site.zones.map(|z| format!("\"{z}\"")).join(", ");
+    text += &format!("[facts]\nnodes = 3\nzones = [{zones}]\nskew_ms = {:?}\n", site.skew_ms);
+    for number in 0..site.teams {
         text += &format!(
-            "[[facts.teams]]\nname = \"{}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 4.0\ngpus_max = 12.0\n",
-            team(number)
+            "[[facts.teams]]\nname = \"{}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = {:?}\ngpus_max = {:?}\n",
+            team(number),
+            site.gpus,
+            site.gpus_max
         );
     }
-    for (kind, class, share, more) in [
-        ("wait", "reefer-vision", 0.85, "within_s = 10.0"),
-        ("deadline", "thaw-replay", 0.9, "times = 1.0"),
-        ("deadline", "thaw-replay", 0.9, "times = 1.5"),
-    ] {
-        text += &format!("[[facts.objectives]]\nkind = \"{kind}\"\nclass = \"{class}\"\nshare = {share:?}\n{more}\n");
+    if let Some(guests) = site.guests {
+        text += &format!("[[facts.teams]]\nname = \"{guests}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n");
     }
-    text += "[[facts.objectives]]\nkind = \"guarantee\"\nwithin_s = 10.0\nshare = 0.82\n";
+    text += site.objectives;
     text += &format!(
-        "[facts.workers]\nreport_s = {REPORT_S:?}\nlease_s = {LEASE_S:?}\ngang_wait_s = 35.0\ngang_peer_s = 5.0\n\
-         cancel_s = {CANCEL_S:?}\n"
+        "[facts.workers]\nreport_s = {:?}\nlease_s = {:?}\ngang_wait_s = {:?}\ngang_peer_s = {:?}\ncancel_s = {:?}\n",
+        site.report_s, site.lease_s, site.gang_s[0], site.gang_s[1], site.cancel_s
     );
     text += &format!(
-        "[facts.state]\nrps = {RPS:?}\nwrite_rps = {WRITE_RPS:?}\nvalue_kb = {VALUE_KB:?}\ntxn_ops = {TXN_OPS}\n"
+        "[facts.state]\nrps = {:?}\nwrite_rps = {:?}\nvalue_kb = {:?}\ntxn_ops = {}\n",
+        site.state_rps, site.write_rps, site.value_kb, site.txn_ops
     );
-    text += "[facts.cloud]\nrps = 4.0\nlist_lag_s = 8.0\n";
-    text += "[facts.machine_limits]\ncores = 0.064\nram_mb = 104.0\nsockets = 1800\n";
+    text += &format!("[facts.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n", site.cloud_rps, site.list_lag_s);
+    text += &format!("[facts.machine_limits]\ncores = {:?}\nram_mb = 104.0\nsockets = 1800\n", site.cores);
     text
 }
 
@@ -191,15 +188,15 @@
     pub record: Record,
 }
 
-/// A job as the operators' classes have them: `reefer-vision` (`standing`) or `thaw-replay` (`sweep`).
+/// A job of the site's first class (`standing`) or second class (`sweep`).
 pub fn job(number: u32, crew: usize, shape: &str, wagons: u32, size: [f64; 3], runtime_s: f64) -> Json {
     let service = shape == "standing";
     Json::obj(&[
         ("uid", Json::text(format!("job-{number:06}"))),
-        ("consist", Json::text(if service { "reefer-vision" } else { "thaw-replay" })),
+        ("consist", Json::text(site().classes[usize::from(!service)])),
         ("crew", Json::text(team(crew))),
         ("shape", Json::text(shape)),
-        ("precedence", Json::text(if service { "prod" } else { "low" })),
+        ("precedence", Json::text(if service { "prod" } else { site().array_priority })),
         ("wagons", Json::num(wagons)),
         ("vcpus", Json::num(size[0])),
         ("accelerators", Json::num(size[1])),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -2,16 +2,13 @@
 
 use crate::http::{Request, serve};
 use crate::json::Json;
+use crate::site::site;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-pub const RPS: f64 = 250.0;
-pub const WRITE_RPS: f64 = 60.0;
-pub const VALUE_KB: f64 = 32.0;
-pub const TXN_OPS: usize = 16;
 const KEPT_CHANGES: usize = 10_000;
 
 struct Entry {
@@ -75,8 +72,8 @@
             dropped_up_to: 0,
             leases: BTreeMap::new(),
             next_lease: 0,
-            requests: Rate::new(RPS),
-            writes: Rate::new(WRITE_RPS),
+            requests: Rate::new(site().state_rps),
+            writes: Rate::new(site().write_rps),
             down: false,
         }));
         let expiring = store.clone();
@@ -163,9 +160,9 @@
         if !self.writes.take(changes.len() as f64) {
             return error(429, "too many");
         }
-        let too_large = |c: &Json| c.get("value").to_string().len() as f64 > VALUE_KB * 1024.0;
-        if changes.len() > TXN_OPS
-            || conditions.len() > 4 * TXN_OPS
+        let too_large = |c: &Json| c.get("value").to_string().len() as f64 > site().value_kb * 1024.0;
+        if changes.len() > site().txn_ops
+            || conditions.len() > 4 * site().txn_ops
             || body.len() > 64 * 1024
             || changes.iter().any(too_large)
         {
