Review, case 2: a repeated roster transaction hides a lent machine from its owner

Cause: a new machine group is written on condition that there is no such key; once the group is deleted after a hand-over, a repeat of the write is carried out again and takes the machine back from its owner, whose takeover then starts its tasks a second time. Change: the scenario and its script; the hanging machines are case 3 now, the variant of case 1 and two other scenarios stay in the driver. Nothing of the service is changed.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -7,6 +7,7 @@
 use crate::site::site;
 use crate::store::Store;
 use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
     controllers: Controllers,
     users: Users,
     fleet: Fleet,
+    store: Arc<Mutex<Store>>,
     record: Record,
 }
 
@@ -24,16 +26,30 @@
 
 fn deploy(root: PathBuf, record: &Record, machines: usize) -> Result<Deployment, String> {
     let io = |e: std::io::Error| e.to_string();
-    let (state, _store) = Store::start().map_err(io)?;
+    let (state, store) = Store::start().map_err(io)?;
     let (cloud, fleet) = Fleet::start(record, &[(site().zones[0], machines)]).map_err(io)?;
     let controllers = Controllers::start(root, record, state, cloud).map_err(io)?;
-    let named = controllers.addresses.iter().enumerate().map(|(n, a)| (format!("berth-{n}"), *a));
+    let named = controllers
+        .addresses
+        .iter()
+        .enumerate()
+        .map(|(n, a)| (format!("berth-{n}"), *a));
     fleet.set_nodes(named.collect());
-    let users = Users { nodes: controllers.addresses.clone(), fleet: fleet.clone(), record: record.clone() };
+    let users = Users {
+        nodes: controllers.addresses.clone(),
+        fleet: fleet.clone(),
+        record: record.clone(),
+    };
     if !controllers.healthy(20.0) {
         return Err("the controllers are not healthy".to_owned());
     }
-    Ok(Deployment { controllers, users, fleet, record: record.clone() })
+    Ok(Deployment {
+        controllers,
+        users,
+        fleet,
+        store,
+        record: record.clone(),
+    })
 }
 
 /// The site whose figures a case has.
@@ -45,21 +61,22 @@
 }
 
 pub fn play(case: &str, root: PathBuf, record: &Record, trouble: bool) -> Outcome {
-    let mut deployment = match case {
-        "1" => deploy(root, record, 2)?,
-        "2" => deploy(root, record, 3)?,
-        "cloud" => deploy(root, record, 3)?,
-        "flood" => deploy(root, record, 1)?,
-        "3" => deploy(root, record, 1)?,
-        _ => return Err(format!("no case {case}")),
+    let machines = match case {
+        "handed" | "flood" => 1,
+        "1" | "2" => 2,
+        _ => 3,
     };
-    let outcome = match case {
-        "1" => ran_twice(&mut deployment, trouble),
-        "2" => hang(&mut deployment, trouble),
-        "cloud" => cloud(&mut deployment, trouble),
-        "flood" => flood(&mut deployment, trouble),
-        _ => handed(&mut deployment, trouble),
+    let play = match case {
+        "1" => returned,
+        "2" => roster,
+        "3" => restart,
+        "handed" => handed,
+        "cloud" => cloud_outage,
+        "flood" => flood,
+        _ => return Err(format!("no case {case}")),
     };
+    let mut deployment = deploy(root, record, machines)?;
+    let outcome = play(&mut deployment, trouble);
     deployment.controllers.stop();
     outcome
 }
@@ -78,7 +95,11 @@
     }
 
     fn submit(&self, job: &Json) -> Outcome {
-        if self.users.submit(job) { Ok(()) } else { self.fail(&format!("{} was not accepted", id(job))) }
+        if self.users.submit(job) {
+            Ok(())
+        } else {
+            self.fail(&format!("{} was not accepted", id(job)))
+        }
     }
 
     /// Waits until a task is on a machine other than `not`, and returns the machine.
@@ -132,7 +153,7 @@
 
 /// A machine goes to another team's controller and back, which forgets what direct commands started there. Then the
 /// controller ends, and the network repeats one of them.
-fn ran_twice(d: &mut Deployment, trouble: bool) -> Outcome {
+fn returned(d: &mut Deployment, trouble: bool) -> Outcome {
     let replay = job(1, 0, "sweep", 1, [10.0, 1.0, 54.0], 600.0);
     let watch = job(2, 0, "standing", 1, [16.0, 2.0, 86.0], 0.0);
     d.warm_up()?;
@@ -160,12 +181,19 @@
             wait(10.0, || d.record.machines_of(&first_task(&short)).is_empty());
         }
     }
-    let forgotten = wait(15.0f64.min(d.left()), || d.fleet.with(&first, |m| !m.lists(&task, run)).unwrap_or(false));
-    d.record.log(format!("{first} lists {task} run {run}: {}; it runs on {second}", !forgotten));
+    let forgotten = wait(15.0f64.min(d.left()), || {
+        d.fleet.with(&first, |m| !m.lists(&task, run)).unwrap_or(false)
+    });
+    d.record.log(format!(
+        "{first} lists {task} run {run}: {}; it runs on {second}",
+        !forgotten
+    ));
     if trouble {
         d.controllers.kill(0);
         sleep(Duration::from_millis(300));
-        d.fleet.repeat_start(&first, &task, run).ok_or("the start was not sent by direct command")?;
+        d.fleet
+            .repeat_start(&first, &task, run)
+            .ok_or("the start was not sent by direct command")?;
         sleep(Duration::from_millis(5700));
         d.controllers.spawn(0).map_err(|e| e.to_string())?;
     }
@@ -174,8 +202,10 @@
 }
 
 /// Jobs are cancelled, their machines hang, and the controller of their team ends and returns.
-fn hang(d: &mut Deployment, trouble: bool) -> Outcome {
-    let jobs: Vec<Json> = (1..=3).map(|n| job(n, 0, "sweep", 1, [16.0, 2.0, 86.0], 600.0)).collect();
+fn restart(d: &mut Deployment, trouble: bool) -> Outcome {
+    let jobs: Vec<Json> = (1..=3)
+        .map(|n| job(n, 0, "sweep", 1, [16.0, 2.0, 86.0], 600.0))
+        .collect();
     for job in &jobs {
         d.submit(job)?;
     }
@@ -200,7 +230,7 @@
     Ok(())
 }
 
-/// A job is cancelled and its machine goes to another team's controller. Long after, the first controller ends, and the
+/// Not a case of its own, but a variant of case 1: a job is cancelled and its machine goes to another team's controller. Long after, the first controller ends, and the
 /// network repeats its command.
 fn handed(d: &mut Deployment, trouble: bool) -> Outcome {
     d.warm_up()?;
@@ -222,7 +252,9 @@
     if trouble {
         d.controllers.kill(0);
         sleep(Duration::from_millis(300));
-        d.fleet.repeat_start(&machine, &task, run).ok_or("the start was not sent by direct command")?;
+        d.fleet
+            .repeat_start(&machine, &task, run)
+            .ok_or("the start was not sent by direct command")?;
         sleep(Duration::from_millis(5700));
         d.controllers.spawn(0).map_err(|e| e.to_string())?;
     }
@@ -230,8 +262,11 @@
     Ok(())
 }
 
-fn cloud(d: &mut Deployment, trouble: bool) -> Outcome {
-    let jobs: Vec<Json> = (1..=3).map(|n| job(n, 0, "sweep", 1, [40.0, 4.0, 200.0], 600.0)).collect();
+/// Jobs are cancelled, their machines hang, and the cloud's interface is down for a while.
+fn cloud_outage(d: &mut Deployment, trouble: bool) -> Outcome {
+    let jobs: Vec<Json> = (1..=3)
+        .map(|n| job(n, 0, "sweep", 1, [40.0, 4.0, 200.0], 600.0))
+        .collect();
     for job in &jobs {
         d.submit(job)?;
     }
@@ -256,22 +291,60 @@
     Ok(())
 }
 
-fn flood(d: &mut Deployment, _trouble: bool) -> Outcome {
+/// Not a case: a guest's array of short, small tasks beside a service. The reports of the machine become longer than a
+/// request body may be.
+fn flood(d: &mut Deployment, trouble: bool) -> Outcome {
     let watch = job(2, 0, "standing", 1, [8.0, 1.0, 43.0], 0.0);
     d.submit(&watch)?;
     d.placed(&first_task(&watch), "", 60.0)?;
-    let mut j = job(1, 0, "sweep", 20000, [0.25, 0.0, 1.35], 4.0);
-    if let Json::Obj(f) = &mut j {
-        for (k, v) in f.iter_mut() {
-            match k.as_str() {
-                "crew" => *v = Json::text("port-link"),
-                "consist" => *v = Json::text("wagon-census"),
-                "precedence" => *v = Json::text("low"),
+    let mut census = job(1, 0, "sweep", 20_000, [0.25, 0.0, 1.35], 4.0);
+    if let Json::Obj(fields) = &mut census {
+        for (name, value) in fields.iter_mut() {
+            match name.as_str() {
+                "crew" => *value = Json::text(site().guests.unwrap_or("")),
+                "consist" => *value = Json::text("wagon-census"),
+                "precedence" => *value = Json::text("low"),
                 _ => {}
             }
         }
     }
-    d.submit(&j)?;
+    if trouble {
+        d.submit(&census)?;
+    }
     sleep(Duration::from_secs(70));
     Ok(())
 }
+
+/// All controllers end after a machine was lent to another team's controller, and the network repeats the transaction
+/// that entered the machine in the roster when it was rented.
+fn roster(d: &mut Deployment, trouble: bool) -> Outcome {
+    d.warm_up()?;
+    // The idle machine is lent to the controller of another team, whose long task runs there from now on.
+    let long = job(1, 1, "sweep", 1, [8.0, 1.0, 43.0], 600.0);
+    d.submit(&long)?;
+    let task = first_task(&long);
+    let lent = d.placed(&task, "", 30.0)?;
+    // The same controller gets a second machine, which is idle after a short task.
+    let short = job(2, 1, "sweep", 1, [20.0, 1.0, 54.0], 1.0);
+    d.submit(&short)?;
+    d.placed(&first_task(&short), &lent, 60.0)?;
+    wait(10.0, || d.record.machines_of(&first_task(&short)).is_empty());
+    sleep(Duration::from_secs(2));
+    if trouble {
+        d.fleet.deafen(&lent, 16.0);
+        (0..3).for_each(|node| d.controllers.kill(node));
+        sleep(Duration::from_millis(300));
+        let text = format!("\"write\":\"t/m/{lent}\"");
+        let repeated = d.store.lock().unwrap().repeat_txn(&text);
+        let (body, (status, answer)) = repeated.ok_or("there is no such transaction")?;
+        d.record.log(format!(
+            "network: delivers again to the state service: POST /txn {body}: {status} {answer}"
+        ));
+        sleep(Duration::from_millis(5700));
+        for node in 0..3 {
+            d.controllers.spawn(node).map_err(|e| e.to_string())?;
+        }
+    }
+    sleep(Duration::from_secs(12));
+    Ok(())
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -74,7 +74,11 @@
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
-    Ok((first.trim().to_owned(), String::from_utf8_lossy(&body).into_owned(), close))
+    Ok((
+        first.trim().to_owned(),
+        String::from_utf8_lossy(&body).into_owned(),
+        close,
+    ))
 }
 
 /// Sends a request and returns the status and the body of the response.
@@ -87,9 +91,13 @@
         body.len()
     );
     stream.write_all(message.as_bytes())?;
-    let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    let left = until
+        .saturating_duration_since(Instant::now())
+        .max(Duration::from_millis(1));
     stream.set_read_timeout(Some(left))?;
     let (first, body, _) = read_message(&mut BufReader::new(stream))?;
     let status = first.split_whitespace().nth(1).and_then(|s| s.parse().ok());
-    status.map(|status| (status, body)).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    status
+        .map(|status| (status, body))
+        .ok_or_else(|| io::ErrorKind::InvalidData.into())
 }
--- a/review/standin/machines.rs
+++ b/review/standin/machines.rs
@@ -43,6 +43,7 @@
     lease_from: Instant,
     changed: bool,
     hang_until: Option<Instant>,
+    deaf_until: Option<Instant>,
     node: usize,
     attempts: BTreeMap<(String, u64), Attempt>,
     images: BTreeSet<String>,
@@ -57,6 +58,10 @@
     fn hangs(&self) -> bool {
         self.hang_until.is_some_and(|until| Instant::now() < until)
     }
+    /// Whether answers and direct commands to the machine are lost.
+    fn is_deaf(&self) -> bool {
+        self.deaf_until.is_some_and(|until| Instant::now() < until)
+    }
     /// Whether the worker lists an attempt, in whatever state.
     pub fn lists(&self, task: &str, run: u64) -> bool {
         self.attempts.contains_key(&(task.to_owned(), run))
@@ -64,8 +69,11 @@
     fn report(&mut self) -> Json {
         self.tally += 1;
         let wagons = self.attempts.iter().map(|((task, run), a)| {
-            let mut fields =
-                vec![("wagon", Json::text(task)), ("run", Json::num(run)), ("status", Json::text(a.state))];
+            let mut fields = vec![
+                ("wagon", Json::text(task)),
+                ("run", Json::num(run)),
+                ("status", Json::text(a.state)),
+            ];
             if a.state == "ended" {
                 fields.push(("cause", Json::text(a.cause)));
             }
@@ -73,7 +81,10 @@
         });
         Json::obj(&[
             ("berth", Json::text(&self.name)),
-            ("addr", Json::text(self.address.map_or(String::new(), |a| a.to_string()))),
+            (
+                "addr",
+                Json::text(self.address.map_or(String::new(), |a| a.to_string())),
+            ),
             ("model", Json::text(site().model)),
             ("yard", Json::text(&self.zone)),
             ("standby", Json::Bool(self.spot)),
@@ -113,10 +124,7 @@
 
 impl Fleet {
     /// `capacity` holds the number of machines of each zone.
-    pub fn start(
-        record: &Record,
-        capacity: &[(&str, usize)],
-    ) -> std::io::Result<(SocketAddr, Fleet)> {
+    pub fn start(record: &Record, capacity: &[(&str, usize)]) -> std::io::Result<(SocketAddr, Fleet)> {
         let fleet = Fleet {
             cloud: Arc::new(Mutex::new(Cloud {
                 capacity: capacity.iter().map(|(z, n)| ((*z).to_owned(), *n)).collect(),
@@ -146,7 +154,10 @@
     }
 
     pub fn upload(&self, job: &Json) {
-        self.jobs.lock().unwrap().insert(job.get("uid").str().to_owned(), job.clone());
+        self.jobs
+            .lock()
+            .unwrap()
+            .insert(job.get("uid").str().to_owned(), job.clone());
     }
 
     fn lock(&self) -> MutexGuard<'_, Cloud> {
@@ -170,9 +181,21 @@
         self.with(name, |m| m.hang_until = Some(Instant::now() + secs(s)));
     }
 
+    /// The machine's reports arrive; answers and direct commands to it are lost for a while.
+    pub fn deafen(&self, name: &str, s: f64) {
+        self.record.log(format!("{name} hears nothing for {s} s"));
+        self.with(name, |m| m.deaf_until = Some(Instant::now() + secs(s)));
+    }
+
     /// Attempts of a task that were started on a machine and are listed there.
     pub fn runs(&self, name: &str, task: &str) -> Vec<u64> {
-        let runs = |m: &mut Machine| m.attempts.keys().filter(|(t, _)| t == task).map(|(_, run)| *run).collect();
+        let runs = |m: &mut Machine| {
+            m.attempts
+                .keys()
+                .filter(|(t, _)| t == task)
+                .map(|(_, run)| *run)
+                .collect()
+        };
         self.with(name, runs).unwrap_or_default()
     }
 
@@ -187,9 +210,13 @@
         let (address, body) = self.with(name, |m| {
             Some((m.address?, m.carried_out.iter().find(|b| is_start(b))?.clone()))
         })??;
-        self.record.log(format!("network: delivers again to {name}: POST /commands {body}"));
+        self.record
+            .log(format!("network: delivers again to {name}: POST /commands {body}"));
         let answer = call(address, "POST", "/commands", &body, secs(2.0)).ok()?;
-        self.record.log(format!("{name} answers the repeated command: {} {}", answer.0, answer.1));
+        self.record.log(format!(
+            "{name} answers the repeated command: {} {}",
+            answer.0, answer.1
+        ));
         Some(answer.0)
     }
 
@@ -253,7 +280,11 @@
         if let Some(known) = cloud.charters.get(&charter) {
             return (200, names(known));
         }
-        let taken = cloud.machines.values().filter(|m| !m.is_gone() && m.zone == zone).count();
+        let taken = cloud
+            .machines
+            .values()
+            .filter(|m| !m.is_gone() && m.zone == zone)
+            .count();
         let free = cloud.capacity.get(&zone).map_or(0, |n| n.saturating_sub(taken));
         let count = free.min(body.get("number").u64().unwrap_or(0) as usize).min(50);
         if count == 0 {
@@ -281,6 +312,7 @@
                     lease_from: now,
                     changed: false,
                     hang_until: None,
+                    deaf_until: None,
                     node,
                     attempts: BTreeMap::new(),
                     images: BTreeSet::new(),
@@ -317,11 +349,19 @@
     }
 
     fn list(&self, path: &str) -> String {
-        let since = path.split("since=").nth(1).and_then(|s| s.split('&').next()).unwrap_or("");
+        let since = path
+            .split("since=")
+            .nth(1)
+            .and_then(|s| s.split('&').next())
+            .unwrap_or("");
         let cloud = self.lock();
         let (now, lag) = (Instant::now(), secs(site().list_lag_s));
         let at_that_time = |m: &&Machine| now - m.created > lag && m.gone_at.is_none_or(|t| now - t < lag);
-        let machines = cloud.machines.values().filter(at_that_time).filter(|m| m.name.as_str() > since);
+        let machines = cloud
+            .machines
+            .values()
+            .filter(at_that_time)
+            .filter(|m| m.name.as_str() > since);
         let berths = machines.map(|m| {
             let up = now - lag >= m.up_at;
             Json::obj(&[
@@ -342,7 +382,9 @@
     fn run_machine(&self, name: &str) {
         sleep(secs(self.boot_s));
         let serving = (self.clone(), name.to_owned());
-        let Ok(address) = serve(Arc::new(move |request| serving.0.command(&serving.1, request))) else { return };
+        let Ok(address) = serve(Arc::new(move |request| serving.0.command(&serving.1, request))) else {
+            return;
+        };
         self.with(name, |m| {
             m.address = Some(address);
             m.lease_from = Instant::now();
@@ -413,6 +455,13 @@
         while self.with(name, |m| m.hangs() && !m.is_gone()) == Some(true) {
             sleep(STEP);
         }
+        if self.with(name, |m| m.is_deaf()) == Some(true) {
+            // The command is lost on its way, and its sender waits in vain.
+            self.record
+                .log(format!("lost on its way to {name}: {} {}", request.path, request.body));
+            sleep(secs(10.0));
+            return None;
+        }
         // Whatever the machine missed while it hung comes first: its lease may have ended.
         if !self.step(name) {
             return None;
@@ -437,7 +486,8 @@
         })?;
         if matches {
             if !body.get("orders").arr().is_empty() {
-                self.record.log(format!("{name} carries out direct command: {}", request.body));
+                self.record
+                    .log(format!("{name} carries out direct command: {}", request.body));
             }
             self.carry_out(name, body.get("orders"));
         }
@@ -453,7 +503,11 @@
                     let was = self.with(name, |m| {
                         let a = m.attempts.get_mut(&key).filter(|a| a.state != "ended")?;
                         let was = a.state;
-                        *a = Attempt { state: "ended", cause: "stopped", next: None };
+                        *a = Attempt {
+                            state: "ended",
+                            cause: "stopped",
+                            next: None,
+                        };
                         m.changed = true;
                         Some(was)
                     });
@@ -477,12 +531,21 @@
     fn start_task(&self, name: &str, key: (String, u64)) {
         let jobs = self.jobs.lock().unwrap().clone();
         let size = |task: &str| {
-            let job = jobs.get(task.split('/').next().unwrap_or("")).cloned().unwrap_or(Json::Null);
-            [job.get("vcpus").f64(), job.get("accelerators").f64(), job.get("ramGb").f64()]
+            let job = jobs
+                .get(task.split('/').next().unwrap_or(""))
+                .cloned()
+                .unwrap_or(Json::Null);
+            [
+                job.get("vcpus").f64(),
+                job.get("accelerators").f64(),
+                job.get("ramGb").f64(),
+            ]
         };
         let (job, index) = key.0.split_once('/').unwrap_or((&key.0, ""));
         let known = jobs.get(job).filter(|job| {
-            index.parse::<u64>().is_ok_and(|i| i < job.get("wagons").u64().unwrap_or(0))
+            index
+                .parse::<u64>()
+                .is_ok_and(|i| i < job.get("wagons").u64().unwrap_or(0))
         });
         self.with(name, |m| {
             if m.attempts.contains_key(&key) {
@@ -493,16 +556,39 @@
             for ((task, _), _) in m.attempts.iter().filter(|(_, a)| a.state != "ended") {
                 used.iter_mut().zip(size(task)).for_each(|(u, s)| *u += s);
             }
-            let full = used.iter().zip(size(&key.0)).zip(site().size).any(|((u, s), t)| u + s > t + 1e-6);
-            let busy = m.attempts.iter().any(|((task, _), a)| *task == key.0 && a.state != "ended");
+            let full = used
+                .iter()
+                .zip(size(&key.0))
+                .zip(site().size)
+                .any(|((u, s), t)| u + s > t + 1e-6);
+            let busy = m
+                .attempts
+                .iter()
+                .any(|((task, _), a)| *task == key.0 && a.state != "ended");
             let attempt = match known {
-                None => Attempt { state: "ended", cause: "no_such", next: None },
-                Some(_) if busy => Attempt { state: "ended", cause: "busy", next: None },
-                Some(_) if full => Attempt { state: "ended", cause: "no_room", next: None },
+                None => Attempt {
+                    state: "ended",
+                    cause: "no_such",
+                    next: None,
+                },
+                Some(_) if busy => Attempt {
+                    state: "ended",
+                    cause: "busy",
+                    next: None,
+                },
+                Some(_) if full => Attempt {
+                    state: "ended",
+                    cause: "no_room",
+                    next: None,
+                },
                 Some(job) => {
                     let cached = m.images.contains(job.get("stock").str());
                     let fetch_s = if cached { 0.0 } else { job.get("sizeGb").f64() };
-                    Attempt { state: "pulling", cause: "", next: Some(Instant::now() + secs(fetch_s)) }
+                    Attempt {
+                        state: "pulling",
+                        cause: "",
+                        next: Some(Instant::now() + secs(fetch_s)),
+                    }
                 }
             };
             m.attempts.insert(key.clone(), attempt);
@@ -531,7 +617,9 @@
                 Some(true) => {}
             }
             // A number between 0 and 1 that varies from report to report.
-            number = number.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            number = number
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
             let part = (number >> 33) as f64 / (1u64 << 31) as f64;
             last = now;
             due = now + secs(site().report_s * (0.75 + 0.5 * part));
@@ -548,12 +636,17 @@
             m.changed = false;
             (m.report().to_string(), m.session, m.node % nodes.len().max(1))
         });
-        let Some((body, session, node)) = taken else { return true };
-        let Some((_, address)) = nodes.get(node) else { return false };
+        let Some((body, session, node)) = taken else {
+            return true;
+        };
+        let Some((_, address)) = nodes.get(node) else {
+            return false;
+        };
         let answer = http::call(*address, "POST", "/agent/beat", &body, secs(ANSWER_S));
         if answer.as_ref().map_or(0, |a| a.0) != 200 {
             let status = answer.as_ref().map_or("no answer".to_owned(), |a| a.0.to_string());
-            self.record.log(format!("{name} reports {} bytes to berth-{node}: {status}", body.len()));
+            self.record
+                .log(format!("{name} reports {} bytes to berth-{node}: {status}", body.len()));
         }
         while self.with(name, |m| m.hangs() && !m.is_gone()) == Some(true) {
             sleep(STEP);
@@ -561,7 +654,13 @@
         if !self.step(name) {
             return true;
         }
-        let in_time = sent.elapsed() <= secs(ANSWER_S);
+        if answer.is_ok() && self.with(name, |m| m.is_deaf()) == Some(true) {
+            // The answer is lost, and the worker waits in vain.
+            self.record
+                .log(format!("lost on its way to {name}: the answer to a report: {answer:?}"));
+            sleep(secs(ANSWER_S).saturating_sub(sent.elapsed()));
+        }
+        let in_time = sent.elapsed() < secs(ANSWER_S);
         match answer.ok().filter(|_| in_time) {
             Some((200, body)) => {
                 let body = Json::parse(&body).unwrap_or(Json::Null);
@@ -577,14 +676,19 @@
                 });
                 if valid == Some(true) {
                     if !body.get("orders").arr().is_empty() {
-                        self.record.log(format!("{name} carries out with the answer to a report: {body}"));
+                        self.record
+                            .log(format!("{name} carries out with the answer to a report: {body}"));
                     }
                     self.carry_out(name, body.get("orders"));
                 }
                 true
             }
             Some((421, body)) => {
-                let to = Json::parse(&body).unwrap_or(Json::Null).get("dispatcher").str().to_owned();
+                let to = Json::parse(&body)
+                    .unwrap_or(Json::Null)
+                    .get("dispatcher")
+                    .str()
+                    .to_owned();
                 let at = nodes.iter().position(|(n, _)| *n == to).filter(|at| *at != node);
                 self.with(name, |m| {
                     m.node = at.unwrap_or(node + 1);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -17,11 +17,15 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let (Some(case), Some(record)) = (arguments.get(1), arguments.get(2)) else { exit(2) };
+    let (Some(case), Some(record)) = (arguments.get(1), arguments.get(2)) else {
+        exit(2)
+    };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let root = std::env::current_dir().unwrap_or_else(|_| PathBuf::from("."));
     site::choose(cases::site_of(case));
-    let Ok(record) = record::Record::new(Path::new(record), site::site().cancel_s) else { exit(2) };
+    let Ok(record) = record::Record::new(Path::new(record), site::site().cancel_s) else {
+        exit(2)
+    };
     record.log(format!("case {case}, trouble: {trouble}"));
     let outcome = cases::play(case, root, &record, trouble);
     let broken = record.broken_rules();
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -28,7 +28,11 @@
         .filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok()?.local_addr().ok())
         .take(count)
         .collect();
-    if found.len() == count { Ok(found) } else { Err(std::io::ErrorKind::AddrInUse.into()) }
+    if found.len() == count {
+        Ok(found)
+    } else {
+        Err(std::io::ErrorKind::AddrInUse.into())
+    }
 }
 
 pub fn team(number: usize) -> String {
@@ -36,16 +40,13 @@
 }
 
 impl Controllers {
-    pub fn start(
-        root: PathBuf,
-        record: &Record,
-        state: SocketAddr,
-        cloud: SocketAddr,
-    ) -> std::io::Result<Controllers> {
+    pub fn start(root: PathBuf, record: &Record, state: SocketAddr, cloud: SocketAddr) -> std::io::Result<Controllers> {
         let folder = std::env::temp_dir().join(format!("tidelatch-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let deploy = fs::read_to_string(root.join("deploy/service.toml"))?;
-        let run = deploy.lines().find_map(|l| l.strip_prefix("run = \"")?.strip_suffix('"'));
+        let run = deploy
+            .lines()
+            .find_map(|l| l.strip_prefix("run = \"")?.strip_suffix('"'));
         let run = run.unwrap_or("").split_whitespace().map(str::to_owned).collect();
         let all = free_addresses(6)?;
         let (addresses, peers) = all.split_at(3);
@@ -70,7 +71,10 @@
     }
 
     pub fn spawn(&mut self, node: usize) -> std::io::Result<()> {
-        let log = File::options().create(true).append(true).open(self.folder.join(format!("berth-{node}.log")))?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("berth-{node}.log")))?;
         let program = self.run.first().cloned().unwrap_or_default();
         let child = Command::new(self.root.join(program))
             .args(&self.run[1..])
@@ -96,9 +100,7 @@
 
     /// Whether all controllers are healthy within the time.
     pub fn healthy(&self, within_s: f64) -> bool {
-        let is_up = |to: &SocketAddr| {
-            matches!(call(*to, "GET", "/up", "", Duration::from_secs(1)), Ok((200, _)))
-        };
+        let is_up = |to: &SocketAddr| matches!(call(*to, "GET", "/up", "", Duration::from_secs(1)), Ok((200, _)));
         wait(within_s, || self.addresses.iter().all(is_up))
     }
 
@@ -165,7 +167,8 @@
         );
     }
     if let Some(guests) = site.guests {
-        text += &format!("[[facts.teams]]\nname = \"{guests}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n");
+        text +=
+            &format!("[[facts.teams]]\nname = \"{guests}\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n");
     }
     text += site.objectives;
     text += &format!(
@@ -176,8 +179,14 @@
         "[facts.state]\nrps = {:?}\nwrite_rps = {:?}\nvalue_kb = {:?}\ntxn_ops = {}\n",
         site.state_rps, site.write_rps, site.value_kb, site.txn_ops
     );
-    text += &format!("[facts.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n", site.cloud_rps, site.list_lag_s);
-    text += &format!("[facts.machine_limits]\ncores = {:?}\nram_mb = 104.0\nsockets = 1800\n", site.cores);
+    text += &format!(
+        "[facts.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n",
+        site.cloud_rps, site.list_lag_s
+    );
+    text += &format!(
+        "[facts.machine_limits]\ncores = {:?}\nram_mb = 104.0\nsockets = 1800\n",
+        site.cores
+    );
     text
 }
 
@@ -196,7 +205,10 @@
         ("consist", Json::text(site().classes[usize::from(!service)])),
         ("crew", Json::text(team(crew))),
         ("shape", Json::text(shape)),
-        ("precedence", Json::text(if service { "prod" } else { site().array_priority })),
+        (
+            "precedence",
+            Json::text(if service { "prod" } else { site().array_priority }),
+        ),
         ("wagons", Json::num(wagons)),
         ("vcpus", Json::num(size[0])),
         ("accelerators", Json::num(size[1])),
@@ -220,8 +232,12 @@
         let to = *self.nodes.get(node % self.nodes.len())?;
         let sent = self.record.seconds();
         let answer = call(to, method, path, body, Duration::from_secs_f64(timeout_s)).ok();
-        let text = answer.as_ref().map_or("no answer".to_owned(), |(status, body)| format!("{status} {body}"));
-        self.record.log(format!("user: {method} {path} {body} at berth-{node} (sent {sent:.3}): {text}"));
+        let text = answer
+            .as_ref()
+            .map_or("no answer".to_owned(), |(status, body)| format!("{status} {body}"));
+        self.record.log(format!(
+            "user: {method} {path} {body} at berth-{node} (sent {sent:.3}): {text}"
+        ));
         let (status, body) = answer?;
         Some((status, Json::parse(&body).unwrap_or(Json::Null)))
     }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -83,7 +83,10 @@
             (elsewhere, inner.told.get(job_of(task)).copied())
         };
         if !elsewhere.is_empty() {
-            self.broken("ran_twice", &format!("{task} starts on {machine} while it is on {}", elsewhere.join(", ")));
+            self.broken(
+                "ran_twice",
+                &format!("{task} starts on {machine} while it is on {}", elsewhere.join(", ")),
+            );
         }
         if let Some(told) = told.filter(|told| told.elapsed() > self.cancel) {
             let s = told.elapsed().as_secs_f64();
@@ -117,7 +120,9 @@
         {
             let mut inner = self.inner.lock().unwrap();
             for (task, machines) in &inner.on {
-                let Some(told) = inner.told.get(job_of(task)).filter(|t| t.elapsed() > self.cancel) else { continue };
+                let Some(told) = inner.told.get(job_of(task)).filter(|t| t.elapsed() > self.cancel) else {
+                    continue;
+                };
                 for machine in machines {
                     let pair = (task.clone(), machine.clone());
                     if !inner.late.contains(&pair) {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -26,7 +26,11 @@
 
 impl Rate {
     fn new(per_s: f64) -> Self {
-        Self { per_s, left: per_s, at: Instant::now() }
+        Self {
+            per_s,
+            left: per_s,
+            at: Instant::now(),
+        }
     }
     fn take(&mut self, n: f64) -> bool {
         let now = Instant::now();
@@ -49,6 +53,8 @@
     next_lease: u64,
     requests: Rate,
     writes: Rate,
+    /// Bodies of the transactions that were carried out, in order.
+    carried_out: Vec<String>,
     /// An outage: all requests get 503, open watches stay open, leases do not run out.
     pub down: bool,
 }
@@ -74,6 +80,7 @@
             next_lease: 0,
             requests: Rate::new(site().state_rps),
             writes: Rate::new(site().write_rps),
+            carried_out: Vec::new(),
             down: false,
         }));
         let expiring = store.clone();
@@ -94,7 +101,12 @@
             self.leases.values_mut().for_each(|(until, ttl)| *until = now + *ttl);
             return;
         }
-        let ended: Vec<u64> = self.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in ended {
             self.end_lease(id);
         }
@@ -102,8 +114,12 @@
 
     fn end_lease(&mut self, id: u64) {
         self.leases.remove(&id);
-        let keys: Vec<String> =
-            self.keys.iter().filter(|(_, e)| e.lease == Some(id)).map(|(k, _)| k.clone()).collect();
+        let keys: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, e)| e.lease == Some(id))
+            .map(|(k, _)| k.clone())
+            .collect();
         if !keys.is_empty() {
             self.revision += 1;
         }
@@ -121,11 +137,16 @@
     }
 
     fn news(&self, prefix: &str, since: u64) -> Vec<Json> {
-        let changes = self.changes.iter().filter(|(r, key, _)| *r > since && key.starts_with(prefix));
+        let changes = self
+            .changes
+            .iter()
+            .filter(|(r, key, _)| *r > since && key.starts_with(prefix));
         let news = changes.map(|(r, key, value)| match value {
-            Some(value) => {
-                Json::obj(&[("write", Json::text(key)), ("value", value.clone()), ("stamp", Json::num(r))])
-            }
+            Some(value) => Json::obj(&[
+                ("write", Json::text(key)),
+                ("value", value.clone()),
+                ("stamp", Json::num(r)),
+            ]),
             None => Json::obj(&[("delete", Json::text(key)), ("stamp", Json::num(r))]),
         });
         news.collect()
@@ -140,9 +161,16 @@
         let most = parameter(path, "most").parse().unwrap_or(1000).min(1000);
         let mut items = Vec::new();
         let (mut bytes, mut more) = (0, false);
-        for (key, e) in self.keys.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > since) {
-            let item =
-                Json::obj(&[("k", Json::text(key)), ("value", e.value.clone()), ("stamp", Json::num(e.stamp))]);
+        for (key, e) in self
+            .keys
+            .iter()
+            .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > since)
+        {
+            let item = Json::obj(&[
+                ("k", Json::text(key)),
+                ("value", e.value.clone()),
+                ("stamp", Json::num(e.stamp)),
+            ]);
             bytes += item.to_string().len();
             if items.len() >= most || bytes > 500 * 1024 {
                 more = true;
@@ -154,8 +182,18 @@
         (200, body.to_string())
     }
 
+    /// The network delivers once more the first transaction that was carried out and contains a text. Returns its body
+    /// and the answer.
+    pub fn repeat_txn(&mut self, text: &str) -> Option<(String, (u16, String))> {
+        let body = self.carried_out.iter().find(|body| body.contains(text))?.clone();
+        let answer = self.txn(&body);
+        Some((body, answer))
+    }
+
     fn txn(&mut self, body: &str) -> (u16, String) {
-        let Some(txn) = Json::parse(body) else { return error(400, "malformed") };
+        let Some(txn) = Json::parse(body) else {
+            return error(400, "malformed");
+        };
         let (conditions, changes) = (txn.get("if").arr(), txn.get("then").arr());
         if !self.writes.take(changes.len() as f64) {
             return error(429, "too many");
@@ -168,7 +206,11 @@
         {
             return error(400, "too large");
         }
-        if changes.iter().filter_map(|c| c.get("permit").u64()).any(|id| !self.leases.contains_key(&id)) {
+        if changes
+            .iter()
+            .filter_map(|c| c.get("permit").u64())
+            .any(|id| !self.leases.contains_key(&id))
+        {
             return error(400, "no such lease");
         }
         let stamp = |key: &str| self.keys.get(key).map_or(0, |e| e.stamp);
@@ -178,10 +220,14 @@
             .map(|c| c.get("k").clone())
             .collect();
         if !failed.is_empty() {
-            return (409, Json::obj(&[("failed", Json::Arr(failed)), self.ledger()]).to_string());
+            return (
+                409,
+                Json::obj(&[("failed", Json::Arr(failed)), self.ledger()]).to_string(),
+            );
         }
         if !changes.is_empty() {
             self.revision += 1;
+            self.carried_out.push(body.to_owned());
         }
         for change in changes {
             if let Json::Str(key) = change.get("write") {
@@ -212,7 +258,9 @@
     match (request.method.as_str(), route) {
         ("POST", "/txn") => s.txn(&request.body),
         ("POST", "/leases") => {
-            let ttl = Json::parse(&request.body).and_then(|b| b.get("ttlMs").u64()).unwrap_or(0);
+            let ttl = Json::parse(&request.body)
+                .and_then(|b| b.get("ttlMs").u64())
+                .unwrap_or(0);
             if !(100..=600_000).contains(&ttl) {
                 return error(400, "malformed");
             }
@@ -255,10 +303,14 @@
                     None => (404, Json::obj(&[s.ledger()]).to_string()),
                 };
             }
-            let Some(rest) = route.strip_prefix("/leases/") else { return error(400, "no such path") };
+            let Some(rest) = route.strip_prefix("/leases/") else {
+                return error(400, "no such path");
+            };
             let (id, extend) = rest.strip_suffix("/extend").map_or((rest, false), |id| (id, true));
             let id = id.parse().unwrap_or(0);
-            let Some((until, ttl)) = s.leases.get_mut(&id) else { return error(404, "no such lease") };
+            let Some((until, ttl)) = s.leases.get_mut(&id) else {
+                return error(404, "no such lease");
+            };
             if extend {
                 *until = Instant::now() + *ttl;
             } else {
