Starts found on a machine at a hand-over are not forgotten for three leases

Cause: each hand-over makes a new Machine, whose direct_starts began empty. The rule in its place, by the partition of an unfinished job, does not hold for a machine that is back, nor for a job that is over. A hand-over does not change the epoch, so no token fences the repeat. Change: what the first report after a hand-over lists counts as started directly then, and is kept for three workers' leases; the weaker rule by partitions is gone. No stored value or message changes. Why it works: every start that the earlier owners sent directly and that the worker has not forgotten is in that list, since a machine with an unanswered start or a command under way is not handed over; while an attempt is listed a repeat has no effect.

--- a/crates/tidelatch-core/src/machine_view/commands.rs
+++ b/crates/tidelatch-core/src/machine_view/commands.rs
@@ -92,10 +92,9 @@
     /// Commands to forget the ended attempts that a machine still lists and whose results are stored.
     fn forget_commands(&mut self, id: &MachineId) -> Vec<Command> {
         let now = self.now.ms;
-        // A direct command may be delivered again after its answer, and so may the commands of the machine's previous
-        // owner. While the worker lists the attempt, a repeated start has no effect; once the attempt is forgotten,
-        // it would start the task again. The danger is over once the worker has seen a newer epoch, or after this
-        // time.
+        // A direct command may be delivered again after its answer. While the worker lists the attempt, a repeated
+        // start has no effect; once the attempt is forgotten, it would start the task again. The danger is over once
+        // the worker has seen a newer epoch, or after this time.
         let max_delivery_ms = 3 * self.settings.worker_lease_ms();
         let mut commands = Vec::new();
         let Some(m) = self.machines.get_mut(id) else {
@@ -107,13 +106,9 @@
             // A worker may drop a result only once the result is stored.
             let job = self.jobs.get(&task.job);
             let has_unstored_result = *done && job.is_some_and(|j| !j.is_stored(task.index));
-            let is_of_previous_owner =
-                job.is_some_and(|j| j.partition != m.partition) && now.saturating_sub(m.known_since) < max_delivery_ms;
-            let may_be_redelivered = is_of_previous_owner || m.direct_starts.contains_key(&(task.clone(), *attempt));
-            if !has_unstored_result
-                && !may_be_redelivered
-                && !m.unanswered_starts.contains_key(&(task.clone(), *attempt))
-            {
+            let key = (task.clone(), *attempt);
+            let may_be_redelivered = m.direct_starts.contains_key(&key) || m.unanswered_starts.contains_key(&key);
+            if !has_unstored_result && !may_be_redelivered {
                 commands.push(Command::Forget {
                     task: task.to_string(),
                     attempt: *attempt,
--- a/crates/tidelatch-core/src/machine_view/machine.rs
+++ b/crates/tidelatch-core/src/machine_view/machine.rs
@@ -175,7 +175,8 @@
     pub(crate) missed_answers: u32,
     /// When a report of the machine was last answered.
     pub(super) last_answered_at: Option<u64>,
-    /// Attempts started by a direct command, with the epoch and the time of the command.
+    /// Attempts started by a direct command, with the epoch and the time of the command. After a hand-over, also the
+    /// attempts that the machine's first report lists, with that report's epoch and time.
     pub(super) direct_starts: BTreeMap<(TaskId, Attempt), (Epoch, u64)>,
 }
 
--- a/crates/tidelatch-core/src/machine_view/reports.rs
+++ b/crates/tidelatch-core/src/machine_view/reports.rs
@@ -59,6 +59,9 @@
             self.release_previous_sessions(id, report.session);
         }
         let listed = self.update_tasks(report);
+        if is_first {
+            self.keep_starts_of_previous_owner(report, &listed);
+        }
         if is_periodic {
             self.count_missed_starts(report, &listed);
             self.release_missing_attempts(report, &listed);
@@ -147,6 +150,19 @@
         listed
     }
 
+    /// Takes the attempts that the first report of a handed-over machine lists for direct starts: the machine's previous
+    /// owners may have started them by direct commands, whose repeats are still executed, because a hand-over does not
+    /// change the epoch. After a takeover the newer epoch fences such commands.
+    fn keep_starts_of_previous_owner(&mut self, report: &Report, listed: &BTreeSet<(TaskId, Attempt)>) {
+        let now = self.now.ms;
+        if let Some(m) = self.machines.get_mut(&report.machine)
+            && !m.may_hold_older_tasks
+        {
+            let starts = listed.iter().map(|start| (start.clone(), (report.epoch, now)));
+            m.direct_starts.extend(starts);
+        }
+    }
+
     /// Processes an attempt that a report lists as ended.
     fn handle_exit(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt, why: &str) {
         let held = self.machines.get(id).and_then(|m| {
--- a/crates/tidelatch-core/src/machine_view/shared_machines.rs
+++ b/crates/tidelatch-core/src/machine_view/shared_machines.rs
@@ -145,7 +145,7 @@
     ///
     /// An unanswered start that has not been reported leaves its task in a state that is not settled. One that has
     /// been reported is listed by the worker, where a late copy of the command has no effect, and the next owner does
-    /// not have an ended attempt of another partition forgotten for three worker leases (`forget_commands`). So the
+    /// not have an attempt that it found there forgotten for three worker leases (`forget_commands`). So the
     /// check of `unanswered_starts` is redundant at present. It stays as a safeguard in case what is known about a
     /// machine changes.
     pub(crate) fn can_hand_over_with_tasks(&self, machine: &Machine) -> bool {
--- a/crates/tidelatch-standin/src/state.rs
+++ b/crates/tidelatch-standin/src/state.rs
@@ -67,6 +67,11 @@
         self.keys.get(key).map(|e| &e.value)
     }
 
+    /// Returns the revision of a key's last change; 0: there is no such key.
+    pub fn key_revision(&self, key: &str) -> u64 {
+        self.keys.get(key).map_or(0, |e| e.revision)
+    }
+
     /// Sets a key without a lease and without notifying watches, as if it had been written before the test.
     pub fn set_key(&mut self, key: &str, value: Value) {
         self.revision += 1;
