An emptied machine group keeps its key while a copy could create it again

Cause: a new machine group has the conditions leader's key, epoch and "no such key"; a hand-over deletes the group with its last machine, after which a copy is carried out again, and a machine in two groups belongs to the later one. The takeover of the machine's real partition then does not wait for it. Change: a group that machines have left alive is marked (`left`, a new field that earlier versions pass over); empty, it keeps its key until the leader's key or the epoch has changed since. Why it works: as long as a copy's other conditions can hold, the key is there; once it is deleted, those conditions have changed for good.

--- a/crates/tidelatch-core/src/calls.rs
+++ b/crates/tidelatch-core/src/calls.rs
@@ -30,8 +30,10 @@
     ExtendLease { sent: u64, lease_id: u64 },
     /// Writes this controller's member record, which acknowledges this epoch.
     MemberWrite { acknowledged_epoch: u64 },
-    /// Writes the leader record.
+    /// Writes the leader record, to become the leader.
     LeaderWrite,
+    /// Writes the leader record again, as the leader.
+    LeaderRewrite,
     /// Writes a new epoch.
     EpochWrite,
     /// Reads a page of the shared keys.
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -349,7 +349,7 @@
         let Some((status, body)) = result else { return };
         let (what, can_split) = match purpose {
             CallPurpose::MemberWrite { .. } => ("this controller's member record", false),
-            CallPurpose::LeaderWrite => ("the leader record", false),
+            CallPurpose::LeaderWrite | CallPurpose::LeaderRewrite => ("the leader record", false),
             CallPurpose::EpochWrite => ("the epoch", false),
             CallPurpose::WriteMachineTypes => ("the machine types", false),
             CallPurpose::Job(JobPurpose::Accept { .. }) => ("a job acceptance", false),
@@ -393,6 +393,7 @@
             CallPurpose::ExtendLease { sent, lease_id } => self.on_lease_extension(sent, lease_id, result),
             CallPurpose::MemberWrite { acknowledged_epoch } => self.on_member_write(acknowledged_epoch, result),
             CallPurpose::LeaderWrite => self.on_leader_write(result),
+            CallPurpose::LeaderRewrite => self.on_leader_rewrite(),
             CallPurpose::EpochWrite => self.on_epoch_write(result),
             CallPurpose::ListSharedKeys { cursor, first_revision } => {
                 self.on_shared_keys(cursor, first_revision, result)
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -112,6 +112,8 @@
     /// The leader record, with the revision of its key.
     pub(crate) leader: Option<(LeaderRecord, Revision)>,
     is_taking_leadership: bool,
+    /// The leader record is being written again with the same value.
+    is_rewriting_leader: bool,
     /// When this controller last became the leader.
     pub(crate) leader_since_ms: u64,
     /// The epoch record, with the revision of its key.
@@ -169,6 +171,7 @@
             members: BTreeMap::new(),
             leader: None,
             is_taking_leadership: false,
+            is_rewriting_leader: false,
             leader_since_ms: 0,
             epoch: None,
             is_writing_epoch: false,
--- a/crates/tidelatch-core/src/membership/leadership.rs
+++ b/crates/tidelatch-core/src/membership/leadership.rs
@@ -82,6 +82,26 @@
         );
     }
 
+    /// As the leader, writes the leader record again with the same value. From then on no transaction that this leader
+    /// has sent before can be carried out any more.
+    pub(crate) fn rewrite_leader_record(&mut self) {
+        let (Some(lease_id), Some((record, _))) = (self.membership.lease_id, &self.membership.leader) else {
+            return;
+        };
+        if self.membership.is_rewriting_leader || !self.is_leader() {
+            return;
+        }
+        let change = json!({ "write": LEADER_KEY, "value": record, "permit": lease_id });
+        self.membership.is_rewriting_leader = true;
+        let conditions = vec![self.leader_condition()];
+        self.txn(conditions, vec![change], CallPurpose::LeaderRewrite);
+    }
+
+    /// Handles the reply to the repeated write of the leader record. The watch shows whether it was carried out.
+    pub(crate) fn on_leader_rewrite(&mut self) {
+        self.membership.is_rewriting_leader = false;
+    }
+
     /// Handles the reply to the write of the leader record.
     pub(crate) fn on_leader_write(&mut self, result: Option<(u16, Vec<u8>)>) {
         self.membership.is_taking_leadership = false;
--- a/crates/tidelatch-core/src/roster.rs
+++ b/crates/tidelatch-core/src/roster.rs
@@ -7,10 +7,13 @@
 //! therefore knows which machines it must confirm, and does not wait for machines that are still booting.
 //!
 //! A machine group is created by the leader and changed by the partition's owner. Each write is conditional on the
-//! group's revision. A machine that is handed over moves to a new machine group in the same transaction. A boot batch
-//! is never changed, and is deleted once none of its machines is left.
+//! group's revision. A machine that is handed over moves to a new machine group in the same transaction. Once a machine
+//! group is empty its key is deleted, but not before no copy of the write that created it can be carried out if machines
+//! have left it for other groups (`empty_groups`). A boot batch is never changed, and is deleted once none of its
+//! machines is left.
 
 mod boot_batches;
+mod empty_groups;
 mod group_changes;
 mod groups;
 mod records;
@@ -46,7 +49,7 @@
     unconfirmed_boot_batches: Vec<BootBatch>,
     /// Number of boot batches that this incarnation has named; makes their names unique.
     boot_batch_count: u32,
-    /// When boot batches were last searched for ones that can be deleted, in milliseconds.
+    /// When boot batches and machine groups were last searched for ones that can be deleted, in milliseconds.
     last_sweep_at: u64,
     /// The leader's new machine groups, planned or sent, until the outcome of their write is known.
     new_groups: Vec<(String, GroupRecord)>,
@@ -93,8 +96,8 @@
         }
     }
 
-    /// Sends the roster writes that are due: new boot batches and changed machine groups. Also marks boot batches
-    /// that can be deleted.
+    /// Sends the roster writes that are due: new boot batches and changed machine groups. Also marks records that can be
+    /// deleted.
     pub(crate) fn tick_roster(&mut self) {
         if !self.is_entitled() {
             return;
@@ -111,6 +114,26 @@
         for name in due {
             self.send_group_write(&name);
         }
-        self.sweep_boot_batches();
+        self.sweep_roster();
+    }
+
+    /// Marks boot batches and machine groups that can be deleted. Run by the leader once per worker lease.
+    fn sweep_roster(&mut self) {
+        let now = self.now.ms;
+        if !self.is_leader() || now < self.roster.last_sweep_at + self.settings.worker_lease_ms() {
+            return;
+        }
+        self.roster.last_sweep_at = now;
+        self.mark_stale_boot_batches();
+        self.mark_stale_groups();
+    }
+
+    /// Marks keys for deletion that are not marked yet.
+    fn delete_later(&mut self, keys: Vec<String>) {
+        for key in keys {
+            if !self.capacity.stale_keys.contains(&key) {
+                self.capacity.stale_keys.push(key);
+            }
+        }
     }
 }
--- a/crates/tidelatch-core/src/roster/boot_batches.rs
+++ b/crates/tidelatch-core/src/roster/boot_batches.rs
@@ -234,24 +234,16 @@
         }
     }
 
-    /// Marks boot batches of which no machine is left for deletion. Run by the leader once per worker lease.
-    pub(super) fn sweep_boot_batches(&mut self) {
-        let now = self.now.ms;
-        if !self.is_leader() || now < self.roster.last_sweep_at + self.settings.worker_lease_ms() {
-            return;
-        }
-        self.roster.last_sweep_at = now;
+    /// Marks boot batches of which no machine is left for deletion. A late copy of a batch's write may create it again:
+    /// it says no more than that machines have booted that no machine group lists, and is deleted again.
+    pub(super) fn mark_stale_boot_batches(&mut self) {
         let machines = &self.machines;
-        let empty = self
+        let stale = self
             .roster
             .boot_batches
             .iter()
             .filter(|(_, ids)| !ids.iter().any(|id| machines.contains_key(id)));
-        let keys: Vec<String> = empty.map(|(name, _)| format!("{BOOT_BATCH_PREFIX}{name}")).collect();
-        for key in keys {
-            if !self.capacity.stale_keys.contains(&key) {
-                self.capacity.stale_keys.push(key);
-            }
-        }
+        let keys: Vec<String> = stale.map(|(name, _)| format!("{BOOT_BATCH_PREFIX}{name}")).collect();
+        self.delete_later(keys);
     }
 }
--- a/crates/tidelatch-core/src/roster/group_changes.rs
+++ b/crates/tidelatch-core/src/roster/group_changes.rs
@@ -145,6 +145,7 @@
                 };
                 if machine.is_none_or(is_in_later_group) {
                     division.staying.machines.remove(id);
+                    division.staying.has_former_machines = true;
                 }
                 continue;
             };
@@ -187,6 +188,7 @@
         {
             record.machines.insert(id.clone(), machine.last_report_key());
             division.staying.machines.remove(id);
+            division.staying.has_former_machines = true;
         }
     }
 
@@ -206,11 +208,12 @@
             );
             return self.plan_split_step(name, revision, &staying);
         }
-        let remaining = if pieces.is_empty() {
+        let mut remaining = if pieces.is_empty() {
             staying.without_machines()
         } else {
             pieces.remove(0)
         };
+        remaining.has_former_machines = staying.has_former_machines || !pieces.is_empty();
         let has_hand_overs = !moving.is_empty();
         let moved = moving
             .into_iter()
@@ -267,7 +270,8 @@
             .map(|(new_name, record)| (new_name, Some(record)));
         let mut changes: Vec<(String, Option<GroupRecord>)> = created.collect();
         if let Some(remaining) = change.remaining {
-            changes.push((name.to_owned(), Some(remaining).filter(|r| !r.machines.is_empty())));
+            let is_kept = |r: &GroupRecord| !r.machines.is_empty() || r.has_former_machines;
+            changes.push((name.to_owned(), Some(remaining).filter(is_kept)));
         }
         let write = |(name, record): &(String, Option<GroupRecord>)| match record {
             Some(record) => json!({ "write": group_key(name), "value": record }),
--- a/crates/tidelatch-core/src/roster/records.rs
+++ b/crates/tidelatch-core/src/roster/records.rs
@@ -24,6 +24,11 @@
     /// `part` while it ran them.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty", rename = "also")]
     pub also_holds: BTreeSet<Partition>,
+    /// Machines have left the group that may still exist: they were handed over or split off. When the group becomes
+    /// empty, its key is kept for a while, so that no copy of the write that created the group is carried out. Versions
+    /// before this field drop it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not", rename = "left")]
+    pub has_former_machines: bool,
     /// The machines, each with the session and sequence number of its last report when it came into the machine group.
     /// Older reports are ignored.
     #[serde(rename = "m")]
@@ -31,10 +36,11 @@
 }
 
 impl GroupRecord {
-    /// A copy of the machine group without its machines.
+    /// A new machine group of the same kind and partition, without machines.
     pub(super) fn without_machines(&self) -> Self {
         Self {
             machines: BTreeMap::new(),
+            has_former_machines: false,
             ..self.clone()
         }
     }
--- a/crates/tidelatch-core/src/roster/rentals.rs
+++ b/crates/tidelatch-core/src/roster/rentals.rs
@@ -79,6 +79,7 @@
                         spot: rented.kind.2,
                         rented_at_ms: wall_ms,
                         also_holds: BTreeSet::new(),
+                        has_former_machines: false,
                         machines: BTreeMap::new(),
                     };
                     bytes.push(bytes_of(&record));
--- a/crates/tidelatch-standin/tests/repeated_requests.rs
+++ b/crates/tidelatch-standin/tests/repeated_requests.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use tidelatch_core::settings::Operator;
 use tidelatch_standin::support::assert_no_breaches;
-use tidelatch_standin::{CANCEL_MS, Delivery, World, job};
+use tidelatch_standin::{CANCEL_MS, Delivery, Message, World, job};
 
 /// The job whose start is repeated.
 const REPEATED_JOB: &str = "job-000002";
@@ -52,14 +52,18 @@
     with_machine.max().map(|(_, partition)| partition)
 }
 
-/// Starts a deployment whose first machine is idle, in the partition of team 0.
-fn world_with_idle_machine(max_machines: usize) -> (World, String) {
+/// Starts a deployment with these network faults whose first machine is idle, in the partition of team 0.
+fn world_with_idle_machine(
+    max_machines: usize,
+    injector: impl FnMut(&Message<'_>) -> Delivery + 'static,
+) -> (World, String) {
     // Idle machines stay for a minute.
     let operator = Operator {
         idle_per_boot: 20.0,
         ..Operator::default()
     };
     let mut world = World::with_operator(&operator);
+    world.set_fault_injector(injector);
     world.run_ms = 600_000;
     world.cloud.max_machines = max_machines;
     world.run_for(3000);
@@ -90,7 +94,7 @@
 /// back, and the attempt that a direct command had started there was forgotten on its return.
 #[test]
 fn a_repeated_direct_start_has_no_effect_after_its_machine_was_lent_and_returned() {
-    let (mut world, machine) = world_with_idle_machine(2);
+    let (mut world, machine) = world_with_idle_machine(2, |_| Delivery::Pass);
     world.cloud.boot_ms = 6000;
     let sent = repeat_direct_start(&mut world, 45_000);
     world.submit_until_accepted(0, &whole_machine_job(2, 0, "sweep"));
@@ -135,7 +139,7 @@
 /// meanwhile and the new owner had the attempt forgotten at once, as one of a job that is over.
 #[test]
 fn a_repeated_direct_start_of_a_cancelled_job_has_no_effect_on_a_lent_machine() {
-    let (mut world, machine) = world_with_idle_machine(1);
+    let (mut world, machine) = world_with_idle_machine(1, |_| Delivery::Pass);
     let sent = repeat_direct_start(&mut world, CANCEL_MS + 7000);
     world.submit_until_accepted(0, &whole_machine_job(2, 0, "sweep"));
     assert!(
@@ -155,3 +159,162 @@
     assert_eq!(world.trace().matches(&start).count(), 1, "{}", world.trace());
     assert_no_breaches(&world);
 }
+
+/// The machine that is rented first.
+const FIRST_MACHINE: &str = "n-000001";
+/// When the repeat of the transaction that entered the first machine in the roster arrives, in milliseconds.
+const ROSTER_REPEAT_AT_MS: u64 = 36_000;
+
+/// Whether a message is the transaction that enters the first machine in the roster as one that was rented.
+fn is_first_roster_write(message: &Message<'_>) -> bool {
+    message.request == "POST /txn" && message.body.contains(&format!("\"write\":\"t/m/{FIRST_MACHINE}\""))
+}
+
+/// Has the network deliver the first machine's roster transaction a second time at `ROSTER_REPEAT_AT_MS`, and lose all
+/// commands and answers to that machine from shortly before then on, for less than a worker's lease.
+fn repeat_roster_write_with_deaf_machine() -> impl FnMut(&Message<'_>) -> Delivery + 'static {
+    let deaf = ROSTER_REPEAT_AT_MS - 300..ROSTER_REPEAT_AT_MS + 15_700;
+    let mut is_repeated = false;
+    move |message| {
+        let is_to_machine = message.to == FIRST_MACHINE;
+        if deaf.contains(&message.sent_ms) && (is_to_machine || message.from == FIRST_MACHINE) {
+            return if is_to_machine {
+                Delivery::Lost
+            } else {
+                Delivery::AnswerLost
+            };
+        }
+        if is_first_roster_write(message) && !std::mem::replace(&mut is_repeated, true) {
+            return Delivery::Copied(ROSTER_REPEAT_AT_MS - message.sent_ms);
+        }
+        Delivery::Pass
+    }
+}
+
+/// Guards against a task that runs on two machines because the repeated write of a new machine group, which had been
+/// deleted when its machine was lent, took the machine back and hid it from the takeover of its owner.
+#[test]
+fn a_repeated_write_of_a_deleted_machine_group_does_not_hide_a_lent_machine_from_a_takeover() {
+    let (mut world, machine) = world_with_idle_machine(2, repeat_roster_write_with_deaf_machine());
+    assert_eq!(machine, FIRST_MACHINE);
+    assert_eq!(run_job(&mut world, 1, 1, "sweep"), machine, "{}", world.trace());
+    assert_eq!(owner_of_machine(&world, &machine), Some(1), "{}", world.trace());
+    // The same partition has a second machine, which is idle.
+    assert_ne!(run_job(&mut world, 2, 1, "sweep"), machine, "{}", world.trace());
+    cancel(&mut world, "job-000002");
+    let crash_at = ROSTER_REPEAT_AT_MS - 300;
+    assert!(
+        world.now + 1000 < crash_at,
+        "the repeat came too early\n{}",
+        world.trace()
+    );
+    world.run_for(crash_at - world.now);
+    for controller in 0..3 {
+        world.crash_controller(controller);
+    }
+    world.run_for(6000);
+    assert_eq!(owner_of_machine(&world, &machine), Some(1), "{}", world.trace());
+    for controller in 0..3 {
+        world.start_controller(controller);
+    }
+    world.run_for(60_000);
+    assert_no_breaches(&world);
+}
+
+/// Guards against a machine that is taken from its owner, and whose tasks are stopped, by the first copy of the write of
+/// its first machine group, which is carried out after the second one and after the group has been deleted.
+#[test]
+fn a_late_write_of_a_deleted_machine_group_does_not_take_a_lent_machine_from_its_owner() {
+    let mut is_delayed = false;
+    let injector = move |message: &Message<'_>| {
+        if is_first_roster_write(message) && !std::mem::replace(&mut is_delayed, true) {
+            return Delivery::Late(30_000);
+        }
+        Delivery::Pass
+    };
+    let (mut world, machine) = world_with_idle_machine(1, injector);
+    assert_eq!(run_job(&mut world, 1, 1, "sweep"), machine, "{}", world.trace());
+    world.run_for(40_000);
+    assert!(
+        world.now > 45_000,
+        "the late write has not arrived yet\n{}",
+        world.trace()
+    );
+    assert_eq!(owner_of_machine(&world, &machine), Some(1), "{}", world.trace());
+    let starts = world.trace().matches("starts job-000001/0").count();
+    assert_eq!((starts, world.running_tasks("job-000001")), (1, 1), "{}", world.trace());
+    assert_no_breaches(&world);
+}
+
+/// Machine groups that are stored.
+fn stored_groups(world: &World) -> usize {
+    world.store.keys("t/m/").len()
+}
+
+/// Guards against a state service that fills up with machine groups without machines: each machine that is lent leaves
+/// one behind, which is kept only until no copy of a write can create it again.
+#[test]
+fn machine_groups_without_machines_are_deleted_while_one_controller_leads() {
+    let (mut world, machine) = world_with_idle_machine(1, |_| Delivery::Pass);
+    for id in 100..180 {
+        let team = (id + 1) % 2;
+        assert_eq!(run_job(&mut world, id, team, "sweep"), machine, "{}", world.trace());
+        cancel(&mut world, &format!("job-{id:06}"));
+        world.run_for(2500);
+    }
+    assert!(
+        world.run_until(60_000, |w| stored_groups(w) < 32),
+        "{} groups\n{}",
+        stored_groups(&world),
+        world.trace()
+    );
+    assert_eq!(world.epoch(), 1, "{}", world.trace());
+    assert_eq!(world.trace().matches("became leader").count(), 1, "{}", world.trace());
+    assert_no_breaches(&world);
+}
+
+/// Guards against groups without machines that stay for ever in a small deployment, where few machines are lent. They
+/// can be deleted once the epoch has changed.
+#[test]
+fn machine_groups_without_machines_are_deleted_after_a_change_of_epoch() {
+    let (mut world, machine) = world_with_idle_machine(1, |_| Delivery::Pass);
+    assert_eq!(run_job(&mut world, 1, 1, "sweep"), machine, "{}", world.trace());
+    world.run_for(30_000);
+    assert_eq!(stored_groups(&world), 2, "the empty group is kept\n{}", world.trace());
+    let controller = world.owner_of_team(2);
+    world.crash_controller(controller);
+    world.run_for(10_000);
+    world.start_controller(controller);
+    assert!(
+        world.run_until(30_000, |w| stored_groups(w) == 1),
+        "{:?}\n{}",
+        world.store.keys("t/m/"),
+        world.trace()
+    );
+    assert_no_breaches(&world);
+}
+
+/// Guards against a machine that the roster lists for good although the cloud has deleted it, because the write of its
+/// machine group was repeated after its deletion. Its group is not kept, as no machine has left it for another one.
+#[test]
+fn a_repeated_write_of_the_group_of_a_deleted_machine_leaves_nothing_behind() {
+    let mut world = World::new();
+    let mut is_repeated = false;
+    world.set_fault_injector(move |message| {
+        if is_first_roster_write(message) && !std::mem::replace(&mut is_repeated, true) {
+            return Delivery::Copied(40_000);
+        }
+        Delivery::Pass
+    });
+    world.run_for(3000);
+    world.submit_until_accepted(0, &job(1, 0, "sweep", 1));
+    let is_deleted = |w: &World| w.cloud.deleted.contains(FIRST_MACHINE) && w.roster().is_empty();
+    assert!(world.run_until(30_000, is_deleted), "{}", world.trace());
+    world.submit_until_accepted(0, &job(2, 0, "standing", 1));
+    let is_back = world.run_until(30_000, |w| w.roster().contains(&FIRST_MACHINE.to_owned()));
+    assert!(is_back, "{}", world.trace());
+    let is_gone = world.run_until(60_000, |w| !w.roster().contains(&FIRST_MACHINE.to_owned()));
+    assert!(is_gone, "{}", world.trace());
+    assert_eq!(world.running_tasks("job-000002"), 1, "{}", world.trace());
+    assert_no_breaches(&world);
+}
