The step key of a split is deleted only after its machine group has changed

Cause: the step key was marked for deletion when the group's last write was sent. Had that write been refused or lost, a copy of the first step could have met all its conditions again: group as before, no step key, new groups gone. Change: the owner marks it when the group's change is applied, and a new step takes the mark back.

--- a/crates/tidelatch-core/src/roster/group_changes.rs
+++ b/crates/tidelatch-core/src/roster/group_changes.rs
@@ -285,8 +285,7 @@
             // put machines back into groups that they have left since.
             conditions.push(json!({ "k": step_key, "stamp": step_revision }));
             writes.push(json!({ "write": step_key, "value": true }));
-        } else if step_revision != Revision(0) && !self.capacity.stale_keys.contains(&step_key) {
-            self.capacity.stale_keys.push(step_key);
+            self.capacity.stale_keys.retain(|key| *key != step_key);
         }
         if let Some(group) = self.roster.groups.get_mut(name) {
             group.write_in_flight = true;
--- a/crates/tidelatch-core/src/roster/groups.rs
+++ b/crates/tidelatch-core/src/roster/groups.rs
@@ -4,6 +4,7 @@
 use crate::controller::Controller;
 use crate::ids::{MachineId, Partition, Revision};
 use crate::machine_view::Machine;
+use crate::membership::STEP_PREFIX;
 use crate::messages::Level;
 use serde_json::Value;
 
@@ -55,6 +56,9 @@
             record.also_holds.clear();
         }
         let old = self.roster.groups.remove(name);
+        if let Some(old) = &old {
+            self.mark_stale_step_key(name, old);
+        }
         let is_in_group = |c: &Self, id: &MachineId| c.machines.get(id).is_some_and(|m| m.group == name);
         for id in old.iter().flat_map(|r| r.record.machines.keys()) {
             let is_kept = record.as_ref().is_some_and(|r| r.machines.contains_key(id));
@@ -129,6 +133,14 @@
         self.machines.insert(id.clone(), machine);
     }
 
+    /// Marks the step key of a machine group for deletion, as the owner of the group, after the group has changed. Before
+    /// that, a copy of a split step could be carried out without the key.
+    fn mark_stale_step_key(&mut self, name: &str, changed: &MachineGroup) {
+        if changed.step_revision != Revision(0) && self.active_tenure(changed.record.partition).is_some() {
+            self.delete_later(vec![format!("{STEP_PREFIX}{name}")]);
+        }
+    }
+
     /// Records the revision of a machine group's step key; 0: the group is not being split in steps.
     pub(crate) fn apply_split_step(&mut self, name: &str, revision: Revision) {
         if let Some(group) = self.roster.groups.get_mut(name) {
