Applying a machine group is split into its steps

Change: removing the machines that left and placing those that are listed are functions of their own. No behaviour changes.

--- a/crates/tidelatch-core/src/roster/groups.rs
+++ b/crates/tidelatch-core/src/roster/groups.rs
@@ -58,37 +58,14 @@
         let old = self.roster.groups.remove(name);
         if let Some(old) = &old {
             self.mark_stale_step_key(name, old);
-        }
-        let is_in_group = |c: &Self, id: &MachineId| c.machines.get(id).is_some_and(|m| m.group == name);
-        for id in old.iter().flat_map(|r| r.record.machines.keys()) {
-            let is_kept = record.as_ref().is_some_and(|r| r.machines.contains_key(id));
-            if !is_kept && is_in_group(self, id) {
-                self.remove_machine(id);
-            }
+            self.remove_machines_not_in(name, old, record.as_ref());
         }
         let Some(record) = record else {
             self.roster.due_writes.remove(name);
             return;
         };
         for (id, group_report) in &record.machines {
-            match self.machines.get(id) {
-                Some(m) if m.group == name => {
-                    self.set_also_holds(id, &record.also_holds);
-                    continue;
-                }
-                // The machine's group was written at a later revision: the machine was handed over after this one.
-                Some(m) if self.roster.groups.get(&m.group).is_some_and(|g| g.revision > revision) => continue,
-                // A machine group that had become too large was split. Nothing else has changed for its machines.
-                Some(m) if m.partition == record.partition && m.moving_to.is_none() => {
-                    if let Some(m) = self.machines.get_mut(id) {
-                        m.group = name.to_owned();
-                    }
-                    self.set_also_holds(id, &record.also_holds);
-                    continue;
-                }
-                _ => {}
-            }
-            self.add_machine(id, name, &record, *group_report);
+            self.place_machine_in_group(id, name, &record, (revision, *group_report));
         }
         // A write of the group that was in flight has either produced this value or can no longer be applied, because
         // its revision has changed. Changes that are still to be written are applied to this value.
@@ -114,6 +91,42 @@
         );
     }
 
+    /// Removes the machines of a machine group from the view of the machines that its new value `record` does not list
+    /// any more.
+    fn remove_machines_not_in(&mut self, name: &str, old: &MachineGroup, record: Option<&GroupRecord>) {
+        for id in old.record.machines.keys() {
+            let is_kept = record.is_some_and(|r| r.machines.contains_key(id));
+            let is_in_group = self.machines.get(id).is_some_and(|m| m.group == name);
+            if !is_kept && is_in_group {
+                self.remove_machine(id);
+            }
+        }
+    }
+
+    /// Applies that a machine group lists a machine. The last parameter holds the group's revision, and the machine's last
+    /// report when it came into the group.
+    fn place_machine_in_group(
+        &mut self,
+        id: &MachineId,
+        name: &str,
+        record: &GroupRecord,
+        (revision, group_report): (Revision, (u64, u64)),
+    ) {
+        match self.machines.get(id) {
+            Some(m) if m.group == name => self.set_also_holds(id, &record.also_holds),
+            // The machine's group was written at a later revision: the machine was handed over after this one.
+            Some(m) if self.roster.groups.get(&m.group).is_some_and(|g| g.revision > revision) => {}
+            // A machine group that had become too large was split. Nothing else has changed for its machines.
+            Some(m) if m.partition == record.partition && m.moving_to.is_none() => {
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.group = name.to_owned();
+                }
+                self.set_also_holds(id, &record.also_holds);
+            }
+            _ => self.add_machine(id, name, record, group_report),
+        }
+    }
+
     /// Adds a machine that was not known, or that comes from another partition, to the view of the machines.
     fn add_machine(&mut self, id: &MachineId, group: &str, record: &GroupRecord, group_report: (u64, u64)) {
         let retained_tasks = self.take_retained_tasks(id);
