A restarted controller counts cancel_s from the cancellation, not from its own start

Cause: the age of a stored cancellation was subtracted from the clock that begins with the process, and cut off at 0. Also, a peer's notice, which tells no time, took the moment of hearing, and the stored record that was read later did not correct it. Change: times of cancellations are signed; of two times of a stored one the earlier counts for the deadlines. Whether users may be told goes by the time as first recorded, as before. The stand-in's controllers get clocks that begin with their process: with the world's clock no test could show this. Why it works: every owner has read the record, with its time of day, before it acts, and no later message moves the time back.

--- a/crates/tidelatch-core/src/cancellations.rs
+++ b/crates/tidelatch-core/src/cancellations.rs
@@ -11,19 +11,26 @@
 
 use crate::calls::Requester;
 use crate::controller::Controller;
-use crate::ids::{ControllerId, Incarnation, JobId};
+use crate::ids::{ControllerId, Incarnation, JobId, Partition};
 use crate::messages::Answer;
 use std::collections::BTreeMap;
 
 /// Limit on cancellations in one heartbeat. A grant is given only if all that its requester lacks fit.
 const MAX_CANCELLATIONS_PER_HEARTBEAT: usize = 2000;
 
+/// A time on this controller's clock as a number that can also be negative, for times before the process started.
+fn signed_ms(ms: u64) -> i64 {
+    i64::try_from(ms).unwrap_or(i64::MAX)
+}
+
 /// A cancellation that this controller knows of.
 #[derive(Debug, Clone, Copy)]
 struct KnownCancellation {
     /// Time at which a user was, or may have been, first told of the cancellation; before it is stored, the time of the
-    /// latest request. Milliseconds on this controller's clock.
-    since_ms: u64,
+    /// latest request. Milliseconds on this controller's clock; negative if it was before this process started.
+    since_ms: i64,
+    /// The same time as it was first recorded, by which a lease extension counts as later than the cancellation.
+    first_recorded_since_ms: i64,
     /// The cancellation is stored, not only requested.
     is_stored: bool,
     /// Position in the order in which this controller learned of cancellations.
@@ -32,6 +39,13 @@
     is_shared: bool,
 }
 
+impl KnownCancellation {
+    /// Milliseconds since a user was, or may have been, first told.
+    fn age_ms(&self, now_ms: i64) -> u64 {
+        now_ms.saturating_sub(self.since_ms).max(0).unsigned_abs()
+    }
+}
+
 /// How far an incarnation of a peer has acknowledged the cancellations that this controller sent to it.
 #[derive(Debug, Clone, Copy)]
 struct AcknowledgedCancellations {
@@ -76,43 +90,29 @@
     /// Heartbeats are to be sent at once.
     heartbeats_requested: bool,
     /// Time at which the request for the latest lease extension that the state service granted was sent.
-    lease_extension_sent_ms: u64,
+    lease_extension_sent_ms: Option<i64>,
 }
 
 impl Cancellations {
-    /// Records a cancellation. Returns whether it is new, or newly known to be stored.
-    fn record(&mut self, id: &JobId, since_ms: u64, is_stored: bool, is_shared: bool) -> bool {
-        let sequence = self.last_sequence + 1;
-        match self.known.get_mut(id) {
-            Some(k) if k.is_stored >= is_stored => {
-                k.is_shared |= is_shared;
-                k.since_ms = if is_stored == k.is_stored && !is_stored {
-                    // The cancellation was requested again.
-                    since_ms
-                } else {
-                    k.since_ms.min(since_ms)
-                };
-                return false;
-            }
-            Some(k) => {
-                *k = KnownCancellation {
-                    since_ms,
-                    is_stored,
-                    sequence,
-                    is_shared,
-                }
-            }
-            None => {
-                let known = KnownCancellation {
-                    since_ms,
-                    is_stored,
-                    sequence,
-                    is_shared,
-                };
-                self.known.insert(id.clone(), known);
+    /// Records a cancellation. Returns whether it is new, or newly known to be stored. Of a stored cancellation that is
+    /// known already, the earlier time counts: a peer's message does not tell the time, and may come before the stored
+    /// record is read.
+    fn record(&mut self, id: &JobId, since_ms: i64, is_stored: bool, is_shared: bool) -> bool {
+        if let Some(known) = self.known.get_mut(id).filter(|k| k.is_stored >= is_stored) {
+            if is_stored {
+                known.since_ms = known.since_ms.min(since_ms);
             }
+            return false;
         }
-        self.last_sequence = sequence;
+        self.last_sequence += 1;
+        let known = KnownCancellation {
+            since_ms,
+            first_recorded_since_ms: since_ms,
+            is_stored,
+            sequence: self.last_sequence,
+            is_shared,
+        };
+        self.known.insert(id.clone(), known);
         true
     }
 
@@ -157,7 +157,7 @@
     /// Records that a user requests the cancellation of a job. From now on every controller that answers the workers'
     /// reports stops the job's tasks.
     pub(crate) fn record_cancel_request(&mut self, id: &JobId) {
-        if self.settings.features.cancellations && self.cancellations.record(id, self.now.ms, false, false) {
+        if self.settings.features.cancellations && self.cancellations.record(id, signed_ms(self.now.ms), false, false) {
             self.cancellations.heartbeats_requested = true;
         }
     }
@@ -173,7 +173,7 @@
         if !self.settings.features.cancellations || age > self.cancellation_retention_ms() {
             return;
         }
-        let since_ms = self.now.ms.saturating_sub(age);
+        let since_ms = signed_ms(self.now.ms).saturating_sub_unsigned(age);
         self.cancellations.record(id, since_ms, true, false);
     }
 
@@ -182,30 +182,28 @@
         self.cancellations.heartbeats_requested = true;
     }
 
-    /// Time since which a user may have been told that a job is cancelled, or `None` if no stored cancellation of it is
+    /// Milliseconds since a user may have been told that a job is cancelled, or `None` if no stored cancellation of it is
     /// known.
-    pub(crate) fn cancelled_since(&self, id: &JobId) -> Option<u64> {
-        self.cancellations
-            .known
-            .get(id)
-            .filter(|k| k.is_stored)
-            .map(|k| k.since_ms)
+    pub(crate) fn cancellation_age_ms(&self, id: &JobId) -> Option<u64> {
+        let known = self.cancellations.known.get(id).filter(|k| k.is_stored);
+        known.map(|k| k.age_ms(signed_ms(self.now.ms)))
     }
 
-    /// Time of the earliest stored cancellation in a partition that is recent enough for machines to still run tasks of
-    /// its job.
-    pub(crate) fn oldest_cancellation(&self, partition: crate::ids::Partition) -> Option<u64> {
+    /// Age in milliseconds of the oldest stored cancellation in a partition that is recent enough for machines to still
+    /// run tasks of its job.
+    pub(crate) fn oldest_cancellation_age_ms(&self, partition: Partition) -> Option<u64> {
         let relevant_ms = self.settings.cancel_ms() + self.settings.worker_lease_ms();
-        let is_recent = |since_ms: u64| self.now.ms.saturating_sub(since_ms) <= relevant_ms;
+        let now_ms = signed_ms(self.now.ms);
         let matches_partition = |id: &JobId| {
             let team = self.ended_jobs.get(id).map(|ended_job| ended_job.team.as_str());
             team.is_none_or(|team| self.settings.partition_of_team(team) == Some(partition))
         };
         let known = self.cancellations.known.iter();
         known
-            .filter(|(id, k)| k.is_stored && is_recent(k.since_ms) && matches_partition(id))
-            .map(|(_, k)| k.since_ms)
-            .min()
+            .filter(|(id, k)| k.is_stored && matches_partition(id))
+            .map(|(_, k)| k.age_ms(now_ms))
+            .filter(|age_ms| *age_ms <= relevant_ms)
+            .max()
     }
 
     /// The cancellations to send to a peer, the range of sequence numbers that they cover, and whether they are
@@ -241,7 +239,7 @@
                 .acknowledged
                 .insert(from.clone(), AcknowledgedCancellations { incarnation, up_to: 0 });
         }
-        let now = self.now.ms;
+        let now = signed_ms(self.now.ms);
         for id in &notice.requested {
             if self.cancellations.record(id, now, false, false) {
                 self.stop_tasks_of_job(id);
@@ -282,7 +280,8 @@
 
     /// Records that the state service has extended this controller's lease, by a request sent at time `sent`.
     pub(crate) fn record_lease_extension(&mut self, sent: u64) {
-        self.cancellations.lease_extension_sent_ms = self.cancellations.lease_extension_sent_ms.max(sent);
+        let latest = &mut self.cancellations.lease_extension_sent_ms;
+        *latest = (*latest).max(Some(signed_ms(sent)));
         self.answer_waiting_requesters();
     }
 
@@ -310,7 +309,7 @@
             // The state service has extended this controller's lease since the cancellation. Either it has served the
             // peers' watches too, or it refuses only them, and they need a grant of a controller that knows of the
             // cancellation.
-            || self.cancellations.lease_extension_sent_ms > known.since_ms
+            || (self.cancellations.lease_extension_sent_ms).is_some_and(|sent| sent > known.first_recorded_since_ms)
     }
 
     /// Answers a request about an ended job. If the job is cancelled, the answer may wait until a second controller
@@ -350,7 +349,7 @@
 
     /// Answers waiting users, and drops cancellations whose retention time is over.
     pub(crate) fn tick_cancellations(&mut self) {
-        let now = self.now.ms;
+        let now = signed_ms(self.now.ms);
         if !self.cancellations.waiting_requesters.is_empty() {
             self.answer_waiting_requesters();
         }
@@ -358,7 +357,7 @@
         let jobs = &self.jobs;
         self.cancellations.known.retain(|id, k| {
             let is_ending_here = jobs.get(id).is_some_and(|j| j.ending.is_some());
-            is_ending_here || now.saturating_sub(k.since_ms) < if k.is_stored { stored_ms } else { requested_ms }
+            is_ending_here || k.age_ms(now) < if k.is_stored { stored_ms } else { requested_ms }
         });
     }
 
--- a/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
+++ b/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
@@ -262,9 +262,8 @@
     ) {
         let now = self.now.ms;
         let cancel_ms = self.settings.cancel_ms();
-        let is_overdue = |since: u64, limit: u64| now.saturating_sub(since) > limit;
         let had_time_to_answer = now.saturating_sub(active_at) > 2 * self.settings.report_ms();
-        let oldest = self.oldest_cancellation(partition);
+        let oldest_ms = self.oldest_cancellation_age_ms(partition);
         let is_in_scope = |m: &Machine| m.partition == partition && m.is_up() && !m.is_deleted;
         let unconfirmed = self.count_unconfirmed_machines(partition);
         let most_are_unconfirmed =
@@ -276,12 +275,12 @@
         };
         for (id, m) in self.machines.iter().filter(|(_, m)| is_in_scope(m) && !m.retiring) {
             let is_overdue_task = |h: &HeldTask| {
-                let since = self.cancelled_since(&h.task.job);
-                h.state != HeldTaskState::Booked && since.is_some_and(|since| is_overdue(since, cancel_ms / 2))
+                let age_ms = self.cancellation_age_ms(&h.task.job);
+                h.state != HeldTaskState::Booked && age_ms.is_some_and(|age_ms| age_ms > cancel_ms / 2)
             };
             let is_unknown = m.may_hold_older_tasks
                 && !m.is_confirmed
-                && oldest.is_some_and(|since| is_overdue(since, unknown_limit));
+                && oldest_ms.is_some_and(|oldest_ms| oldest_ms > unknown_limit);
             if had_time_to_answer && (is_unknown || m.held.iter().any(is_overdue_task)) {
                 lost.insert(id.clone(), "tasks of a cancelled job may still be on it");
             }
--- a/crates/tidelatch-standin/src/world/controllers.rs
+++ b/crates/tidelatch-standin/src/world/controllers.rs
@@ -16,6 +16,8 @@
     pub(super) core: Option<Controller>,
     /// Incarnation of the process: the number of its starts and crashes so far.
     pub(super) incarnation: u64,
+    /// When the process was last started, in milliseconds. Its steady clock counts from then on.
+    started_ms: u64,
     pub(super) settings: Settings,
     /// Numbers of the calls that have no result yet.
     pub(super) pending_calls: HashSet<u64>,
@@ -31,12 +33,22 @@
         Self {
             core: None,
             incarnation: 0,
+            started_ms: 0,
             settings,
             pending_calls: HashSet::new(),
             paused_inputs: None,
             is_refused_by_state: false,
         }
     }
+
+    /// Returns the time as the process sees it, when `world_ms` milliseconds have passed since the beginning of the
+    /// simulation. Its steady clock begins with the process, and is never 0.
+    fn clock(&self, world_ms: u64) -> Now {
+        Now {
+            ms: world_ms.saturating_sub(self.started_ms) + 1,
+            wall_ms: world_ms,
+        }
+    }
 }
 
 impl World {
@@ -57,13 +69,12 @@
 
     /// Starts a controller as a new incarnation.
     pub fn start_controller(&mut self, controller: usize) {
-        let now = Now {
-            ms: self.now,
-            wall_ms: self.now,
-        };
+        let world_ms = self.now;
         let Some(process) = self.controllers.get_mut(controller) else {
             return;
         };
+        process.started_ms = world_ms;
+        let now = process.clock(world_ms);
         process.incarnation += 1;
         process.pending_calls.clear();
         process.paused_inputs = None;
@@ -134,13 +145,11 @@
 
     /// Passes an input to a controller and executes its outputs. The input of a paused controller is buffered.
     pub(super) fn deliver_input(&mut self, controller: usize, input: Input) {
-        let now = Now {
-            ms: self.now,
-            wall_ms: self.now,
-        };
+        let world_ms = self.now;
         let Some(process) = self.controllers.get_mut(controller) else {
             return;
         };
+        let now = process.clock(world_ms);
         if let Some(paused_inputs) = &mut process.paused_inputs {
             paused_inputs.push(input);
             return;
@@ -233,7 +242,7 @@
                 process
                     .core
                     .as_ref()
-                    .is_some_and(|c| c.acts_for_partition_at(self.now, Partition(p)))
+                    .is_some_and(|c| c.acts_for_partition_at(process.clock(self.now).ms, Partition(p)))
             };
             if self.controllers.iter().filter(|process| is_acting(process)).count() > 1 {
                 self.record_breach(format!("two controllers act for partition {p}"));
--- a/crates/tidelatch-standin/tests/cancellations.rs
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -375,3 +375,58 @@
     assert!(world.machines_of("job-000001").is_empty(), "{}", world.trace());
     assert!(world.breaches.is_empty(), "{:?}\n{}", world.breaches, world.trace());
 }
+
+/// Cancels three jobs whose machines hang, crashes their owner 12 s later and restarts it after 6 s, as review/3 does.
+/// The answers to the restarted controller's listing of the shared keys are `listing_delay_ms` late.
+fn restart_owner_of_hanging_machines(listing_delay_ms: u64) -> World {
+    let mut world = World::new();
+    world.run_ms = 600_000;
+    world.run_for(3000);
+    let ids = ["job-000001", "job-000002", "job-000003"];
+    for (number, id) in (1..).zip(ids) {
+        let mut whole_machine = job(number, 0, "sweep", 1);
+        whole_machine["vcpus"] = 24.0.into();
+        world.submit_until_accepted(0, &whole_machine);
+        let runs = world.run_until(30_000, |w| w.running_tasks(id) == 1);
+        assert!(runs, "{}", world.trace());
+    }
+    let owner = world.owner_of_team(0);
+    for worker in world.workers.values_mut() {
+        worker.is_hanging = true;
+    }
+    let cancellations = ids.map(|id| world.cancel(owner, id));
+    world.run_for(100);
+    for cancellation in cancellations {
+        assert_eq!(world.job_status(cancellation), "withdrawn", "{}", world.trace());
+    }
+    world.run_for(11_900);
+    world.crash_controller(owner);
+    world.run_for(6000);
+    let name = format!("berth-{owner}");
+    world.set_fault_injector(move |message| {
+        let is_listing = message.from == name && message.request.starts_with("GET /store?");
+        if is_listing && listing_delay_ms > 0 {
+            return Delivery::AnswerLate(listing_delay_ms);
+        }
+        Delivery::Pass
+    });
+    world.start_controller(owner);
+    world.run_for(CANCEL_MS);
+    world
+}
+
+#[test]
+fn a_restarted_controller_counts_the_time_of_a_cancellation_from_the_cancellation() {
+    // Guards against machines that hang with cancelled tasks and are deleted too late, because a controller that has
+    // been restarted counts the time that is left from its own start.
+    let world = restart_owner_of_hanging_machines(0);
+    assert!(world.breaches.is_empty(), "{:?}\n{}", world.breaches, world.trace());
+}
+
+#[test]
+fn a_restarted_controller_that_hears_of_a_cancellation_before_it_reads_it_counts_from_the_cancellation() {
+    // Guards against the same with a slow state service: the peers tell the restarted controller of the cancellation,
+    // without its time, before it reads the job's stored end.
+    let world = restart_owner_of_hanging_machines(1000);
+    assert!(world.breaches.is_empty(), "{:?}\n{}", world.breaches, world.trace());
+}
