Cancellations of every partition whose tasks a machine may hold count for its deletion

In the simulation another partition's cancelled task stayed on a hanging machine for 51 s (cancel_s 38) after the machine's owner was restarted. Cause: the owner of a machine that does not answer looked for cancellations of its own teams only, though the roster names the other partitions whose tasks may be there; and a machine that hangs from its hand-over on was left out. Change: a machine that has not reported counts by the oldest cancellation of its own partition, if it was taken over, and of all partitions in `also`; it has two report intervals to answer from when it came. Evidence: the new test failed before (cancelled 41.6 s, RULE BROKEN ran_cancelled 79.6 s, given up 92.2 s as one that has not accepted the epoch), and passes now.

--- a/crates/tidelatch-core/src/cancellations.rs
+++ b/crates/tidelatch-core/src/cancellations.rs
@@ -189,21 +189,27 @@
         known.map(|k| k.age_ms(signed_ms(self.now.ms)))
     }
 
-    /// Age in milliseconds of the oldest stored cancellation in a partition that is recent enough for machines to still
-    /// run tasks of its job.
-    pub(crate) fn oldest_cancellation_age_ms(&self, partition: Partition) -> Option<u64> {
+    /// Ages in milliseconds of each partition's oldest stored cancellation that is recent enough for machines to still run
+    /// tasks of its job. A job that is not known counts for every partition.
+    pub(crate) fn oldest_cancellation_ages_ms(&self) -> BTreeMap<Partition, u64> {
         let relevant_ms = self.settings.cancel_ms() + self.settings.worker_lease_ms();
         let now_ms = signed_ms(self.now.ms);
-        let matches_partition = |id: &JobId| {
-            let team = self.ended_jobs.get(id).map(|ended_job| ended_job.team.as_str());
-            team.is_none_or(|team| self.settings.partition_of_team(team) == Some(partition))
-        };
-        let known = self.cancellations.known.iter();
-        known
-            .filter(|(id, k)| k.is_stored && matches_partition(id))
-            .map(|(_, k)| k.age_ms(now_ms))
-            .filter(|age_ms| *age_ms <= relevant_ms)
-            .max()
+        let mut oldest: BTreeMap<Partition, u64> = BTreeMap::new();
+        for (id, known) in self.cancellations.known.iter().filter(|(_, k)| k.is_stored) {
+            let age_ms = known.age_ms(now_ms);
+            if age_ms > relevant_ms {
+                continue;
+            }
+            let partitions = match self.ended_jobs.get(id) {
+                Some(ended_job) => self.settings.partition_of_team(&ended_job.team).into_iter().collect(),
+                None => (0..self.settings.partitions()).map(Partition).collect::<Vec<_>>(),
+            };
+            for partition in partitions {
+                let oldest_ms = oldest.entry(partition).or_insert(age_ms);
+                *oldest_ms = (*oldest_ms).max(age_ms);
+            }
+        }
+        oldest
     }
 
     /// The cancellations to send to a peer, the range of sequence numbers that they cover, and whether they are
--- a/crates/tidelatch-core/src/machine_view/machine.rs
+++ b/crates/tidelatch-core/src/machine_view/machine.rs
@@ -353,6 +353,13 @@
         }
     }
 
+    /// The partitions of which it may hold tasks that this controller does not know, until it has reported: those of
+    /// tasks that came with it, and its own after a takeover.
+    pub(super) fn partitions_of_unknown_tasks(&self) -> impl Iterator<Item = &Partition> {
+        let own = self.may_hold_older_tasks.then_some(&self.partition);
+        self.also_holds.iter().chain(own)
+    }
+
     /// Whether it may hold tasks from before this tenure: it was in the roster, and up, when the tenure began.
     pub(crate) fn may_hold_older_tasks(&self) -> bool {
         self.may_hold_older_tasks && !self.is_deleted
--- a/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
+++ b/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
@@ -250,10 +250,10 @@
     ///
     /// A machine that works ends such tasks within little more than a report interval. A machine that hangs may
     /// continue to run them without its worker's lease expiring, so half of the time limit of a cancellation is left
-    /// for the cloud, with its rate limits and outages, and for a change of owner. The tasks of a machine that was
-    /// taken over and has not answered are not known. If most machines do not answer, a network fault is more likely,
-    /// and their workers' leases expire in time by themselves unless the workers hang, so these machines get three
-    /// quarters of the time limit.
+    /// for the cloud, with its rate limits and outages, and for a change of owner. If a machine was taken over, or came
+    /// with tasks of other partitions, and has not answered, its tasks are not known: the oldest cancellation of these
+    /// partitions counts. If most machines do not answer, a network fault is more likely, and their workers' leases
+    /// expire in time by themselves unless the workers hang, so these machines get three quarters of the time limit.
     fn find_holders_of_cancelled_tasks(
         &self,
         partition: Partition,
@@ -262,8 +262,9 @@
     ) {
         let now = self.now.ms;
         let cancel_ms = self.settings.cancel_ms();
-        let had_time_to_answer = now.saturating_sub(active_at) > 2 * self.settings.report_ms();
-        let oldest_ms = self.oldest_cancellation_age_ms(partition);
+        let oldest_ms = self.oldest_cancellation_ages_ms();
+        let answer_limit_ms = 2 * self.settings.report_ms();
+        let had_time_to_answer = |m: &Machine| now.saturating_sub(active_at.max(m.known_since)) > answer_limit_ms;
         let is_in_scope = |m: &Machine| m.partition == partition && m.is_up() && !m.is_deleted;
         let unconfirmed = self.count_unconfirmed_machines(partition);
         let most_are_unconfirmed =
@@ -278,10 +279,10 @@
                 let age_ms = self.cancellation_age_ms(&h.task.job);
                 h.state != HeldTaskState::Booked && age_ms.is_some_and(|age_ms| age_ms > cancel_ms / 2)
             };
-            let is_unknown = m.may_hold_older_tasks
-                && !m.is_confirmed
-                && oldest_ms.is_some_and(|oldest_ms| oldest_ms > unknown_limit);
-            if had_time_to_answer && (is_unknown || m.held.iter().any(is_overdue_task)) {
+            let is_overdue_if_unknown = |p: &Partition| oldest_ms.get(p).is_some_and(|age_ms| *age_ms > unknown_limit);
+            let has_unknown_overdue_tasks =
+                !m.is_confirmed && m.partitions_of_unknown_tasks().any(is_overdue_if_unknown);
+            if had_time_to_answer(m) && (has_unknown_overdue_tasks || m.held.iter().any(is_overdue_task)) {
                 lost.insert(id.clone(), "tasks of a cancelled job may still be on it");
             }
         }
--- a/crates/tidelatch-standin/tests/shared_machines.rs
+++ b/crates/tidelatch-standin/tests/shared_machines.rs
@@ -481,3 +481,39 @@
         assert_no_breaches(&world, controller);
     }
 }
+
+/// Guards against a cancelled task of another partition that stays on a hanging machine for too long, because the
+/// machine's owner was restarted, does not know what is on the machine, and counts only cancellations of its own teams.
+#[test]
+fn a_restarted_owner_deletes_a_hanging_machine_in_time_for_another_partitions_cancellation() {
+    let mut world = World::new();
+    world.run_ms = 600_000;
+    world.cloud.max_machines = 3;
+    world.run_for(3000);
+    // Team 2 has a machine of its own, which is full.
+    let mut whole_machine = job(4, 2, "standing", 1);
+    whole_machine["accelerators"] = json!(2.0);
+    for submission in [whole_machine, job(1, 0, "standing", 1), job(2, 1, "standing", 1)] {
+        world.submit_until_accepted(0, &submission);
+        let id = submission["uid"].as_str().expect("an id").to_owned();
+        let runs = world.run_until(30_000, |w| w.running_tasks(&id) == 1);
+        assert!(runs, "{}", world.trace());
+    }
+    world.submit_until_accepted(0, &job(3, 2, "standing", 1));
+    let runs = world.run_until(90_000, |w| w.running_tasks(LATER_JOB) == 1);
+    assert!(runs, "{}", world.trace());
+    let shared = shared_machine(&world);
+    for worker in world.workers.values_mut() {
+        worker.is_hanging = true;
+    }
+    let owner = world.owner_of_team(2);
+    let cancellation = world.cancel(world.owner_of_team(shared.earlier_team), shared.earlier_job);
+    world.run_for(12_000);
+    assert_eq!(world.job_status(cancellation), "withdrawn", "{}", world.trace());
+    world.crash_controller(owner);
+    world.run_for(6000);
+    world.start_controller(owner);
+    world.run_for(CANCEL_MS);
+    assert_no_breaches(&world, shared.earlier_job);
+    assert!(world.cloud.deleted.contains(&shared.machine), "{}", world.trace());
+}
