Machines that hang with cancelled tasks are given up early enough for a cloud outage

Cause: a machine that holds such a task was given up at half of cancel_s; a first request in an outage of up to 30 s, as in the operators' files, left no time for a second. Change: given up at three tenths of cancel_s, still more than two report intervals on all deployments. Machines whose tasks are not known after a takeover keep their limits. Why it works: 0.3 of cancel_s, an outage of 30/48 of it and two rounds of deletions are less than cancel_s. Evidence: the new test, an outage begun at each second second, broke the rule from 15 s on before, and passes now.

--- a/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
+++ b/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
@@ -12,6 +12,9 @@
 
 /// Number of consecutive missed answers (`Machine::missed_answers`) from which answers count as not reaching a machine.
 const MISSED_ANSWERS_LIMIT: u32 = 4;
+/// Share of a cancellation's time limit, in percent, after which a machine that still holds the cancelled task is given
+/// up. The rest is for the cloud, which may be down for five eighths of the limit.
+const CANCELLED_TASK_LIMIT_PERCENT: u64 = 30;
 /// Seconds after which a machine of an unknown type that has not come up is given up.
 const UNKNOWN_TYPE_BOOT_LIMIT_S: f64 = 180.0;
 
@@ -249,11 +252,12 @@
     /// gone.
     ///
     /// A machine that works ends such tasks within little more than a report interval. A machine that hangs may
-    /// continue to run them without its worker's lease expiring, so half of the time limit of a cancellation is left
-    /// for the cloud, with its rate limits and outages, and for a change of owner. If a machine was taken over, or came
-    /// with tasks of other partitions, and has not answered, its tasks are not known: the oldest cancellation of these
-    /// partitions counts. If most machines do not answer, a network fault is more likely, and their workers' leases
-    /// expire in time by themselves unless the workers hang, so these machines get three quarters of the time limit.
+    /// continue to run them without its worker's lease expiring, so most of the time limit of a cancellation is left
+    /// for the cloud, with its rate limits and outages. If a machine was taken over, or came with tasks of other
+    /// partitions, and has not answered, its tasks are not known: it is given up at half of the time limit, by the
+    /// oldest cancellation of these partitions. If most machines do not answer, a network fault is more likely, and
+    /// their workers' leases expire in time by themselves unless the workers hang, so these machines get three
+    /// quarters of the time limit.
     fn find_holders_of_cancelled_tasks(
         &self,
         partition: Partition,
@@ -262,6 +266,7 @@
     ) {
         let now = self.now.ms;
         let cancel_ms = self.settings.cancel_ms();
+        let held_limit_ms = cancel_ms * CANCELLED_TASK_LIMIT_PERCENT / 100;
         let oldest_ms = self.oldest_cancellation_ages_ms();
         let answer_limit_ms = 2 * self.settings.report_ms();
         let had_time_to_answer = |m: &Machine| now.saturating_sub(active_at.max(m.known_since)) > answer_limit_ms;
@@ -277,7 +282,7 @@
         for (id, m) in self.machines.iter().filter(|(_, m)| is_in_scope(m) && !m.retiring) {
             let is_overdue_task = |h: &HeldTask| {
                 let age_ms = self.cancellation_age_ms(&h.task.job);
-                h.state != HeldTaskState::Booked && age_ms.is_some_and(|age_ms| age_ms > cancel_ms / 2)
+                h.state != HeldTaskState::Booked && age_ms.is_some_and(|age_ms| age_ms > held_limit_ms)
             };
             let is_overdue_if_unknown = |p: &Partition| oldest_ms.get(p).is_some_and(|age_ms| *age_ms > unknown_limit);
             let has_unknown_overdue_tasks =
--- a/crates/tidelatch-standin/tests/cancellations.rs
+++ b/crates/tidelatch-standin/tests/cancellations.rs
@@ -376,9 +376,8 @@
     assert!(world.breaches.is_empty(), "{:?}\n{}", world.breaches, world.trace());
 }
 
-/// Cancels three jobs whose machines hang, crashes their owner 12 s later and restarts it after 6 s, as review/3 does.
-/// The answers to the restarted controller's listing of the shared keys are `listing_delay_ms` late.
-fn restart_owner_of_hanging_machines(listing_delay_ms: u64) -> World {
+/// Starts three jobs on a machine each, which then hang, and cancels the jobs. Returns the owner of the jobs.
+fn cancel_jobs_on_hanging_machines() -> (World, usize) {
     let mut world = World::new();
     world.run_ms = 600_000;
     world.run_for(3000);
@@ -399,6 +398,13 @@
     for cancellation in cancellations {
         assert_eq!(world.job_status(cancellation), "withdrawn", "{}", world.trace());
     }
+    (world, owner)
+}
+
+/// Cancels three jobs whose machines hang, crashes their owner 12 s later and restarts it after 6 s, as review/3 does.
+/// The answers to the restarted controller's listing of the shared keys are `listing_delay_ms` late.
+fn restart_owner_of_hanging_machines(listing_delay_ms: u64) -> World {
+    let (mut world, owner) = cancel_jobs_on_hanging_machines();
     world.run_for(11_900);
     world.crash_controller(owner);
     world.run_for(6000);
@@ -430,3 +436,25 @@
     let world = restart_owner_of_hanging_machines(1000);
     assert!(world.breaches.is_empty(), "{:?}\n{}", world.breaches, world.trace());
 }
+
+#[test]
+fn hanging_machines_with_cancelled_tasks_are_deleted_in_time_despite_an_outage_of_the_cloud() {
+    // Guards against machines that hang with cancelled tasks and whose deletion is first requested while the cloud's
+    // interface is down, too late for a second request after that. The operators' cloud is down for up to 30 s where
+    // `cancel_s` is 48: for 30/48 of `cancel_s`, whenever that begins.
+    let outage_ms = CANCEL_MS * 30 / 48;
+    for begin_ms in (1000..CANCEL_MS).step_by(2000) {
+        let (mut world, _) = cancel_jobs_on_hanging_machines();
+        world.run_for(begin_ms - 100);
+        world.cloud.is_down = true;
+        world.run_for(outage_ms);
+        world.cloud.is_down = false;
+        world.run_for(CANCEL_MS);
+        assert!(
+            world.breaches.is_empty(),
+            "{begin_ms}: {:?}\n{}",
+            world.breaches,
+            world.trace()
+        );
+    }
+}
