Reports stay below 64 KiB when an array of many short tasks runs on a machine

Cause: ended attempts that a direct command started stay listed for three leases; the report grew past 64 KiB, every controller answered 413, and the worker's lease ended. Change: from 200 such attempts on, a machine's further starts go out with the answers to its reports, which cannot be repeated late; production work is exempt. Why it works: such attempts are forgotten as soon as their results are stored.

--- a/crates/tidelatch-core/src/machine_view/commands.rs
+++ b/crates/tidelatch-core/src/machine_view/commands.rs
@@ -6,7 +6,11 @@
 use crate::ids::{Attempt, Epoch, MachineId, TaskId};
 use crate::jobs::Job;
 use crate::messages::{Method, STATUS_NO_FREE_SOCKET, STATUS_NOT_CONNECTED, Target};
-use crate::protocol::{Command, Orders, Report, TaskState};
+use crate::protocol::{Command, Orders, Priority, Report, TaskState};
+
+/// Number of attempts started by direct commands, and not yet old enough to be forgotten, from which a machine's further
+/// starts wait for its reports, except those of production work. At about 75 bytes each they take a quarter of the 64 KiB that a report may have.
+const MAX_LISTED_DIRECT_STARTS: usize = 200;
 
 /// The command that starts a held task.
 fn start_command(held: &HeldTask) -> Command {
@@ -54,11 +58,18 @@
             };
             let job = self.jobs.get(&h.task.job).filter(is_known_here);
             let accepts_starts = job.is_some_and(|j| j.ending.is_none());
+            let is_production = job.is_some_and(|j| j.spec.priority >= Priority::Prod);
             // A cancellation stops tasks from the moment it is requested.
             let is_wanted = job.is_some_and(|j| !j.is_done(h.task.index))
                 && !self.cancellations.is_cancelled_or_requested(&h.task.job);
             match h.state {
                 HeldTaskState::Booked if is_wanted && accepts_starts && h.stop.is_none() => {
+                    // A start that goes out with the answer to a report cannot be repeated late, so its attempt can be
+                    // forgotten as soon as it has ended.
+                    let lists_many = m.direct_starts.len() >= MAX_LISTED_DIRECT_STARTS;
+                    if answered_report.is_none() && lists_many && !is_production {
+                        continue;
+                    }
                     h.state = match answered_report {
                         Some((session, seq)) => HeldTaskState::Sent(session, seq),
                         None => HeldTaskState::AwaitingAnswer,
--- a/crates/tidelatch-standin/tests/queues_and_capacity.rs
+++ b/crates/tidelatch-standin/tests/queues_and_capacity.rs
@@ -3,9 +3,12 @@
 //! Guards against jobs that starve in a queue, and against machines that stay with work of lower priority or without
 //! work.
 
+use serde_json::json;
+use std::cell::Cell;
+use std::rc::Rc;
 use tidelatch_core::settings::Operator;
 use tidelatch_standin::support::assert_trace;
-use tidelatch_standin::{World, job};
+use tidelatch_standin::{Delivery, World, job};
 
 /// Guards against production work that waits for machines which all run tasks of lower priority in another partition.
 #[test]
@@ -124,3 +127,35 @@
     assert!(world.store.keys("t/m/").is_empty(), "the roster should be empty");
     assert!(world.breaches.is_empty(), "{:?}", world.breaches);
 }
+
+/// Guards against reports that no controller accepts, after which a machine's lease ends and all its tasks are killed: an
+/// array of short, small tasks makes the worker list thousands of ended attempts, if each was started by a direct
+/// command. A request body has at most 64 KiB.
+#[test]
+fn an_array_of_short_tasks_does_not_make_reports_longer_than_a_request_may_be() {
+    const MAX_REQUEST_BYTES: usize = 64 * 1024;
+    let mut world = World::new();
+    world.cloud.max_machines = 1;
+    world.run_ms = 500;
+    world.run_for(3000);
+    let largest = Rc::new(Cell::new(0));
+    let seen = largest.clone();
+    world.set_fault_injector(move |message| {
+        if message.request == "POST /agent/beat" {
+            seen.set(seen.get().max(message.body.len()));
+        }
+        Delivery::Pass
+    });
+    let mut replica = job(1, 0, "standing", 1);
+    replica["vcpus"] = json!(4.0);
+    world.submit_until_accepted(0, &replica);
+    let mut census = job(2, 0, "sweep", 3000);
+    for (field, amount) in [("vcpus", 0.2), ("accelerators", 0.0), ("ramGb", 1.0)] {
+        census[field] = json!(amount);
+    }
+    world.submit_until_accepted(0, &census);
+    let is_done = |w: &World| w.store.get("t/j/job-000002").is_some_and(|j| j["st"] == "done");
+    assert!(world.run_until(400_000, is_done), "{}", world.trace());
+    assert!(largest.get() <= MAX_REQUEST_BYTES, "{} bytes", largest.get());
+    assert!(world.breaches.is_empty(), "{:?}", world.breaches);
+}
