A machine with a cancelled task has at least two report intervals before it is given up

Cause: three tenths of cancel_s may be less than a report interval in a deployment whose workers report rarely; a machine that only its reports reach would be deleted before it could hear of the cancellation. Change: two report intervals at least, half of cancel_s at most.

--- a/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
+++ b/crates/tidelatch-core/src/machine_view/unresponsive_machines.rs
@@ -266,9 +266,12 @@
     ) {
         let now = self.now.ms;
         let cancel_ms = self.settings.cancel_ms();
-        let held_limit_ms = cancel_ms * CANCELLED_TASK_LIMIT_PERCENT / 100;
-        let oldest_ms = self.oldest_cancellation_ages_ms();
         let answer_limit_ms = 2 * self.settings.report_ms();
+        // A machine that only its reports reach has to have the time to hear of the cancellation.
+        let held_limit_ms = (cancel_ms * CANCELLED_TASK_LIMIT_PERCENT / 100)
+            .max(answer_limit_ms)
+            .min(cancel_ms / 2);
+        let oldest_ms = self.oldest_cancellation_ages_ms();
         let had_time_to_answer = |m: &Machine| now.saturating_sub(active_at.max(m.known_since)) > answer_limit_ms;
         let is_in_scope = |m: &Machine| m.partition == partition && m.is_up() && !m.is_deleted;
         let unconfirmed = self.count_unconfirmed_machines(partition);
