--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -11,6 +11,8 @@
     match case {
         "shared-machine" => shared_machine(folder),
         "hang-in-outage" => hang_in_outage(folder),
+        "never-up" => never_up(folder),
+        "gang-burst" => gang_burst(folder),
         "fuzz" => fuzz(folder),
         "held-start" => held_start(folder),
         _ => panic!("no such case"),
@@ -341,3 +343,49 @@
     }
     w.finish_case();
 }
+
+/// The machine rented for a job never comes up; the job waits for its replacement beside a machine with room.
+fn never_up(folder: &Path) {
+    let mut w = World::start(folder, Facts::frostmark(), rack_cooler(&["quay"]), &[("quay", 6)], 1500);
+    w.submit(&job("job-000001", 0, "sweep", "normal", 1, 1.0, "img-01"));
+    let runs = |w: &World, task: &str| w.running().values().any(|t| t.iter().any(|t| t == task));
+    if !w.wait("the first job", 30, || runs(&w, "job-000001/0")) {
+        w.cannot_run("the first job does not run");
+    }
+    {
+        let mut cloud = w.shared.cloud.lock().unwrap();
+        cloud.boot_ms = 35_000;
+        cloud.never_up = usize::from(w.trouble);
+    }
+    w.submit(&job("job-000002", 1, "sweep", "normal", 1, 1.0, "img-01"));
+    if !w.wait("the second job on a machine", 90, || runs(&w, "job-000002/0")) {
+        w.user(0, "GET", "/submissions/job-000002", "", 2);
+        w.shared.breach("waits_beside_room", "job-000002 has waited for 90 s while a machine had room for it");
+    }
+    w.finish_case();
+}
+
+/// Gangs of one team come several times as often for a second, and then wait for more room than there is. A job of
+/// another team waits beside the room that none of them can use.
+fn gang_burst(folder: &Path) {
+    let mut facts = Facts::frostmark();
+    facts.gang = Some((35.0, 5.0));
+    let mut w = World::start(folder, facts, rack_cooler(&["quay"]), &[("quay", 1)], 1500);
+    w.submit(&job("job-000001", 0, "sweep", "normal", 1, 1.0, "img-01"));
+    let runs = |w: &World, task: &str| w.running().values().any(|t| t.iter().any(|t| t == task));
+    if !w.wait("the first job", 30, || runs(&w, "job-000001/0")) {
+        w.cannot_run("the first job does not run");
+    }
+    if w.trouble {
+        for n in 0..4 {
+            w.submit(&job(&format!("job-00001{n}"), 0, "group", "normal", 2, 1.0, "img-01"));
+        }
+        ms(1000);
+    }
+    w.submit(&job("job-000002", 1, "sweep", "normal", 1, 1.0, "img-01"));
+    if !w.wait("the second job on the machine", 90, || runs(&w, "job-000002/0")) {
+        w.user(0, "GET", "/submissions/job-000002", "", 2);
+        w.shared.breach("waits_beside_room", "job-000002 has waited for 90 s while a machine had room for it");
+    }
+    w.finish_case();
+}
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -80,6 +80,8 @@
     pub hangs: bool,
     pub up: bool,
     pub rented: Instant,
+    /// `None`: it never comes up.
+    pub boot_ms: Option<u64>,
 }
 
 #[derive(Default)]
@@ -90,6 +92,8 @@
     pub room: BTreeMap<String, usize>,
     pub down: bool,
     pub boot_ms: u64,
+    /// Of the machines rented next, so many never come up.
+    pub never_up: usize,
 }
 
 pub struct Shared {
@@ -193,7 +197,12 @@
                         hangs: false,
                         up: false,
                         rented: now,
+                        boot_ms: if c.never_up > 0 { None } else { Some(c.boot_ms) },
                     };
+                    if c.never_up > 0 {
+                        c.never_up -= 1;
+                        self.log(&format!("cloud: {name} will never come up"));
+                    }
                     self.workers.lock().unwrap().insert(name.clone(), worker);
                     rented.push(name);
                 }
@@ -760,10 +769,12 @@
         thread::spawn(move || {
             let mut known = BTreeSet::new();
             loop {
-                let boot = Duration::from_millis(s.cloud.lock().unwrap().boot_ms);
                 let due: Vec<String> = {
                     let workers = s.workers.lock().unwrap();
-                    let due = workers.iter().filter(|(n, w)| !known.contains(*n) && w.rented.elapsed() >= boot);
+                    let due = workers.iter().filter(|(n, w)| {
+                        let is_due = w.boot_ms.is_some_and(|ms| w.rented.elapsed() >= Duration::from_millis(ms));
+                        !known.contains(*n) && is_due
+                    });
                     due.map(|(n, _)| n.clone()).collect()
                 };
                 for name in due {
