Review, case 5: a start repeated after three leases runs a task of a job cancelled long ago

Cause: an attempt that a direct command started is forgotten after three workers' leases, while the command's token and session are still the current ones.

The stand-ins are formatted, and play one more entry (cloud down together with a takeover) that is no case.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,7 +4,7 @@
 cd "$case_folder/../.." || exit 2
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
-target/review-2/standin-2 gang-burst "$case_folder" &
+target/review-2/standin-2 held-start "$case_folder" &
 standin=$!
 trap 'kill $standin 2>/dev/null' INT TERM
 wait $standin
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -10,17 +10,28 @@
 pub fn run(case: &str, folder: &Path) {
     match case {
         "shared-machine" => shared_machine(folder),
+        "old-start" => old_start(folder),
         "hang-in-outage" => hang_in_outage(folder),
-        "never-up" => never_up(folder),
-        "gang-burst" => gang_burst(folder),
-        "fuzz" => fuzz(folder),
         "held-start" => held_start(folder),
-        _ => panic!("no such case"),
+        "gang-burst" => gang_burst(folder),
+        // Played during the review, and not made a case.
+        "never-up" => never_up(folder),
+        "cloud-and-takeover" => cloud_and_takeover(folder),
+        "random" => random_troubles(folder),
+        _ => {
+            eprintln!("no such case: {case}");
+            std::process::exit(2)
+        }
     }
 }
 
 fn rack_cooler(yards: &[&'static str]) -> Vec<Model> {
-    vec![Model { label: "rack-cooler", size: [24.0, 2.0, 144.0], yards: yards.to_vec(), startup_s: 35.0 }]
+    vec![Model {
+        label: "rack-cooler",
+        size: [24.0, 2.0, 144.0],
+        yards: yards.to_vec(),
+        startup_s: 35.0,
+    }]
 }
 
 fn ms(ms: u64) {
@@ -31,22 +42,35 @@
 /// tasks runs goes from the second controller to the third.
 fn shared_machine(folder: &Path) {
     let mut w = World::start(folder, Facts::frostmark(), rack_cooler(&["quay"]), &[("quay", 2)], 1500);
-    let Some(leader) = w.leader() else { w.cannot_run("no leader") };
+    let Some(leader) = w.leader() else {
+        w.cannot_run("no leader")
+    };
     let y = (0..3).find(|i| *i != leader).unwrap_or(0);
     let others: Vec<usize> = (0..3).filter(|i| *i != y).collect();
     let (x, z) = (others[0], others[1]);
-    w.shared.log(&format!("leader berth-{leader}; the job of berth-{y}, then one of berth-{x}, then one of berth-{z}"));
+    w.shared.log(&format!(
+        "leader berth-{leader}; the job of berth-{y}, then one of berth-{x}, then one of berth-{z}"
+    ));
     w.submit(&job("job-000001", y, "sweep", "normal", 3, 1.0, "img-01"));
-    if !w.wait("three tasks on two machines", 30, || w.running().values().map(Vec::len).sum::<usize>() == 3) {
+    if !w.wait("three tasks on two machines", 30, || {
+        w.running().values().map(Vec::len).sum::<usize>() == 3
+    }) {
         w.cannot_run("the first job does not run");
     }
     let running = w.running();
-    let Some((m1, full)) = running.iter().find(|(_, t)| t.len() == 2) else { w.cannot_run("no full machine") };
-    let Some((m2, single)) = running.iter().find(|(_, t)| t.len() == 1) else { w.cannot_run("no half machine") };
-    w.shared.log(&format!("{m1} runs {}, {m2} runs {}", full.join(" "), single[0]));
+    let Some((m1, full)) = running.iter().find(|(_, t)| t.len() == 2) else {
+        w.cannot_run("no full machine")
+    };
+    let Some((m2, single)) = running.iter().find(|(_, t)| t.len() == 1) else {
+        w.cannot_run("no half machine")
+    };
+    w.shared
+        .log(&format!("{m1} runs {}, {m2} runs {}", full.join(" "), single[0]));
     w.submit(&job("job-000002", x, "sweep", "normal", 1, 1.0, "img-01"));
     let second = "job-000002/0".to_owned();
-    if !w.wait("the second job on the shared machine", 30, || w.running()[m2].contains(&second)) {
+    if !w.wait("the second job on the shared machine", 30, || {
+        w.running()[m2].contains(&second)
+    }) {
         w.cannot_run("the second job does not run");
     }
     ms(4000);
@@ -66,7 +90,11 @@
         w.doors[y].set(Gate::Open);
         w.shared.log(&format!("berth-{y} has the state service again"));
     }
-    if !moved && !w.wait("the machine goes on, later", 15, || w.partition_of(m2) == Some(z as u64)) {
+    if !moved
+        && !w.wait("the machine goes on, later", 15, || {
+            w.partition_of(m2) == Some(z as u64)
+        })
+    {
         w.cannot_run("the machine was not handed on");
     }
     ms(4000);
@@ -93,7 +121,9 @@
     if !w.wait("the second job", 30, || runs(&w, &second)) {
         w.cannot_run("the second job does not run");
     }
-    if !w.wait("no command is held up", 20, || w.shared.held.load(Ordering::SeqCst) == 0) {
+    if !w.wait("no command is held up", 20, || {
+        w.shared.held.load(Ordering::SeqCst) == 0
+    }) {
         w.cannot_run("the command is still held up");
     }
     if w.trouble && w.shared.hold_start_ms.lock().unwrap().is_some() {
@@ -103,7 +133,10 @@
     let third = "job-000003/0".to_owned();
     if !w.wait("the service on the machine", 90, || runs(&w, &third)) {
         w.user(0, "GET", "/submissions/job-000003", "", 2);
-        w.shared.breach("waits_beside_room", "job-000003 has waited for 90 s while the only machine had room for it");
+        w.shared.breach(
+            "waits_beside_room",
+            "job-000003 has waited for 90 s while the only machine had room for it",
+        );
     }
     w.finish_case();
 }
@@ -119,15 +152,28 @@
     }
 }
 
-fn fuzz(folder: &Path) {
+/// Users, and troubles at random: `SEED` and `KINDS` (a list with commas) in the environment.
+fn random_troubles(folder: &Path) {
     let seed: u64 = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
-    let kinds: Vec<String> = std::env::var("KINDS").unwrap_or_default().split(',').map(str::to_owned).collect();
+    let kinds: Vec<String> = std::env::var("KINDS")
+        .unwrap_or_default()
+        .split(',')
+        .map(str::to_owned)
+        .collect();
     let mut r = Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
-    (0..5).for_each(|_| { r.next(9); });
+    (0..5).for_each(|_| {
+        r.next(9);
+    });
     let mut facts = Facts::frostmark();
     facts.gang = Some((35.0, 5.0));
     facts.gpus = (2.0, 4.0);
-    let mut w = World::start(folder, facts, rack_cooler(&["annex", "quay"]), &[("annex", 3), ("quay", 3)], 1500);
+    let mut w = World::start(
+        folder,
+        facts,
+        rack_cooler(&["annex", "quay"]),
+        &[("annex", 3), ("quay", 3)],
+        1500,
+    );
     let s = w.shared.clone();
     std::thread::spawn(move || loop {
         s.check_cancelled();
@@ -140,7 +186,9 @@
         let s = s.clone();
         std::thread::spawn(move || {
             let mut r = Random(user_seed ^ (u + 1).wrapping_mul(0xABCD_EF12_3456_7891) | 1);
-            (0..5).for_each(|_| { r.next(9); });
+            (0..5).for_each(|_| {
+                r.next(9);
+            });
             let mut n = 0u64;
             loop {
                 n += 1;
@@ -155,9 +203,15 @@
                 };
                 let image = format!("img-{:02}", r.next(3));
                 let mut body = job(&id, team, shape, pre, tasks, 1.0, &image);
-                if r.next(4) == 0 { body = body.replace("\"spread\":false", "\"spread\":true"); }
-                else if r.next(4) == 0 { body = body.replace("\"together\":false", "\"together\":true"); }
-                s.jobs.lock().unwrap().insert(id.clone(), crate::json::Json::parse(&body).unwrap());
+                if r.next(4) == 0 {
+                    body = body.replace("\"spread\":false", "\"spread\":true");
+                } else if r.next(4) == 0 {
+                    body = body.replace("\"together\":false", "\"together\":true");
+                }
+                s.jobs
+                    .lock()
+                    .unwrap()
+                    .insert(id.clone(), crate::json::Json::parse(&body).unwrap());
                 if shape != "standing" {
                     s.run_ms.lock().unwrap().insert(id.clone(), 1000 + r.next(25_000));
                 }
@@ -173,29 +227,55 @@
                 let mut ok = false;
                 for _ in 0..30 {
                     match call(r.next(3), "POST", "/submissions", &body, 5, "submit") {
-                        Some((200 | 201, _)) => { ok = true; break }
+                        Some((200 | 201, _)) => {
+                            ok = true;
+                            break;
+                        }
                         Some((400 | 422, _)) => break,
                         _ => ms(1000),
                     }
                 }
-                if !ok { continue; }
-                (0..3).for_each(|i| { call(i, "GET", &format!("/submissions/{id}"), "", 2, "poll"); });
-                let life = if shape == "standing" { 5 + r.next(40) } else if r.next(3) == 0 { r.next(15) } else { 90 };
+                if !ok {
+                    continue;
+                }
+                (0..3).for_each(|i| {
+                    call(i, "GET", &format!("/submissions/{id}"), "", 2, "poll");
+                });
+                let life = if shape == "standing" {
+                    5 + r.next(40)
+                } else if r.next(3) == 0 {
+                    r.next(15)
+                } else {
+                    90
+                };
                 let began = std::time::Instant::now();
                 let mut over = false;
                 while began.elapsed().as_secs() < life && !over {
                     ms(1000 + r.next(1500));
-                    if r.next(6) == 0 { call(r.next(3), "POST", "/submissions", &body, 5, "submit"); }
+                    if r.next(6) == 0 {
+                        call(r.next(3), "POST", "/submissions", &body, 5, "submit");
+                    }
                     let a = call(r.next(3), "GET", &format!("/submissions/{id}"), "", 2, "poll");
                     over = a.is_some_and(|(_, b)| b.contains("\"done\",") || b.contains("\"status\":\"done\""));
                 }
                 if !over {
                     for _ in 0..60 {
-                        if let Some((200, _)) = call(r.next(3), "POST", &format!("/submissions/{id}/withdraw"), "", 5, "cancel") { break }
+                        if let Some((200, _)) = call(
+                            r.next(3),
+                            "POST",
+                            &format!("/submissions/{id}/withdraw"),
+                            "",
+                            5,
+                            "cancel",
+                        ) {
+                            break;
+                        }
                         ms(1000);
                     }
                 }
-                (0..3).for_each(|i| { call(i, "GET", &format!("/submissions/{id}"), "", 2, "poll"); });
+                (0..3).for_each(|i| {
+                    call(i, "GET", &format!("/submissions/{id}"), "", 2, "poll");
+                });
             }
         });
     }
@@ -238,7 +318,10 @@
             "killall" => {
                 (0..3).for_each(|i| w.kill(i));
                 ms(r.next(8000));
-                for i in 0..3 { w.spawn(i); ms(r.next(500)); }
+                for i in 0..3 {
+                    w.spawn(i);
+                    ms(r.next(500));
+                }
             }
             "stop" => {
                 w.signal(node, "STOP");
@@ -248,27 +331,41 @@
             "hang" => {
                 if let Some(n) = names.get(r.next(names.len() as u64) as usize).cloned() {
                     let hang = 2000 + r.next(25_000);
-                    if let Some(x) = w.shared.workers.lock().unwrap().get_mut(&n) { x.hangs = true; }
+                    if let Some(x) = w.shared.workers.lock().unwrap().get_mut(&n) {
+                        x.hangs = true;
+                    }
                     w.shared.log(&format!("{n} hangs for {hang} ms"));
                     let s = w.shared.clone();
                     std::thread::spawn(move || {
                         ms(hang);
-                        if let Some(x) = s.workers.lock().unwrap().get_mut(&n) { x.hangs = false; }
+                        if let Some(x) = s.workers.lock().unwrap().get_mut(&n) {
+                            x.hangs = false;
+                        }
                     });
                 }
             }
             "hold" => *w.shared.hold_start_ms.lock().unwrap() = Some(2000 + r.next(14_000)),
-            "late" => { w.shared.state.set_late(200, 100); ms(3000 + r.next(8000)); w.shared.state.set_late(0, 0); }
+            "late" => {
+                w.shared.state.set_late(200, 100);
+                ms(3000 + r.next(8000));
+                w.shared.state.set_late(0, 0);
+            }
             "old" => {
                 let old = w.shared.old_reports.lock().unwrap();
                 let nodes = w.shared.nodes.lock().unwrap().clone();
                 for _ in 0..10 {
                     let body = old[r.next(old.len() as u64) as usize].clone();
                     let to = nodes[r.next(3) as usize];
-                    std::thread::spawn(move || crate::http::call(to, "POST", "/agent/beat", &body, Duration::from_secs(4)));
+                    std::thread::spawn(move || {
+                        crate::http::call(to, "POST", "/agent/beat", &body, Duration::from_secs(4))
+                    });
                 }
             }
-            "slow" => { w.shared.state.set_slow(200 + r.next(1200)); ms(4000 + r.next(15_000)); w.shared.state.set_slow(0); }
+            "slow" => {
+                w.shared.state.set_slow(200 + r.next(1200));
+                ms(4000 + r.next(15_000));
+                w.shared.state.set_slow(0);
+            }
             "lose" => {
                 if let Some(n) = names.get(r.next(names.len() as u64) as usize) {
                     w.shared.log(&format!("{n} stops with all that is on it"));
@@ -292,7 +389,9 @@
     }
     ms(6000);
     let running = w.running();
-    let Some((machine, _)) = running.iter().find(|(_, t)| t.contains(&task)) else { w.cannot_run("no machine") };
+    let Some((machine, _)) = running.iter().find(|(_, t)| t.contains(&task)) else {
+        w.cannot_run("no machine")
+    };
     if w.trouble {
         w.shared.log(&format!("{machine} hangs"));
         if let Some(m) = w.shared.workers.lock().unwrap().get_mut(machine) {
@@ -360,7 +459,10 @@
     w.submit(&job("job-000002", 1, "sweep", "normal", 1, 1.0, "img-01"));
     if !w.wait("the second job on a machine", 90, || runs(&w, "job-000002/0")) {
         w.user(0, "GET", "/submissions/job-000002", "", 2);
-        w.shared.breach("waits_beside_room", "job-000002 has waited for 90 s while a machine had room for it");
+        w.shared.breach(
+            "waits_beside_room",
+            "job-000002 has waited for 90 s while a machine had room for it",
+        );
     }
     w.finish_case();
 }
@@ -385,7 +487,140 @@
     w.submit(&job("job-000002", 1, "sweep", "normal", 1, 1.0, "img-01"));
     if !w.wait("the second job on the machine", 90, || runs(&w, "job-000002/0")) {
         w.user(0, "GET", "/submissions/job-000002", "", 2);
-        w.shared.breach("waits_beside_room", "job-000002 has waited for 90 s while a machine had room for it");
+        w.shared.breach(
+            "waits_beside_room",
+            "job-000002 has waited for 90 s while a machine had room for it",
+        );
+    }
+    w.finish_case();
+}
+
+/// A controller ends, and the network repeats a start that it sent more than three workers' leases before. The job of
+/// that start was cancelled long ago.
+fn old_start(folder: &Path) {
+    let mut w = World::start(folder, Facts::frostmark(), rack_cooler(&["quay"]), &[("quay", 3)], 1500);
+    let runs = |w: &World, task: &str| w.running().values().any(|t| t.iter().any(|t| t == task));
+    w.submit(&job("job-000001", 0, "sweep", "normal", 1, 1.0, "img-01"));
+    if !w.wait("the first job", 30, || runs(&w, "job-000001/0")) {
+        w.cannot_run("the first job does not run");
+    }
+    w.submit(&job("job-000002", 0, "sweep", "normal", 1, 1.0, "img-01"));
+    if !w.wait("the second job", 30, || runs(&w, "job-000002/0")) {
+        w.cannot_run("the second job does not run");
+    }
+    let old = w
+        .shared
+        .old_starts
+        .lock()
+        .unwrap()
+        .iter()
+        .find(|(_, b)| b.contains("job-000002/0"))
+        .cloned();
+    let Some((machine, body)) = old else {
+        w.cannot_run("the second job was not started by a direct command")
+    };
+    let mut told = false;
+    for node in 0..20 {
+        let sent = std::time::Instant::now();
+        let answer = w.user(node % 3, "POST", "/submissions/job-000002/withdraw", "", 5);
+        w.shared.check_answer("job-000002", sent, "cancel", &answer);
+        told = answer.is_some_and(|(s, _)| s == 200);
+        if told {
+            break;
+        }
+        ms(1000);
+    }
+    if !told {
+        w.cannot_run("the cancellation was not confirmed");
+    }
+    let is_listed = |w: &World| {
+        let workers = w.shared.workers.lock().unwrap();
+        workers
+            .get(&machine)
+            .is_some_and(|m| m.tasks.keys().any(|(t, _)| t == "job-000002/0"))
+    };
+    if !w.wait("the attempt is forgotten", 75, || !is_listed(&w)) {
+        w.cannot_run("the attempt is still listed");
+    }
+    w.shared.log(&format!("{machine} has been told to forget the attempt"));
+    ms(1000);
+    if w.trouble {
+        w.kill(0);
+        ms(300);
+        if !w.repeat_start(&machine, &body) {
+            w.cannot_run("the repeat was not carried out");
+        }
+    }
+    let until = std::time::Instant::now() + Duration::from_secs(10);
+    while std::time::Instant::now() < until && w.shared.broken.lock().unwrap().is_empty() {
+        w.shared.check_cancelled();
+        ms(20);
+    }
+    w.finish_case();
+}
+
+/// An entry that is played and not a case: a machine hangs as its job is cancelled, the controller ends and is back
+/// after 4 s, and from 20 s to 50 s after the cancellation the cloud is down.
+fn cloud_and_takeover(folder: &Path) {
+    let mut w = World::start(
+        folder,
+        Facts::hanbit(),
+        rack_cooler(&["daejeon"]),
+        &[("daejeon", 3)],
+        1500,
+    );
+    w.submit(&job("job-000001", 0, "standing", "prod", 1, 1.0, "img-01"));
+    let task = "job-000001/0".to_owned();
+    if !w.wait("the service", 30, || w.running().values().any(|t| t.contains(&task))) {
+        w.cannot_run("the service does not run");
+    }
+    ms(6000);
+    let running = w.running();
+    let Some((machine, _)) = running.iter().find(|(_, t)| t.contains(&task)) else {
+        w.cannot_run("no machine")
+    };
+    if w.trouble {
+        if let Some(m) = w.shared.workers.lock().unwrap().get_mut(machine) {
+            m.hangs = true;
+        }
+    }
+    let sent = std::time::Instant::now();
+    let answer = w.user(0, "POST", "/submissions/job-000001/withdraw", "", 5);
+    w.shared.check_answer("job-000001", sent, "cancel", &answer);
+    let crash = w.trouble && std::env::var("CRASH").map_or(true, |c| c != "0");
+    let told = std::time::Instant::now();
+    let mut stage = 0;
+    while told.elapsed().as_secs() < 56 && w.shared.broken.lock().unwrap().is_empty() {
+        w.shared.check_cancelled();
+        ms(100);
+        let s = told.elapsed().as_secs();
+        match stage {
+            0 if s >= 5 => {
+                stage = 1;
+                if crash {
+                    w.kill(0);
+                }
+            }
+            1 if s >= 9 => {
+                stage = 2;
+                if crash {
+                    w.spawn(0);
+                }
+            }
+            2 if s >= 20 => {
+                stage = 3;
+                if w.trouble {
+                    w.shared.cloud.lock().unwrap().down = true;
+                    w.shared.log("the cloud is down");
+                }
+            }
+            3 if s >= 50 => {
+                stage = 4;
+                w.shared.cloud.lock().unwrap().down = false;
+                w.shared.log("the cloud is back");
+            }
+            _ => {}
+        }
     }
     w.finish_case();
 }
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -72,7 +72,10 @@
 pub fn serve(handler: Arc<dyn Fn(Request) -> Response + Send + Sync>) -> (SocketAddr, Arc<Door>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
-    let door = Arc::new(Door { gate: Mutex::new(Gate::Open), open: Mutex::new(Vec::new()) });
+    let door = Arc::new(Door {
+        gate: Mutex::new(Gate::Open),
+        open: Mutex::new(Vec::new()),
+    });
     let d = door.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -93,7 +96,9 @@
                     let mut words = first.split_whitespace();
                     let method = words.next().unwrap_or("").to_owned();
                     let path = words.next().unwrap_or("").to_owned();
-                    let Some((status, body)) = handler(Request { method, path, body }) else { break };
+                    let Some((status, body)) = handler(Request { method, path, body }) else {
+                        break;
+                    };
                     if !door.is_open() {
                         break;
                     }
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -16,7 +16,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut p = Parser { b: text.as_bytes(), i: 0 };
+        let mut p = Parser {
+            b: text.as_bytes(),
+            i: 0,
+        };
         let v = p.value()?;
         p.space();
         (p.i == p.b.len()).then_some(v)
@@ -117,7 +120,9 @@
         }
     }
     fn eat(&mut self, word: &str) -> Option<()> {
-        self.b[self.i..].starts_with(word.as_bytes()).then(|| self.i += word.len())
+        self.b[self.i..]
+            .starts_with(word.as_bytes())
+            .then(|| self.i += word.len())
     }
     fn value(&mut self) -> Option<Json> {
         self.space();
--- a/review/standin-2/state.rs
+++ b/review/standin-2/state.rs
@@ -70,7 +70,10 @@
     }
     fn txn(&mut self, body: &Json) -> (u16, String) {
         let then = body.get("then").items();
-        if then.iter().any(|c| c.get("permit").u64().is_some_and(|p| !self.leases.contains_key(&p))) {
+        if then
+            .iter()
+            .any(|c| c.get("permit").u64().is_some_and(|p| !self.leases.contains_key(&p)))
+        {
             return (400, "{\"error\":\"no such lease\"}".into());
         }
         let stamp = |k: &str| self.keys.get(k).map_or(0, |e| e.stamp);
@@ -80,7 +83,10 @@
             .map(|c| quote(c.get("k").str()))
             .collect();
         if !failed.is_empty() {
-            return (409, format!("{{\"failed\":[{}],\"ledger\":{}}}", failed.join(","), self.ledger));
+            return (
+                409,
+                format!("{{\"failed\":[{}],\"ledger\":{}}}", failed.join(","), self.ledger),
+            );
         }
         if !then.is_empty() {
             self.ledger += 1;
@@ -93,7 +99,11 @@
             }
             let value = c.get("value").clone();
             self.news.push((self.ledger, key.to_owned(), Some(value.clone())));
-            let entry = Entry { value, stamp: self.ledger, permit: c.get("permit").u64() };
+            let entry = Entry {
+                value,
+                stamp: self.ledger,
+                permit: c.get("permit").u64(),
+            };
             self.keys.insert(key.to_owned(), entry);
         }
         (200, format!("{{\"ledger\":{}}}", self.ledger))
@@ -112,11 +122,20 @@
             }
             return;
         }
-        let ended: Vec<u64> = s.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = s
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in ended {
             s.leases.remove(&id);
-            let keys: Vec<String> =
-                s.keys.iter().filter(|(_, e)| e.permit == Some(id)).map(|(k, _)| k.clone()).collect();
+            let keys: Vec<String> = s
+                .keys
+                .iter()
+                .filter(|(_, e)| e.permit == Some(id))
+                .map(|(k, _)| k.clone())
+                .collect();
             if !keys.is_empty() {
                 s.ledger += 1;
             }
@@ -142,11 +161,19 @@
         self.store.lock().unwrap().late = (late, lost);
     }
     pub fn get(&self, key: &str) -> Json {
-        self.store.lock().unwrap().keys.get(key).map_or(Json::Null, |e| e.value.clone())
+        self.store
+            .lock()
+            .unwrap()
+            .keys
+            .get(key)
+            .map_or(Json::Null, |e| e.value.clone())
     }
     pub fn list(&self, prefix: &str) -> Vec<(String, Json)> {
         let s = self.store.lock().unwrap();
-        let range = s.keys.range(prefix.to_owned()..).take_while(|(k, _)| k.starts_with(prefix));
+        let range = s
+            .keys
+            .range(prefix.to_owned()..)
+            .take_while(|(k, _)| k.starts_with(prefix));
         range.map(|(k, e)| (k.clone(), e.value.clone())).collect()
     }
     pub fn set_slow(&self, ms: u64) {
@@ -156,7 +183,11 @@
         let ms = {
             let mut s = self.store.lock().unwrap();
             let mut seed = s.seed.wrapping_add(0x5851_F42D);
-            let ms = if s.slow_ms == 0 { 0 } else { random(&mut seed) % s.slow_ms };
+            let ms = if s.slow_ms == 0 {
+                0
+            } else {
+                random(&mut seed) % s.slow_ms
+            };
             s.seed = seed;
             ms
         };
@@ -184,15 +215,23 @@
                 s.leases.insert(id, (Instant::now() + Duration::from_millis(ttl), ttl));
                 (200, format!("{{\"permit\":{id}}}"))
             }
-            ("POST", "/txn") if s.late != (0, 0) && {
-                let mut seed = s.seed.wrapping_add(s.ledger);
-                random(&mut seed);
-                s.seed = seed;
-                random(&mut seed) % 1000 < s.late.0 + s.late.1
-            } => {
-                let is_late = { let mut seed = s.seed ^ 77; random(&mut seed) % (s.late.0 + s.late.1) < s.late.0 };
+            ("POST", "/txn")
+                if s.late != (0, 0) && {
+                    let mut seed = s.seed.wrapping_add(s.ledger);
+                    random(&mut seed);
+                    s.seed = seed;
+                    random(&mut seed) % 1000 < s.late.0 + s.late.1
+                } =>
+            {
+                let is_late = {
+                    let mut seed = s.seed ^ 77;
+                    random(&mut seed) % (s.late.0 + s.late.1) < s.late.0
+                };
                 if is_late {
-                    let wait = 2000 + { let mut seed = s.seed ^ 99; random(&mut seed) % 10_000 };
+                    let wait = 2000 + {
+                        let mut seed = s.seed ^ 99;
+                        random(&mut seed) % 10_000
+                    };
                     drop(s);
                     std::thread::sleep(Duration::from_millis(wait));
                     s = self.store.lock().unwrap();
@@ -214,7 +253,10 @@
             }
             ("POST", route) => {
                 let id = route.strip_prefix("/leases/").and_then(|p| p.strip_suffix("/extend"));
-                match id.and_then(|id| id.parse().ok()).and_then(|id: u64| s.leases.get_mut(&id)) {
+                match id
+                    .and_then(|id| id.parse().ok())
+                    .and_then(|id: u64| s.leases.get_mut(&id))
+                {
                     Some((end, ttl)) => {
                         *end = Instant::now() + Duration::from_millis(*ttl);
                         (200, "{}".into())
@@ -249,7 +291,10 @@
                 let most: usize = parameter(&r.path, "most").and_then(|v| v.parse().ok()).unwrap_or(1000);
                 let mut items = Vec::new();
                 let (mut bytes, mut more) = (0, false);
-                let range = s.keys.range(prefix.to_owned()..).take_while(|(k, _)| k.starts_with(prefix));
+                let range = s
+                    .keys
+                    .range(prefix.to_owned()..)
+                    .take_while(|(k, _)| k.starts_with(prefix));
                 for (k, e) in range.filter(|(k, _)| k.as_str() > since) {
                     let item = format!("{{\"k\":{},\"value\":{},\"stamp\":{}}}", quote(k), e.value, e.stamp);
                     bytes += item.len();
@@ -259,7 +304,14 @@
                     }
                     items.push(item);
                 }
-                (200, format!("{{\"items\":[{}],\"more\":{more},\"ledger\":{}}}", items.join(","), s.ledger))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{}],\"more\":{more},\"ledger\":{}}}",
+                        items.join(","),
+                        s.ledger
+                    ),
+                )
             }
             ("GET", route) => {
                 let key = route.strip_prefix("/store/").unwrap_or("");
@@ -267,7 +319,13 @@
                     Some(e) => {
                         let permit = e.permit.map_or("null".to_owned(), |p| p.to_string());
                         let k = quote(key);
-                        (200, format!("{{\"k\":{k},\"value\":{},\"stamp\":{},\"permit\":{permit}}}", e.value, e.stamp))
+                        (
+                            200,
+                            format!(
+                                "{{\"k\":{k},\"value\":{},\"stamp\":{},\"permit\":{permit}}}",
+                                e.value, e.stamp
+                            ),
+                        )
                     }
                     None => (404, format!("{{\"ledger\":{}}}", s.ledger)),
                 }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -28,9 +28,27 @@
     pub cores: f64,
     pub ram_mb: f64,
     pub gang: Option<(f64, f64)>,
+    /// Requests and changes a second, KiB in a value, changes in a transaction.
+    pub state: (f64, f64, f64, u32),
+    pub cloud_rps: f64,
 }
 
 impl Facts {
+    /// As in the brief, Hanbit rail freight, with the team names of the other site.
+    pub fn hanbit() -> Self {
+        Facts {
+            report_ms: 3000,
+            cancel_ms: 48_000,
+            zones: vec!["busan-east", "daejeon", "seoul-north"],
+            teams: 6,
+            gpus: (16.0, 70.0),
+            list_lag_s: 5.0,
+            cores: 0.096,
+            state: (80.0, 25.0, 4.0, 8),
+            cloud_rps: 2.0,
+            ..Self::frostmark()
+        }
+    }
     /// As in the brief, Frostmark Yards.
     pub fn frostmark() -> Self {
         Facts {
@@ -44,6 +62,8 @@
             cores: 0.064,
             ram_mb: 104.0,
             gang: None,
+            state: (250.0, 60.0, 32.0, 16),
+            cloud_rps: 4.0,
         }
     }
 }
@@ -113,6 +133,8 @@
     pub done: Mutex<BTreeSet<String>>,
     /// What users were told of each job, and when: accepted, done or withdrawn.
     pub told: Mutex<BTreeMap<String, (String, Instant)>>,
+    /// Direct commands with a start that were carried out, with their machine, for repeats.
+    pub old_starts: Mutex<Vec<(String, String)>>,
     /// Reports sent so far, for late copies.
     pub old_reports: Mutex<Vec<String>>,
     /// The next direct command with a start gets no answer and is carried out so many milliseconds later.
@@ -220,7 +242,12 @@
                 (200, "{}".into())
             }
             ("GET", "/hosts") => {
-                let since = r.path.split("since=").nth(1).and_then(|p| p.split('&').next()).unwrap_or("");
+                let since = r
+                    .path
+                    .split("since=")
+                    .nth(1)
+                    .and_then(|p| p.split('&').next())
+                    .unwrap_or("");
                 let workers = self.workers.lock().unwrap();
                 let berths: Vec<String> = workers
                     .iter()
@@ -253,7 +280,12 @@
         let mut tasks = String::new();
         for ((task, run), t) in &w.tasks {
             let sep = if tasks.is_empty() { "" } else { "," };
-            let _ = write!(tasks, "{sep}{{\"wagon\":{},\"run\":{run},\"status\":\"{}\"", quote(task), t.state);
+            let _ = write!(
+                tasks,
+                "{sep}{{\"wagon\":{},\"run\":{run},\"status\":\"{}\"",
+                quote(task),
+                t.state
+            );
             if t.state == "ended" {
                 let _ = write!(tasks, ",\"cause\":\"{}\"", t.cause);
             }
@@ -285,7 +317,11 @@
                     }
                     let busy = w.tasks.iter().any(|((t, _), s)| *t == task && s.state != "ended");
                     let size = self.size(&task);
-                    let total = self.models.iter().find(|m| m.label == w.model).map_or([0.0; 3], |m| m.size);
+                    let total = self
+                        .models
+                        .iter()
+                        .find(|m| m.label == w.model)
+                        .map_or([0.0; 3], |m| m.size);
                     let mut used = [0.0; 3];
                     for ((t, _), _) in w.tasks.iter().filter(|(_, s)| s.state != "ended") {
                         let s = self.size(t).unwrap_or([0.0; 3]);
@@ -301,9 +337,16 @@
                     let ended = !cause.is_empty();
                     let fetch = {
                         let jobs = self.jobs.lock().unwrap();
-                        let job = jobs.get(task.split('/').next().unwrap_or("")).cloned().unwrap_or(Json::Null);
+                        let job = jobs
+                            .get(task.split('/').next().unwrap_or(""))
+                            .cloned()
+                            .unwrap_or(Json::Null);
                         let image = job.get("stock").str().to_owned();
-                        if w.images.contains(&image) { 0.05 } else { job.get("sizeGb").f64() }
+                        if w.images.contains(&image) {
+                            0.05
+                        } else {
+                            job.get("sizeGb").f64()
+                        }
                     };
                     let next_at = (!ended).then(|| Instant::now() + Duration::from_secs_f64(fetch));
                     let state = if ended { "ended" } else { "pulling" };
@@ -314,7 +357,8 @@
                     let job = task.split('/').next().unwrap_or("").to_owned();
                     let (waypoint, stow) = {
                         let jobs = self.jobs.lock().unwrap();
-                        jobs.get(&job).map_or((0.0, 0.0), |j| (j.get("waypointS").f64(), j.get("stowS").f64()))
+                        jobs.get(&job)
+                            .map_or((0.0, 0.0), |j| (j.get("waypointS").f64(), j.get("stowS").f64()))
                     };
                     if let Some(t) = w.tasks.get_mut(&key).filter(|t| t.state != "ended") {
                         if t.state == "flushing" && leeway > 0.0 {
@@ -343,9 +387,16 @@
     /// A request to a worker's own address.
     fn command(&self, name: &str, r: &Request) -> Response {
         let starts = r.body.contains("\"start\"");
-        let hold = if starts { self.hold_start_ms.lock().unwrap().take() } else { None };
+        let hold = if starts {
+            self.hold_start_ms.lock().unwrap().take()
+        } else {
+            None
+        };
         if let Some(ms) = hold {
-            self.log(&format!("{name}: a command is held up for {ms} ms, without an answer: {}", r.body));
+            self.log(&format!(
+                "{name}: a command is held up for {ms} ms, without an answer: {}",
+                r.body
+            ));
             self.held.fetch_add(1, Ordering::SeqCst);
             thread::sleep(Duration::from_millis(ms));
             let _ = self.execute_command(name, r);
@@ -381,6 +432,9 @@
             return Some((409, self.report(name, w)));
         }
         w.baton = baton;
+        if r.body.contains("\"start\"") {
+            self.old_starts.lock().unwrap().push((name.to_owned(), r.body.clone()));
+        }
         self.execute(name, w, body.get("orders"), "command");
         Some((200, self.report(name, w)))
     }
@@ -393,13 +447,21 @@
             return Some(());
         }
         if now.duration_since(w.lease_from) > Duration::from_millis(self.facts.lease_ms) {
-            self.log(&format!("{name}: lease over, session {} ends with [{}]", w.shift, on_machine(w).join(" ")));
+            self.log(&format!(
+                "{name}: lease over, session {} ends with [{}]",
+                w.shift,
+                on_machine(w).join(" ")
+            ));
             w.tasks.clear();
             w.shift += 1;
             w.lease_from = now;
         }
-        let due: Vec<(String, u64)> =
-            w.tasks.iter().filter(|(_, t)| t.next_at.is_some_and(|at| at <= now)).map(|(k, _)| k.clone()).collect();
+        let due: Vec<(String, u64)> = w
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.next_at.is_some_and(|at| at <= now))
+            .map(|(k, _)| k.clone())
+            .collect();
         for key in due {
             let state = workers.get(name)?.tasks.get(&key)?.state;
             if state == "pulling" {
@@ -417,12 +479,18 @@
                 let job = key.0.split('/').next().unwrap_or("").to_owned();
                 let image = {
                     let jobs = self.jobs.lock().unwrap();
-                    jobs.get(&job).map_or(String::new(), |j| j.get("stock").str().to_owned())
+                    jobs.get(&job)
+                        .map_or(String::new(), |j| j.get("stock").str().to_owned())
                 };
                 let run_ms = self.run_ms.lock().unwrap().get(&job).copied();
                 let w = workers.get_mut(name)?;
                 w.images.insert(image);
-                let gang = self.jobs.lock().unwrap().get(&job).is_some_and(|j| j.get("shape").str() == "group");
+                let gang = self
+                    .jobs
+                    .lock()
+                    .unwrap()
+                    .get(&job)
+                    .is_some_and(|j| j.get("shape").str() == "group");
                 let t = w.tasks.get_mut(&key)?;
                 if gang {
                     // From here on `step_gangs` decides.
@@ -439,7 +507,12 @@
                 (t.state, t.cause, t.next_at) = ("ended", "incomplete", None);
             } else {
                 let done = state == "running";
-                self.log(&format!("{name}: {} run {} ends, {}", key.0, key.1, if done { "done" } else { "stopped" }));
+                self.log(&format!(
+                    "{name}: {} run {} ends, {}",
+                    key.0,
+                    key.1,
+                    if done { "done" } else { "stopped" }
+                ));
                 if done {
                     self.done.lock().unwrap().insert(key.0.clone());
                     let id = key.0.split('/').next().unwrap_or("").to_owned();
@@ -462,7 +535,9 @@
         let jobs: Vec<(String, u64)> = {
             let jobs = self.jobs.lock().unwrap();
             let gangs = jobs.iter().filter(|(_, j)| j.get("shape").str() == "group");
-            gangs.map(|(id, j)| (id.clone(), j.get("wagons").u64().unwrap_or(1))).collect()
+            gangs
+                .map(|(id, j)| (id.clone(), j.get("wagons").u64().unwrap_or(1)))
+                .collect()
         };
         let mut workers = self.workers.lock().unwrap();
         let now = Instant::now();
@@ -471,7 +546,10 @@
             let mut attempts: BTreeMap<u64, Vec<(String, String, &'static str, bool)>> = BTreeMap::new();
             for (n, w) in workers.iter() {
                 for ((t, run), s) in w.tasks.iter().filter(|((t, _), _)| t.starts_with(&prefix)) {
-                    attempts.entry(*run).or_default().push((n.clone(), t.clone(), s.state, w.hangs));
+                    attempts
+                        .entry(*run)
+                        .or_default()
+                        .push((n.clone(), t.clone(), s.state, w.hangs));
                 }
             }
             for (run, tasks) in attempts {
@@ -492,8 +570,15 @@
                     let run_ms = self.run_ms.lock().unwrap().get(&id).copied().unwrap_or(10_000);
                     self.log(&format!("gang {id} run {run} runs"));
                     set("gathering", "running", "", Some(now + Duration::from_millis(run_ms)));
-                } else if running > 0 && tasks.iter().any(|t| t.2 == "ended" && self.done.lock().unwrap().contains(&t.1)) {
-                    self.done.lock().unwrap().extend((0..wagons).map(|i| format!("{id}/{i}")));
+                } else if running > 0
+                    && tasks
+                        .iter()
+                        .any(|t| t.2 == "ended" && self.done.lock().unwrap().contains(&t.1))
+                {
+                    self.done
+                        .lock()
+                        .unwrap()
+                        .extend((0..wagons).map(|i| format!("{id}/{i}")));
                     set("running", "ended", "done", None);
                 } else if running > 0 && (running < wagons || hung) {
                     let since = *lost.entry(key).or_insert(now);
@@ -550,7 +635,11 @@
     pub fn check_answer(&self, id: &str, sent: Instant, what: &str, answer: &Option<(u16, String)>) {
         let Some((status, body)) = answer else { return };
         let mut told = self.told.lock().unwrap();
-        let before = told.get(id).filter(|(_, at)| *at < sent).map(|(s, _)| s.clone()).unwrap_or_default();
+        let before = told
+            .get(id)
+            .filter(|(_, at)| *at < sent)
+            .map(|(s, _)| s.clone())
+            .unwrap_or_default();
         if !before.is_empty() && (*status == 404 || (what == "submit" && [400, 422].contains(status))) {
             self.breach("forgotten", &format!("{id}: {what} got {status} after {before}"));
         }
@@ -563,13 +652,22 @@
             self.breach("went_back", &format!("{id}: {what} got {state} after {before}"));
         }
         if state == "done" && before != "done" {
-            let wagons = self.jobs.lock().unwrap().get(id).map_or(0, |j| j.get("wagons").u64().unwrap_or(0));
+            let wagons = self
+                .jobs
+                .lock()
+                .unwrap()
+                .get(id)
+                .map_or(0, |j| j.get("wagons").u64().unwrap_or(0));
             let done = self.done.lock().unwrap();
             if (0..wagons).any(|i| !done.contains(&format!("{id}/{i}"))) {
                 self.breach("not_done", &format!("{id}: {what} got done"));
             }
         }
-        let state = if ["done", "withdrawn"].contains(&state.as_str()) { state } else { "accepted".to_owned() };
+        let state = if ["done", "withdrawn"].contains(&state.as_str()) {
+            state
+        } else {
+            "accepted".to_owned()
+        };
         if before.is_empty() || (before == "accepted" && state != before) {
             told.insert(id.to_owned(), (state, Instant::now()));
         }
@@ -578,9 +676,9 @@
     pub fn check_cancelled(&self) {
         let over: Vec<String> = {
             let told = self.told.lock().unwrap();
-            let over = told.iter().filter(|(_, (s, at))| {
-                s == "withdrawn" && at.elapsed() > Duration::from_millis(self.facts.cancel_ms)
-            });
+            let over = told
+                .iter()
+                .filter(|(_, (s, at))| s == "withdrawn" && at.elapsed() > Duration::from_millis(self.facts.cancel_ms));
             over.map(|(id, _)| id.clone()).collect()
         };
         let workers = self.workers.lock().unwrap();
@@ -663,8 +761,11 @@
                 if w.hangs {
                     reported.clone()
                 } else {
-                    let tasks: Vec<String> =
-                        w.tasks.iter().map(|((t, r), s)| format!("{t}.{r}.{}", s.state)).collect();
+                    let tasks: Vec<String> = w
+                        .tasks
+                        .iter()
+                        .map(|((t, r), s)| format!("{t}.{r}.{}", s.state))
+                        .collect();
                     format!("{} {} {}", w.shift, w.baton, tasks.join(" "))
                 }
             };
@@ -684,7 +785,10 @@
 
 /// The tasks that are on a machine: they have their image and have not ended.
 pub fn on_machine(w: &Worker) -> Vec<String> {
-    let on = w.tasks.iter().filter(|(_, t)| ["gathering", "running", "flushing"].contains(&t.state));
+    let on = w
+        .tasks
+        .iter()
+        .filter(|(_, t)| ["gathering", "running", "flushing"].contains(&t.state));
     on.map(|((t, _), _)| t.clone()).collect()
 }
 
@@ -735,6 +839,7 @@
             broken: Mutex::default(),
             done: Mutex::default(),
             told: Mutex::default(),
+            old_starts: Mutex::default(),
             old_reports: Mutex::default(),
             hold_start_ms: Mutex::default(),
             held: AtomicUsize::new(0),
@@ -772,7 +877,9 @@
                 let due: Vec<String> = {
                     let workers = s.workers.lock().unwrap();
                     let due = workers.iter().filter(|(n, w)| {
-                        let is_due = w.boot_ms.is_some_and(|ms| w.rented.elapsed() >= Duration::from_millis(ms));
+                        let is_due = w
+                            .boot_ms
+                            .is_some_and(|ms| w.rented.elapsed() >= Duration::from_millis(ms));
                         !known.contains(*n) && is_due
                     });
                     due.map(|(n, _)| n.clone()).collect()
@@ -829,22 +936,38 @@
             }
             let _ = write!(
                 t,
-                "\n[facts.state]\nrps = 250.0\nwrite_rps = 60.0\nvalue_kb = 32.0\ntxn_ops = 16\n\
-                 \n[facts.cloud]\nrps = 4.0\nlist_lag_s = {:?}\n\
+                "\n[facts.state]\nrps = {:?}\nwrite_rps = {:?}\nvalue_kb = {:?}\ntxn_ops = {}\n\
+                 \n[facts.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n\
                  \n[facts.machine_limits]\ncores = {:?}\nram_mb = {:?}\nsockets = 1800\n",
-                facts.list_lag_s, facts.cores, facts.ram_mb
+                facts.state.0,
+                facts.state.1,
+                facts.state.2,
+                facts.state.3,
+                facts.cloud_rps,
+                facts.list_lag_s,
+                facts.cores,
+                facts.ram_mb
             );
             let path = folder.join(format!("{}.toml", names[i]));
             std::fs::write(&path, t).expect("settings");
             configs.push(path);
         }
-        *shared.nodes.lock().unwrap() =
-            ports.iter().map(|(api, _)| SocketAddr::from(([127, 0, 0, 1], *api))).collect();
+        *shared.nodes.lock().unwrap() = ports
+            .iter()
+            .map(|(api, _)| SocketAddr::from(([127, 0, 0, 1], *api)))
+            .collect();
         let deploy = std::fs::read_to_string("deploy/service.toml").expect("the deploy file");
         let run = deploy.lines().find_map(|l| l.strip_prefix("run = ")).expect("its run");
         let run: Vec<String> = run.trim_matches('"').split_whitespace().map(str::to_owned).collect();
-        let mut world =
-            World { shared, doors, children: vec![None, None, None], run, configs, folder, trouble };
+        let mut world = World {
+            shared,
+            doors,
+            children: vec![None, None, None],
+            run,
+            configs,
+            folder,
+            trouble,
+        };
         (0..3).for_each(|i| world.spawn(i));
         let until = Instant::now() + Duration::from_secs(20);
         while !(0..3).all(|i| world.is_up(i)) || world.shared.state.get("t/c/epoch").is_null() {
@@ -862,7 +985,10 @@
         let child = Command::new(&self.run[0])
             .args(&self.run[1..])
             .arg(&self.configs[i])
-            .env("LOG_LEVEL", std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()))
+            .env(
+                "LOG_LEVEL",
+                std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()),
+            )
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
@@ -884,7 +1010,10 @@
     }
     pub fn signal(&self, i: usize, signal: &str) {
         if let Some(c) = &self.children[i] {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(c.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(c.id().to_string())
+                .status();
             self.shared.log(&format!("berth-{i}: {signal}"));
         }
     }
@@ -896,7 +1025,9 @@
     pub fn user(&self, i: usize, method: &str, path: &str, body: &str, wait_s: u64) -> Option<(u16, String)> {
         let to = self.shared.nodes.lock().unwrap()[i];
         let answer = call(to, method, path, body, Duration::from_secs(wait_s));
-        let text = answer.as_ref().map_or("no answer".to_owned(), |(s, b)| format!("{s} {b}"));
+        let text = answer
+            .as_ref()
+            .map_or("no answer".to_owned(), |(s, b)| format!("{s} {b}"));
         self.shared.log(&format!("user -> berth-{i}: {method} {path}: {text}"));
         answer
     }
@@ -923,9 +1054,27 @@
             }
         }
     }
+    /// The network delivers once more a command that was carried out.
+    pub fn repeat_start(&self, machine: &str, body: &str) -> bool {
+        let addr = self.shared.workers.lock().unwrap().get(machine).map(|w| w.addr.clone());
+        let Some(to) = addr.and_then(|a| a.parse().ok()) else {
+            return false;
+        };
+        let answer = call(to, "POST", "/commands", body, Duration::from_secs(2));
+        let status = answer.map_or(0, |(s, _)| s);
+        self.shared
+            .log(&format!("{machine}: the network repeats {body}: {status}"));
+        status == 200
+    }
     /// Tasks that run, by machine.
     pub fn running(&self) -> BTreeMap<String, Vec<String>> {
-        self.shared.workers.lock().unwrap().iter().map(|(n, w)| (n.clone(), on_machine(w))).collect()
+        self.shared
+            .workers
+            .lock()
+            .unwrap()
+            .iter()
+            .map(|(n, w)| (n.clone(), on_machine(w)))
+            .collect()
     }
     /// The partition to which the roster assigns a machine: that of the newest group that lists it.
     pub fn partition_of(&self, machine: &str) -> Option<u64> {
@@ -935,7 +1084,10 @@
     }
     pub fn leader(&self) -> Option<usize> {
         let record = self.shared.state.get("t/c/leader");
-        record.fields().iter().find_map(|(_, v)| self.shared.names.iter().position(|n| n == v.str()))
+        record
+            .fields()
+            .iter()
+            .find_map(|(_, v)| self.shared.names.iter().position(|n| n == v.str()))
     }
     pub fn wait(&self, what: &str, seconds: u64, mut holds: impl FnMut() -> bool) -> bool {
         let until = Instant::now() + Duration::from_secs(seconds);
@@ -962,7 +1114,14 @@
     /// Ends all processes and exits with the case's result.
     pub fn finish_case(&mut self) -> ! {
         let broken = self.shared.broken.lock().unwrap().clone();
-        self.shared.log(&format!("result: {}", if broken.is_empty() { "held".to_owned() } else { broken.join(" ") }));
+        self.shared.log(&format!(
+            "result: {}",
+            if broken.is_empty() {
+                "held".to_owned()
+            } else {
+                broken.join(" ")
+            }
+        ));
         self.end_all();
         std::process::exit(i32::from(!broken.is_empty()))
     }
@@ -975,7 +1134,11 @@
          \"precedence\":\"{precedence}\",\"wagons\":{tasks},\"vcpus\":8.0,\"accelerators\":{gpus:?},\"ramGb\":43.0,\
          \"stock\":\"{image}\",\"sizeGb\":1.0,\"models\":null,\"yard\":null,\"together\":false,\"spread\":false,\
          \"standby\":false,\"runtimeS\":{},\"waypointS\":0.0,\"stowS\":0.0,\"dueS\":null}}",
-        if shape == "standing" { "reefer-vision" } else { "thaw-replay" },
+        if shape == "standing" {
+            "reefer-vision"
+        } else {
+            "thaw-replay"
+        },
         if shape == "standing" { "0.0" } else { "50.0" },
     )
 }
