Review: the scripts end what a stopped stand-in leaves

Cause: the list of process ids had no line ends, so that a script whose stand-in had been ended itself left the controllers running.

Change: one id a line.

Measured: after TERM to the script and after KILL to the stand-in no process is left, and the script exits with 2.

--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -996,7 +996,7 @@
             .expect("a controller");
         // The script ends what is left by this.
         let pid = self.folder.join(format!("{}.pid", child.id()));
-        let _ = std::fs::write(pid, child.id().to_string());
+        let _ = std::fs::write(pid, format!("{}\n", child.id()));
         self.shared.log(&format!("berth-{i} started"));
         self.children[i] = Some(child);
     }
