A listing of the shared keys is applied as one state, not key by key

Cause: after two failed watches, a 410 or a start, all keys are listed. The list was applied in the order of the keys, page by page. The machine's old group came before its new one, so the machine was taken for gone and its tasks were released. The controller's log shows the release in the step that handled the list; its peers, which followed the watch, show none. Two faults of the same kind: a machine that moves between two pages stands on neither, and the epoch on the first page let its previous owner start tasks of a partition under the next owner's token.

Change: pages are collected together with the changes since the first one, which is the state at one revision, and that is applied in one step (membership::shared_key_listing), the epoch's consequences last. A machine that leaves a group is removed only once all groups up to a revision are applied, in a watch's batch too. Step keys and boot batches that are not listed are dropped.

The stand-in's network can reset connections, and its state service can have small pages.

--- a/crates/tidelatch-core/src/calls.rs
+++ b/crates/tidelatch-core/src/calls.rs
@@ -37,7 +37,9 @@
     /// Writes a new epoch.
     EpochWrite,
     /// Reads a page of the shared keys.
-    ListSharedKeys { cursor: String, first_revision: u64 },
+    ListSharedKeys,
+    /// Reads the changes of the shared keys since the first page of a listing.
+    ChangesSinceListing,
     /// Waits for changes of the shared keys.
     WatchSharedKeys { number: u64 },
     /// Reads a page of the stored bitmaps of completed tasks of a partition that this controller takes over.
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -395,9 +395,8 @@
             CallPurpose::LeaderWrite => self.on_leader_write(result),
             CallPurpose::LeaderRewrite => self.on_leader_rewrite(),
             CallPurpose::EpochWrite => self.on_epoch_write(result),
-            CallPurpose::ListSharedKeys { cursor, first_revision } => {
-                self.on_shared_keys(cursor, first_revision, result)
-            }
+            CallPurpose::ListSharedKeys => self.on_shared_keys(result),
+            CallPurpose::ChangesSinceListing => self.on_changes_since_listing(result),
             CallPurpose::WatchSharedKeys { number } => self.on_watch(number, result),
             CallPurpose::DoneBits { partition, since_epoch } => self.on_done_bits(partition, since_epoch, result),
             CallPurpose::DoneBitsChanges { partition, since_epoch } => {
--- a/crates/tidelatch-core/src/disruption/drain_records.rs
+++ b/crates/tidelatch-core/src/disruption/drain_records.rs
@@ -14,7 +14,7 @@
 use crate::settings::DrainRule;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use tidelatch_disruption::{MachineName, MachineSet, MachineSetPart};
 
 /// Key prefix of the drain records.
@@ -101,8 +101,6 @@
     stored: BTreeMap<String, StoredDrain>,
     /// The machines that unfinished drains cover.
     covered_machines: Vec<MachineSet>,
-    /// Drain keys received during the current listing of the shared keys, without the prefix.
-    listed_keys: BTreeSet<String>,
     /// The drain that the leader is creating.
     pending_drain: Option<PendingDrain>,
     /// Whether a write is in progress.
@@ -145,7 +143,6 @@
 
     /// Applies the new value of a key without the prefix; `None` or an unreadable value removes the key's record.
     fn apply_key(&mut self, key: &str, value: Option<Value>, revision: Revision) {
-        self.listed_keys.insert(key.to_owned());
         let (name, part) = parse_key(key);
         let drain = self.stored.entry(name.to_owned()).or_default();
         match part {
@@ -196,27 +193,12 @@
 }
 
 impl Controller {
-    /// Called when a new listing of the shared keys starts.
-    pub(crate) fn begin_drain_listing(&mut self) {
-        if let Some(disruption) = &mut self.disruption {
-            disruption.drain_records.listed_keys.clear();
-        }
-    }
-
-    /// Called when all shared keys have been listed. Removes the drain records whose keys were not listed.
-    pub(crate) fn finish_drain_listing(&mut self) {
-        let Some(disruption) = &mut self.disruption else { return };
-        let records = &mut disruption.drain_records;
-        let listed = std::mem::take(&mut records.listed_keys);
-        let names: Vec<String> = records.stored.keys().cloned().collect();
-        let known = names.iter().flat_map(|name| records.known_keys(name));
-        let gone: Vec<String> = known
-            .filter_map(|key| key.strip_prefix(DRAIN_PREFIX).map(str::to_owned))
-            .filter(|key| !listed.contains(key))
-            .collect();
-        for key in gone {
-            records.apply_key(&key, None, Revision(0));
-        }
+    /// The drain keys that this controller knows, without the prefix.
+    pub(crate) fn known_drain_keys(&self) -> Vec<String> {
+        let records = self.disruption.iter().map(|disruption| &disruption.drain_records);
+        let keys = records.flat_map(|records| records.stored.keys().flat_map(|name| records.known_keys(name)));
+        keys.filter_map(|key| key.strip_prefix(DRAIN_PREFIX).map(str::to_owned))
+            .collect()
     }
 
     /// Applies the new value of a drain key, or its deletion.
--- a/crates/tidelatch-core/src/jobs.rs
+++ b/crates/tidelatch-core/src/jobs.rs
@@ -22,6 +22,7 @@
 use crate::membership::JOB_PREFIX;
 use crate::messages::{Answer, Level};
 use crate::protocol::{JobSpec, Shape};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -191,6 +192,14 @@
         self.settings.features.gangs || !is_gang
     }
 
+    /// Applies a job record if it says that the job has ended.
+    pub(crate) fn apply_job_end(&mut self, id: &JobId, value: &Value, revision: Revision) {
+        let status = StatusOnlyRecord::deserialize(value).map(|record| record.st);
+        if status.is_ok_and(|status| status != StoredJobStatus::Queued) {
+            self.on_job_record_changed(id.clone(), Some(value.clone()), revision);
+        }
+    }
+
     /// Adds a job from its record, updates its revision, or closes it if the record says that it has ended.
     pub(crate) fn apply_job_record(&mut self, id: JobId, record: JobRecord, revision: Revision) {
         if self.ended_jobs.contains_key(&id) {
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -12,6 +12,7 @@
 mod lease_failures;
 mod records;
 mod registration;
+mod shared_key_listing;
 mod shared_keys;
 mod tenure;
 
@@ -28,6 +29,7 @@
 use crate::messages::{Method, Target};
 use lease_failures::LeaseFailures;
 use serde_json::{Value, json};
+use shared_key_listing::SharedKeyListing;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A peer's promise not to change the membership until the grant expires.
@@ -82,6 +84,8 @@
     next_record_write_ms: u64,
     has_listed_keys: bool,
     is_listing_keys: bool,
+    /// The listing that is in progress, from its first page on.
+    listing: Option<SharedKeyListing>,
     is_watching: bool,
     /// Number of the current watch. Replies to older ones are ignored: an older watch may hang long after
     /// a network partition has ended.
@@ -156,6 +160,7 @@
             next_record_write_ms: 0,
             has_listed_keys: false,
             is_listing_keys: false,
+            listing: None,
             is_watching: false,
             watch_number: 0,
             watch_failures: 0,
@@ -234,7 +239,7 @@
             && !self.membership.is_listing_keys
             && now >= self.membership.no_request_before_ms
         {
-            self.list_shared_keys(String::new(), 0);
+            self.list_shared_keys(String::new());
         }
         if self.membership.has_listed_keys
             && !self.membership.is_watching
--- a/crates/tidelatch-core/src/membership/shared_keys.rs
+++ b/crates/tidelatch-core/src/membership/shared_keys.rs
@@ -1,4 +1,4 @@
-//! The shared keys, which all controllers follow: listing them, and the watch that delivers their changes.
+//! The shared keys, which all controllers follow: the watch that delivers their changes, and how each is applied.
 
 use super::records::{
     BOOT_BATCH_PREFIX, EPOCH_KEY, EpochRecord, JOB_PREFIX, LEADER_KEY, MEMBER_PREFIX, MemberRecord, ROSTER_PREFIX,
@@ -9,29 +9,10 @@
 use crate::disruption::DRAIN_PREFIX;
 use crate::ids::{ControllerId, JobId, Revision};
 use crate::messages::{Level, Method, Target};
-use crate::protocol::{MachineTypes, StoreChanges, StoredItems};
+use crate::protocol::{MachineTypes, StoreChanges};
 use serde_json::Value;
 
 impl Controller {
-    /// Requests a page of the shared keys, after the key `cursor`. `first_revision` is the revision of the first page.
-    pub(super) fn list_shared_keys(&mut self, cursor: String, first_revision: u64) {
-        self.membership.is_listing_keys = true;
-        self.state_requests.take_unconditionally(self.now.ms, 1.0);
-        let mut path = format!("/store?prefix={SHARED_PREFIX}&most=500");
-        if !cursor.is_empty() {
-            path.push_str(&format!("&since={cursor}"));
-        }
-        let timeout = self.settings.lease_ms() / 4;
-        self.send_call(
-            Target::State,
-            Method::Get,
-            path,
-            String::new(),
-            timeout,
-            CallPurpose::ListSharedKeys { cursor, first_revision },
-        );
-    }
-
     /// Requests the next changes of the shared keys as a long poll, whose wait is as long as the lease.
     pub(super) fn watch_shared_keys(&mut self) {
         self.membership.is_watching = true;
@@ -57,49 +38,6 @@
         self.membership.no_request_before_ms = self.now.ms + self.settings.report_ms() / 8;
     }
 
-    /// Handles a page of the shared keys.
-    pub(crate) fn on_shared_keys(&mut self, cursor: String, first_revision: u64, result: Option<(u16, Vec<u8>)>) {
-        self.membership.is_listing_keys = false;
-        let page = match result {
-            Some((200, body)) => serde_json::from_slice::<StoredItems>(&body).ok(),
-            _ => None,
-        };
-        let Some(page) = page else {
-            self.back_off();
-            return;
-        };
-        if cursor.is_empty() {
-            // Keys that have been deleted must not remain. The members and the leader are cleared here; the machine
-            // groups and drain records that were not listed are removed at the end of the listing. The epoch is kept.
-            self.membership.members.clear();
-            self.membership.own_revision = Revision(0);
-            self.membership.leader = None;
-            self.begin_roster_listing();
-            self.begin_drain_listing();
-        }
-        let listing_revision = if first_revision == 0 {
-            page.ledger
-        } else {
-            first_revision
-        };
-        let last = page.items.last().map(|i| i.k.clone());
-        for item in page.items {
-            self.apply_shared_key(&item.k, Some(item.value), item.stamp);
-        }
-        match last {
-            Some(last) if page.more => self.list_shared_keys(last, listing_revision),
-            _ => {
-                self.membership.has_listed_keys = true;
-                self.membership.revision = listing_revision;
-                self.record_shared_keys_current();
-                self.finish_roster_listing(listing_revision);
-                self.finish_drain_listing();
-                self.apply_epoch();
-                self.tick_membership();
-            }
-        }
-    }
-
     /// Handles the reply to a watch: applies the changes and sends the next watch.
     pub(crate) fn on_watch(&mut self, number: u64, result: Option<(u16, Vec<u8>)>) {
         if number != self.membership.watch_number {
@@ -120,7 +58,7 @@
                     self.membership.revision = self.membership.revision.max(changes.ledger);
                     self.record_shared_keys_current();
                     self.watch_shared_keys();
-                    self.apply_epoch();
+                    self.finish_shared_key_changes();
                     self.tick_membership();
                     self.advance_takeovers();
                 }
@@ -145,12 +83,18 @@
     }
 
     /// Records that the shared keys are up to date, unless the reply waited in this process's buffers.
-    fn record_shared_keys_current(&mut self) {
+    pub(super) fn record_shared_keys_current(&mut self) {
         if !self.is_reply_stale {
             self.membership.shared_keys_current_at_ms = self.now.ms;
         }
     }
 
+    /// Applies what follows from changes of shared keys, once all changes up to a revision have been applied.
+    pub(super) fn finish_shared_key_changes(&mut self) {
+        self.remove_departed_machines();
+        self.apply_epoch();
+    }
+
     /// Applies the new value of a shared key, or its deletion (`None`).
     pub(super) fn apply_shared_key(&mut self, key: &str, value: Option<Value>, revision: Revision) {
         if let Some(id) = key.strip_prefix(JOB_PREFIX) {
@@ -160,11 +104,11 @@
         } else if let Some(name) = key.strip_prefix(ROSTER_PREFIX) {
             self.apply_group(name, value, revision);
         } else if let Some(name) = key.strip_prefix(STEP_PREFIX) {
-            self.apply_split_step(name, value.map_or(Revision(0), |_| revision));
+            self.apply_split_step(name, value.is_some(), revision);
         } else if let Some(drain) = key.strip_prefix(DRAIN_PREFIX) {
             self.apply_drain_key(drain, value, revision);
         } else if let Some(name) = key.strip_prefix(BOOT_BATCH_PREFIX) {
-            self.apply_boot_batch(name, value);
+            self.apply_boot_batch(name, value, revision);
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
             let name = ControllerId::new(name);
             if name == self.own_name {
--- a/crates/tidelatch-core/src/roster.rs
+++ b/crates/tidelatch-core/src/roster.rs
@@ -20,25 +20,25 @@
 mod rentals;
 
 pub(crate) use boot_batches::BootBatch;
-use boot_batches::BootedMachine;
+use boot_batches::{BootedMachine, StoredBootBatch};
 use groups::MachineGroup;
 pub use records::{BootEntry, GroupRecord};
 pub(crate) use rentals::RentedMachine;
 
 use crate::controller::Controller;
-use crate::ids::{MachineId, Partition};
+use crate::ids::{MachineId, Partition, Revision};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Machine groups and boot batches as known to this controller, and the writes to them that are due or in flight.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
     groups: BTreeMap<String, MachineGroup>,
-    /// The machines of each boot batch, by the batch's name.
-    boot_batches: BTreeMap<String, Vec<MachineId>>,
+    /// The stored boot batches, by name.
+    boot_batches: BTreeMap<String, StoredBootBatch>,
     /// Boot entries of all machines in boot batches.
     boot_entries: BTreeMap<MachineId, BootEntry>,
-    /// Names of the machine groups seen so far in the listing that is in progress.
-    listed_groups: BTreeSet<String>,
+    /// Machines that have left their machine groups by changes that are being applied, and may have entered others.
+    departed_machines: BTreeSet<MachineId>,
     /// Machine groups that have to be written, and from when on, in milliseconds.
     due_writes: BTreeMap<String, u64>,
     /// Machines that have come up and are not in a boot batch yet.
@@ -56,6 +56,32 @@
     new_groups_in_flight: bool,
 }
 
+/// Names of the roster's records in the state service.
+#[derive(Debug)]
+pub(crate) struct RosterKeys {
+    /// Machine groups.
+    pub(crate) groups: Vec<String>,
+    /// Machine groups that are being split in steps.
+    pub(crate) split_steps: Vec<String>,
+    /// Boot batches.
+    pub(crate) boot_batches: Vec<String>,
+}
+
+impl Roster {
+    /// The records that are known as of a revision up to `revision`.
+    pub(crate) fn keys_up_to(&self, revision: Revision) -> RosterKeys {
+        let groups = self.groups.iter().filter(|(_, g)| g.revision <= revision);
+        let is_split = |g: &MachineGroup| g.step_revision != Revision(0) && g.step_revision <= revision;
+        let split_steps = self.groups.iter().filter(|(_, g)| is_split(g));
+        let boot_batches = self.boot_batches.iter().filter(|(_, b)| b.revision <= revision);
+        RosterKeys {
+            groups: groups.map(|(name, _)| name.clone()).collect(),
+            split_steps: split_steps.map(|(name, _)| name.clone()).collect(),
+            boot_batches: boot_batches.map(|(name, _)| name.clone()).collect(),
+        }
+    }
+}
+
 impl Controller {
     /// Maximum size in bytes of a machine group or boot batch when it is written: 3/4 of the limit on a value,
     /// because numbers that it holds about its machines, such as sessions and sequence numbers of reports, may grow by
--- a/crates/tidelatch-core/src/roster/boot_batches.rs
+++ b/crates/tidelatch-core/src/roster/boot_batches.rs
@@ -3,7 +3,7 @@
 use super::records::{BootEntry, MAX_MACHINES_PER_RECORD, entry_bytes};
 use crate::calls::{CallPurpose, Requester};
 use crate::controller::Controller;
-use crate::ids::MachineId;
+use crate::ids::{MachineId, Revision};
 use crate::membership::BOOT_BATCH_PREFIX;
 use crate::protocol::{Report, TxnAnswer};
 use serde_json::{Value, json};
@@ -29,19 +29,28 @@
     entries: BTreeMap<MachineId, BootEntry>,
 }
 
+/// A boot batch as known to this controller.
+#[derive(Debug)]
+pub(super) struct StoredBootBatch {
+    /// A revision at which it is known to be stored.
+    pub(super) revision: Revision,
+    pub(super) machines: Vec<MachineId>,
+}
+
 impl Controller {
-    /// Applies a boot batch that was written, or deleted (`value` is none).
-    pub(crate) fn apply_boot_batch(&mut self, name: &str, value: Option<Value>) {
+    /// Applies a boot batch that was written, or deleted (`value` is none), as of a revision.
+    pub(crate) fn apply_boot_batch(&mut self, name: &str, value: Option<Value>, revision: Revision) {
         let entries = value.and_then(|v| serde_json::from_value::<BTreeMap<MachineId, BootEntry>>(v).ok());
         let Some(entries) = entries else {
-            for id in self.roster.boot_batches.remove(name).unwrap_or_default() {
+            let machines = self.roster.boot_batches.remove(name).map(|batch| batch.machines);
+            for id in machines.unwrap_or_default() {
                 self.roster.boot_entries.remove(&id);
             }
             return;
         };
-        self.roster
-            .boot_batches
-            .insert(name.to_owned(), entries.keys().cloned().collect());
+        let machines = entries.keys().cloned().collect();
+        let batch = StoredBootBatch { revision, machines };
+        self.roster.boot_batches.insert(name.to_owned(), batch);
         for (id, entry) in entries {
             if let Some(m) = self.machines.get_mut(&id) {
                 m.mark_up(&entry.address, entry.last_report);
@@ -208,22 +217,18 @@
         requesters: Vec<(Requester, MachineId, (u64, u64))>,
         result: Option<(u16, Vec<u8>)>,
     ) {
-        let is_too_large = matches!(&result, Some((400, _)));
-        let is_stored = match result {
-            Some((200, _)) => true,
-            Some((409, body)) => {
-                let failed = serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default().failed;
-                // If the batch's own key failed, an earlier copy of the write was applied. Otherwise the epoch has
-                // changed.
-                failed.iter().any(|k| k.starts_with(BOOT_BATCH_PREFIX))
-            }
-            _ => false,
+        let (status, answer) = match result {
+            Some((status, body)) => (status, serde_json::from_slice::<TxnAnswer>(&body).unwrap_or_default()),
+            None => (0, TxnAnswer::default()),
         };
+        // If the batch's own key failed, an earlier copy of the write was applied. Otherwise the epoch has changed.
+        let was_applied_earlier = status == 409 && answer.failed.iter().any(|k| k.starts_with(BOOT_BATCH_PREFIX));
+        let is_stored = status == 200 || was_applied_earlier;
         if is_stored {
             let value = serde_json::to_value(&batch.entries).ok();
-            self.apply_boot_batch(&batch.name, value);
+            self.apply_boot_batch(&batch.name, value, Revision(answer.ledger));
             self.run_batch();
-        } else if is_too_large {
+        } else if status == 400 {
             self.halve_boot_batch(batch);
         } else {
             // The write may still be applied. Until its outcome is known, nothing is placed on these machines.
@@ -242,7 +247,7 @@
             .roster
             .boot_batches
             .iter()
-            .filter(|(_, ids)| !ids.iter().any(|id| machines.contains_key(id)));
+            .filter(|(_, batch)| !batch.machines.iter().any(|id| machines.contains_key(id)));
         let keys: Vec<String> = stale.map(|(name, _)| format!("{BOOT_BATCH_PREFIX}{name}")).collect();
         self.delete_later(keys);
     }
--- a/crates/tidelatch-core/src/roster/group_changes.rs
+++ b/crates/tidelatch-core/src/roster/group_changes.rs
@@ -319,6 +319,7 @@
                 let value = record.and_then(|r| serde_json::to_value(r).ok());
                 self.apply_group(&key, value, Revision(answer.ledger));
             }
+            self.remove_departed_machines();
             if let Some(group) = self.roster.groups.get_mut(&name).filter(|_| !is_complete) {
                 // Some of its machines are in other groups now: the next step is due.
                 group.write_in_flight = false;
--- a/crates/tidelatch-core/src/roster/groups.rs
+++ b/crates/tidelatch-core/src/roster/groups.rs
@@ -23,30 +23,10 @@
 }
 
 impl Controller {
-    /// Starts a new listing of the shared keys, which hold the roster among others.
-    pub(crate) fn begin_roster_listing(&mut self) {
-        self.roster.listed_groups.clear();
-    }
-
-    /// Completes a listing of the shared keys as of a revision: machine groups that were not listed have been deleted.
-    pub(crate) fn finish_roster_listing(&mut self, revision: u64) {
-        let listed = std::mem::take(&mut self.roster.listed_groups);
-        let deleted: Vec<String> = self
-            .roster
-            .groups
-            .iter()
-            .filter(|(name, group)| !listed.contains(*name) && group.revision.0 <= revision)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in deleted {
-            self.apply_group(&name, None, Revision(revision + 1));
-        }
-    }
-
     /// Applies a machine group's new value, or its deletion (`value` is none), as of a revision. A revision that is
-    /// not newer than the known one is ignored.
+    /// not newer than the known one is ignored. Machines that leave the group are removed by
+    /// `remove_departed_machines`, once all changes up to a revision have been applied.
     pub(crate) fn apply_group(&mut self, name: &str, value: Option<Value>, revision: Revision) {
-        self.roster.listed_groups.insert(name.to_owned());
         if self.roster.groups.get(name).is_some_and(|g| g.revision >= revision) {
             return;
         }
@@ -58,7 +38,7 @@
         let old = self.roster.groups.remove(name);
         if let Some(old) = &old {
             self.mark_stale_step_key(name, old);
-            self.remove_machines_not_in(name, old, record.as_ref());
+            self.note_departed_machines(name, old, record.as_ref());
         }
         let Some(record) = record else {
             self.roster.due_writes.remove(name);
@@ -91,14 +71,26 @@
         );
     }
 
-    /// Removes the machines of a machine group from the view of the machines that its new value `record` does not list
-    /// any more.
-    fn remove_machines_not_in(&mut self, name: &str, old: &MachineGroup, record: Option<&GroupRecord>) {
+    /// Notes the machines of a machine group that its new value `record` does not list any more.
+    fn note_departed_machines(&mut self, name: &str, old: &MachineGroup, record: Option<&GroupRecord>) {
         for id in old.record.machines.keys() {
             let is_kept = record.is_some_and(|r| r.machines.contains_key(id));
             let is_in_group = self.machines.get(id).is_some_and(|m| m.group == name);
             if !is_kept && is_in_group {
-                self.remove_machine(id);
+                self.roster.departed_machines.insert(id.clone());
+            }
+        }
+    }
+
+    /// Removes machines that have left their machine group for no other one from the view of the machines.
+    ///
+    /// A machine that is handed over leaves one group and enters another at the same revision, but nothing tells which
+    /// of the two is applied first. So this is decided only once all groups up to a revision have been applied.
+    pub(crate) fn remove_departed_machines(&mut self) {
+        for id in std::mem::take(&mut self.roster.departed_machines) {
+            let group = self.machines.get(&id).and_then(|m| self.roster.groups.get(&m.group));
+            if !group.is_some_and(|group| group.record.machines.contains_key(&id)) {
+                self.remove_machine(&id);
             }
         }
     }
@@ -154,10 +146,11 @@
         }
     }
 
-    /// Records the revision of a machine group's step key; 0: the group is not being split in steps.
-    pub(crate) fn apply_split_step(&mut self, name: &str, revision: Revision) {
-        if let Some(group) = self.roster.groups.get_mut(name) {
-            group.step_revision = revision;
+    /// Applies that a machine group's step key was written or deleted at a revision. Without the key the group is not
+    /// being split in steps.
+    pub(crate) fn apply_split_step(&mut self, name: &str, exists: bool, revision: Revision) {
+        if let Some(group) = self.roster.groups.get_mut(name).filter(|g| g.step_revision <= revision) {
+            group.step_revision = if exists { revision } else { Revision(0) };
         }
     }
 
--- a/crates/tidelatch-core/src/roster/rentals.rs
+++ b/crates/tidelatch-core/src/roster/rentals.rs
@@ -130,6 +130,7 @@
                     self.apply_group(&name, serde_json::to_value(record).ok(), Revision(answer.ledger));
                 }
             }
+            self.remove_departed_machines();
             self.capacity
                 .pending_registration
                 .retain(|r| !registered.contains(&r.machine));
--- a/crates/tidelatch-standin/src/state.rs
+++ b/crates/tidelatch-standin/src/state.rs
@@ -28,6 +28,8 @@
     next_lease: u64,
     /// Changes up to this revision are compacted: a watch from an earlier revision gets status 410.
     pub compacted_revision: u64,
+    /// Maximum number of keys on a page of a list, below the limit that the request names.
+    pub max_page_keys: Option<usize>,
     /// Whether the service is down: all requests get status 503, and no lease expires.
     pub is_down: bool,
     /// Maximum bytes of a value and maximum changes of a transaction. Larger transactions get status 400, and so do
@@ -188,7 +190,8 @@
             let since = parameter(path, "since").unwrap_or("");
             let page_limit = parameter(path, "most")
                 .and_then(|s| s.parse().ok())
-                .unwrap_or(1000usize);
+                .unwrap_or(1000usize)
+                .min(self.max_page_keys.unwrap_or(1000));
             let all: Vec<Value> = self
                 .keys
                 .iter()
--- a/crates/tidelatch-standin/src/world/calls.rs
+++ b/crates/tidelatch-standin/src/world/calls.rs
@@ -40,12 +40,18 @@
             process.pending_calls.insert(from.call);
             if *target == Target::State {
                 process.is_refused_by_state = delivery == Delivery::Refused;
+                if delivery == Delivery::Reset {
+                    process.state_reset_ms = Some(self.now);
+                }
             }
         }
         if delivery == Delivery::Refused {
             let result = Some((503, json!({ "error": "trouble" }).to_string()));
             self.schedule(2, Event::RequestAnswered { to: from, result });
         }
+        if delivery == Delivery::Reset {
+            self.schedule(2, Event::RequestAnswered { to: from, result: None });
+        }
         self.schedule(timeout_ms, Event::RequestAnswered { to: from, result: None });
         if let Delivery::Copied(late) = delivery {
             let copy = Event::RequestArrives {
@@ -94,7 +100,13 @@
             {
                 StoreReply::Immediate(status, body) => Some((status, body.to_string())),
                 StoreReply::Watch(prefix, since, until) => {
-                    let watch = Watch { prefix, since, until };
+                    let opened_ms = self.now;
+                    let watch = Watch {
+                        prefix,
+                        since,
+                        opened_ms,
+                        until,
+                    };
                     self.schedule(1, Event::CheckWatch { from, watch });
                     None
                 }
@@ -138,11 +150,19 @@
     }
 
     /// Checks an open watch for changes. Without changes the watch stays open until its end; it also stays open while
-    /// the state service is down or refuses this controller's requests.
+    /// the state service is down or refuses this controller's requests. A reset of the controller's connections ends it.
     pub(super) fn check_watch(&mut self, from: Caller, watch: Watch) {
         if !self.is_current(from.controller, from.incarnation) {
             return;
         }
+        let was_reset = self
+            .controllers
+            .get(from.controller)
+            .is_some_and(|process| process.state_reset_ms.is_some_and(|at| at >= watch.opened_ms));
+        if was_reset {
+            self.schedule(2, Event::RequestAnswered { to: from, result: None });
+            return;
+        }
         let is_blocked = self.store.is_down
             || self
                 .controllers
--- a/crates/tidelatch-standin/src/world/controllers.rs
+++ b/crates/tidelatch-standin/src/world/controllers.rs
@@ -25,6 +25,8 @@
     pub(super) paused_inputs: Option<Vec<Input>>,
     /// Whether a fault injector made the state service answer its last request with 503.
     pub(super) is_refused_by_state: bool,
+    /// When a fault injector last reset its connections to the state service, in milliseconds.
+    pub(super) state_reset_ms: Option<u64>,
 }
 
 impl SimulatedController {
@@ -38,6 +40,7 @@
             pending_calls: HashSet::new(),
             paused_inputs: None,
             is_refused_by_state: false,
+            state_reset_ms: None,
         }
     }
 
@@ -79,6 +82,7 @@
         process.pending_calls.clear();
         process.paused_inputs = None;
         process.is_refused_by_state = false;
+        process.state_reset_ms = None;
         // A controller that loses its lease raises its incarnation by one. 1000 numbers for each process, and a million
         // for each controller, keep the incarnations apart.
         let id = Incarnation((controller as u64 + 1) * 1_000_000 + process.incarnation * 1000);
--- a/crates/tidelatch-standin/src/world/event.rs
+++ b/crates/tidelatch-standin/src/world/event.rs
@@ -29,6 +29,8 @@
     pub(super) prefix: String,
     /// The last revision that the watcher has seen.
     pub(super) since: u64,
+    /// When the watch reached the state service, in milliseconds.
+    pub(super) opened_ms: u64,
     /// When the watch ends without changes, in milliseconds.
     pub(super) until: u64,
 }
--- a/crates/tidelatch-standin/src/world/network.rs
+++ b/crates/tidelatch-standin/src/world/network.rs
@@ -22,6 +22,9 @@
     /// The receiver answers 503 and does not execute the message. If the receiver is the state service, the sender's
     /// open watches wait as in an outage until the state service accepts a request of the sender again.
     Refused,
+    /// The connection is reset: the message does not arrive, and the sender learns at once that there is no answer. If
+    /// the receiver is the state service, the sender's open watches end as well.
+    Reset,
 }
 
 /// A message that is about to be delivered.
@@ -51,7 +54,7 @@
         match self {
             Self::Pass | Self::Copied(_) | Self::Slow(_) => Some(TRANSIT_MS),
             Self::AnswerLate(ms) => Some(ms),
-            Self::Lost | Self::AnswerLost | Self::Late(_) | Self::Refused => None,
+            Self::Lost | Self::AnswerLost | Self::Late(_) | Self::Refused | Self::Reset => None,
         }
     }
 
@@ -60,7 +63,7 @@
         match self {
             Self::Pass | Self::AnswerLost | Self::AnswerLate(_) | Self::Copied(_) => Some(TRANSIT_MS),
             Self::Late(ms) | Self::Slow(ms) => Some(ms),
-            Self::Lost | Self::Refused => None,
+            Self::Lost | Self::Refused | Self::Reset => None,
         }
     }
 }
--- a/crates/tidelatch-standin/src/world/peers.rs
+++ b/crates/tidelatch-standin/src/world/peers.rs
@@ -21,7 +21,8 @@
             self.message_counts.peer_requests += 1;
         }
         let delivery = self.decide_delivery(&format!("berth-{}", from.controller), to, kind, "");
-        let timeout_ms = if delivery == Delivery::Refused { 2 } else { timeout_ms };
+        let fails_at_once = matches!(delivery, Delivery::Refused | Delivery::Reset);
+        let timeout_ms = if fails_at_once { 2 } else { timeout_ms };
         if let Some(process) = self.controllers.get_mut(from.controller) {
             process.pending_calls.insert(from.call);
         }
--- a/crates/tidelatch-standin/src/world/reports.rs
+++ b/crates/tidelatch-standin/src/world/reports.rs
@@ -53,7 +53,7 @@
             );
         }
         // The worker notices a refused connection or a 503 at once, and a missing answer only after the timeout.
-        let answer_wait_ms = if up && delivery != Delivery::Refused {
+        let answer_wait_ms = if up && !matches!(delivery, Delivery::Refused | Delivery::Reset) {
             REPORT_TIMEOUT_MS
         } else {
             2
