A direct start is forgotten only under a newer token or session, at no age

Cause: a worker was told to forget an attempt three workers' leases after its direct start.

Change: what a direct command started stays listed until the worker's reports show a newer token or it begins a newer session (machine_view::direct_starts). The first report after a hand-over is kept unless its group is older than the epoch that the worker has seen, also when a takeover and a hand-over come in one batch (by reading).

Result: four new tests, of which all fail on the code before (three by a second start, one because nothing raises the epoch), with repeats 57 s, 5 min and 30 min old; they pass now.

--- a/crates/tidelatch-core/src/capacity/digests.rs
+++ b/crates/tidelatch-core/src/capacity/digests.rs
@@ -157,6 +157,7 @@
                 .take(MAX_VACATABLE_MACHINES_PER_DIGEST)
                 .collect(),
             spare_room: largest_of_each_kind(supply.spare_room),
+            needs_newer_epoch: self.needs_newer_epoch(partition),
         }
     }
 
--- a/crates/tidelatch-core/src/capacity/hand_over.rs
+++ b/crates/tidelatch-core/src/capacity/hand_over.rs
@@ -136,6 +136,13 @@
         self.capacity.pending_hand_overs = pending;
     }
 
+    /// Whether a digest received within two report intervals says that a newer epoch is needed.
+    pub(crate) fn any_partition_needs_newer_epoch(&self) -> bool {
+        let max_age_ms = 2 * self.settings.report_ms();
+        let mut digests = self.capacity.digests.values();
+        digests.any(|(digest, at)| digest.needs_newer_epoch && self.now.ms.saturating_sub(*at) <= max_age_ms)
+    }
+
     /// The digests received within two report intervals from owners that know the results of earlier rounds.
     fn usable_digests(&self) -> Vec<Digest> {
         let max_age_ms = 2 * self.settings.report_ms();
--- a/crates/tidelatch-core/src/machine_view.rs
+++ b/crates/tidelatch-core/src/machine_view.rs
@@ -7,6 +7,7 @@
 //! answered the worker and thereby renewed it.
 
 mod commands;
+mod direct_starts;
 mod machine;
 mod report_routing;
 mod reports;
--- a/crates/tidelatch-core/src/machine_view/commands.rs
+++ b/crates/tidelatch-core/src/machine_view/commands.rs
@@ -8,10 +8,6 @@
 use crate::messages::{Method, STATUS_NO_FREE_SOCKET, STATUS_NOT_CONNECTED, Target};
 use crate::protocol::{Command, Orders, Priority, Report, TaskState};
 
-/// Number of attempts started by direct commands, and not yet old enough to be forgotten, from which a machine's further
-/// starts wait for its reports, except those of production work. At about 75 bytes each they take a quarter of the 64 KiB that a report may have.
-const MAX_LISTED_DIRECT_STARTS: usize = 200;
-
 /// The command that starts a held task.
 fn start_command(held: &HeldTask) -> Command {
     Command::Start {
@@ -66,8 +62,7 @@
                 HeldTaskState::Booked if is_wanted && accepts_starts && h.stop.is_none() => {
                     // A start that goes out with the answer to a report cannot be repeated late, so its attempt can be
                     // forgotten as soon as it has ended.
-                    let lists_many = m.direct_starts.len() >= MAX_LISTED_DIRECT_STARTS;
-                    if answered_report.is_none() && lists_many && !is_production {
+                    if answered_report.is_none() && !m.direct_starts.has_room(is_production) {
                         continue;
                     }
                     h.state = match answered_report {
@@ -77,7 +72,7 @@
                     if answered_report.is_none()
                         && let Some(epoch) = epoch
                     {
-                        m.direct_starts.insert((h.task.clone(), h.attempt), (epoch, now));
+                        m.direct_starts.record((h.task.clone(), h.attempt), epoch);
                     }
                     commands.push(start_command(h));
                 }
@@ -100,25 +95,19 @@
         commands
     }
 
-    /// Commands to forget the ended attempts that a machine still lists and whose results are stored.
-    fn forget_commands(&mut self, id: &MachineId) -> Vec<Command> {
-        let now = self.now.ms;
-        // A direct command may be delivered again after its answer. While the worker lists the attempt, a repeated
-        // start has no effect; once the attempt is forgotten, it would start the task again. The danger is over once
-        // the worker has seen a newer epoch, or after this time.
-        let max_delivery_ms = 3 * self.settings.worker_lease_ms();
+    /// Commands to forget the ended attempts that a machine still lists, whose results are stored, and which no repeated
+    /// command can start again.
+    fn forget_commands(&self, id: &MachineId) -> Vec<Command> {
         let mut commands = Vec::new();
-        let Some(m) = self.machines.get_mut(id) else {
+        let Some(m) = self.machines.get(id) else {
             return commands;
         };
-        m.direct_starts
-            .retain(|_, (_, at)| now.saturating_sub(*at) < max_delivery_ms);
         for (task, attempt, done) in &m.ended {
             // A worker may drop a result only once the result is stored.
             let job = self.jobs.get(&task.job);
             let has_unstored_result = *done && job.is_some_and(|j| !j.is_stored(task.index));
             let key = (task.clone(), *attempt);
-            let may_be_redelivered = m.direct_starts.contains_key(&key) || m.unanswered_starts.contains_key(&key);
+            let may_be_redelivered = m.direct_starts.contains(&key) || m.unanswered_starts.contains_key(&key);
             if !has_unstored_result && !may_be_redelivered {
                 commands.push(Command::Forget {
                     task: task.to_string(),
@@ -256,6 +245,9 @@
                     .filter(|h| h.state == HeldTaskState::AwaitingAnswer)
                     .map(|h| (h.task.clone(), h.attempt))
                     .collect();
+                for start in &not_started {
+                    m.direct_starts.remove(start);
+                }
                 for (task, attempt) in not_started {
                     self.release_attempt(&id, &task, attempt);
                 }
--- a/crates/tidelatch-core/src/machine_view/machine.rs
+++ b/crates/tidelatch-core/src/machine_view/machine.rs
@@ -1,5 +1,6 @@
 //! One machine in this controller's view, and the tasks that it holds or may hold.
 
+use super::direct_starts::DirectStarts;
 use crate::ids::{Attempt, Epoch, JobId, Partition, TaskId};
 use crate::jobs::Job;
 use crate::protocol::TaskState;
@@ -175,9 +176,8 @@
     pub(crate) missed_answers: u32,
     /// When a report of the machine was last answered.
     pub(super) last_answered_at: Option<u64>,
-    /// Attempts started by a direct command, with the epoch and the time of the command. After a hand-over, also the
-    /// attempts that the machine's first report lists, with that report's epoch and time.
-    pub(super) direct_starts: BTreeMap<(TaskId, Attempt), (Epoch, u64)>,
+    /// Attempts that it must keep listing, because direct commands have started them.
+    pub(super) direct_starts: DirectStarts,
 }
 
 impl Machine {
@@ -258,7 +258,7 @@
             only_others_since: None,
             missed_answers: 0,
             last_answered_at: None,
-            direct_starts: BTreeMap::new(),
+            direct_starts: DirectStarts::default(),
         }
     }
 
--- a/crates/tidelatch-core/src/machine_view/reports.rs
+++ b/crates/tidelatch-core/src/machine_view/reports.rs
@@ -117,7 +117,7 @@
         if is_new_session {
             m.direct_starts.clear();
         }
-        m.direct_starts.retain(|_, (epoch, _)| *epoch >= report.epoch);
+        m.direct_starts.fence(report.epoch);
         let is_first = !m.is_confirmed;
         m.is_confirmed = true;
         m.unaccounted_partitions
@@ -150,19 +150,6 @@
         listed
     }
 
-    /// Takes the attempts that the first report of a handed-over machine lists for direct starts: the machine's previous
-    /// owners may have started them by direct commands, whose repeats are still executed, because a hand-over does not
-    /// change the epoch. After a takeover the newer epoch fences such commands.
-    fn keep_starts_of_previous_owner(&mut self, report: &Report, listed: &BTreeSet<(TaskId, Attempt)>) {
-        let now = self.now.ms;
-        if let Some(m) = self.machines.get_mut(&report.machine)
-            && !m.may_hold_older_tasks
-        {
-            let starts = listed.iter().map(|start| (start.clone(), (report.epoch, now)));
-            m.direct_starts.extend(starts);
-        }
-    }
-
     /// Processes an attempt that a report lists as ended.
     fn handle_exit(&mut self, id: &MachineId, task: &TaskId, attempt: Attempt, why: &str) {
         let held = self.machines.get(id).and_then(|m| {
--- a/crates/tidelatch-core/src/machine_view/shared_machines.rs
+++ b/crates/tidelatch-core/src/machine_view/shared_machines.rs
@@ -145,9 +145,9 @@
     ///
     /// An unanswered start that has not been reported leaves its task in a state that is not settled. One that has
     /// been reported is listed by the worker, where a late copy of the command has no effect, and the next owner does
-    /// not have an attempt that it found there forgotten for three worker leases (`forget_commands`). So the
-    /// check of `unanswered_starts` is redundant at present. It stays as a safeguard in case what is known about a
-    /// machine changes.
+    /// not have an attempt that it found there forgotten before the epoch has risen (`keep_starts_of_previous_owner`).
+    /// So the check of `unanswered_starts` is redundant at present. It stays as a safeguard in case what is known about
+    /// a machine changes.
     pub(crate) fn can_hand_over_with_tasks(&self, machine: &Machine) -> bool {
         let is_settled = |h: &HeldTask| {
             let is_fetching_or_running = matches!(
@@ -161,6 +161,7 @@
             && machine.pending_command.is_none()
             && machine.unaccounted_partitions.is_empty()
             && machine.is_usable(self.now.ms, 2 * self.settings.report_ms())
+            && machine.lists_few_attempts()
             && machine.held.iter().all(is_settled)
     }
 
--- a/crates/tidelatch-core/src/membership.rs
+++ b/crates/tidelatch-core/src/membership.rs
@@ -122,6 +122,8 @@
     pub(crate) leader_since_ms: u64,
     /// The epoch record, with the revision of its key.
     pub(crate) epoch: Option<(EpochRecord, Revision)>,
+    /// When this controller learned of the epoch, in milliseconds.
+    epoch_known_since_ms: u64,
     is_writing_epoch: bool,
     /// After an attempt to become leader or to raise the epoch, the next attempt waits until this time or
     /// until the watch has reached this revision. Without the wait, a controller whose watch hangs would
@@ -179,6 +181,7 @@
             is_rewriting_leader: false,
             leader_since_ms: 0,
             epoch: None,
+            epoch_known_since_ms: 0,
             is_writing_epoch: false,
             next_membership_change: (0, 0),
             peers: BTreeMap::new(),
--- a/crates/tidelatch-core/src/membership/epoch.rs
+++ b/crates/tidelatch-core/src/membership/epoch.rs
@@ -9,6 +9,9 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 
+/// Age of the epoch, in worker leases, from which the leader raises it to let machines forget ended attempts.
+const MIN_EPOCH_AGE_LEASES: u64 = 10;
+
 /// The earlier owners that a partition's new owner must wait for: the previous owner, and those that the previous
 /// owner was still waiting for, as far as they are members. Each must acknowledge the new epoch or lose its
 /// membership before the new owner acts.
@@ -128,19 +131,36 @@
         }
         let old = self.membership.epoch.as_ref().map(|(e, _)| e);
         let members = self.members_for_partitions();
-        let Some(next) = next_epoch(&names, &members, old, self.settings.partitions()) else {
-            return;
-        };
+        if let Some(next) = next_epoch(&names, &members, old, self.settings.partitions()) {
+            self.write_epoch(next, "membership changed");
+        } else if let Some(old) = old
+            && self.is_newer_epoch_due()
+        {
+            let next = EpochRecord {
+                number: Epoch(old.number.0 + 1),
+                partitions: old.partitions.clone(),
+            };
+            self.write_epoch(next, "machines list many attempts");
+        }
+    }
+
+    /// Writes a new epoch, as the leader. `reason` names the reason in the log.
+    fn write_epoch(&mut self, next: EpochRecord, reason: &str) {
         self.membership.is_writing_epoch = true;
         let conditions = vec![self.leader_condition(), self.epoch_condition()];
         let change = json!({ "write": EPOCH_KEY, "value": next });
-        self.log(
-            Level::Info,
-            format!("membership changed: raising the epoch to {}", next.number),
-        );
+        self.log(Level::Info, format!("{reason}: raising the epoch to {}", next.number));
         self.txn(conditions, vec![change], CallPurpose::EpochWrite);
     }
 
+    /// Whether an owner of a partition needs a newer epoch with the same owners, and the present one is old enough.
+    /// Each change of the epoch makes the state service refuse the writes that are in flight, which are then repeated.
+    fn is_newer_epoch_due(&self) -> bool {
+        let min_age_ms = MIN_EPOCH_AGE_LEASES * self.settings.worker_lease_ms();
+        let age_ms = self.now.ms.saturating_sub(self.membership.epoch_known_since_ms);
+        age_ms >= min_age_ms && self.any_partition_needs_newer_epoch()
+    }
+
     /// The members that may own partitions. While a machine may hold tasks of a partition that does not own the
     /// machine, these are only the members whose version supports such machines: others would start those tasks a
     /// second time.
--- a/crates/tidelatch-core/src/membership/shared_keys.rs
+++ b/crates/tidelatch-core/src/membership/shared_keys.rs
@@ -149,6 +149,7 @@
                     .is_none_or(|(e, _)| e.number < record.number)
             {
                 self.membership.epoch = Some((record, revision));
+                self.membership.epoch_known_since_ms = self.now.ms;
             }
         } else if key == TYPES_KEY
             && let Some(types) = value.and_then(|v| serde_json::from_value::<MachineTypes>(v).ok())
--- a/crates/tidelatch-core/src/messages.rs
+++ b/crates/tidelatch-core/src/messages.rs
@@ -167,6 +167,8 @@
     pub vacatable_machines: Vec<MachineSummary>,
     /// Machines in use with free resources that no queued task of the partition needs.
     pub spare_room: Vec<SpareRoom>,
+    /// Its machines keep many attempts that they may forget once the epoch is raised.
+    pub needs_newer_epoch: bool,
 }
 
 /// Order of the leader to move a machine to another partition.
--- a/crates/tidelatch-core/src/roster/groups.rs
+++ b/crates/tidelatch-core/src/roster/groups.rs
@@ -154,6 +154,13 @@
         }
     }
 
+    /// Whether a machine's group was last changed before the epoch was: all its machines were in it then.
+    pub(crate) fn is_group_older_than_epoch(&self, id: &MachineId) -> bool {
+        let group = self.machines.get(id).and_then(|m| self.roster.groups.get(&m.group));
+        let epoch = self.membership.epoch.as_ref().map(|(_, revision)| *revision);
+        group.is_some_and(|group| Some(group.revision) < epoch)
+    }
+
     /// Removes a machine that is no longer in the roster from the view of the machines.
     fn remove_machine(&mut self, id: &MachineId) {
         let Some(partition) = self.machines.get(id).map(|m| m.partition) else {
--- a/crates/tidelatch-standin/tests/partial_failures.rs
+++ b/crates/tidelatch-standin/tests/partial_failures.rs
@@ -140,7 +140,7 @@
 #[test]
 fn a_repeated_direct_start_of_a_cancelled_task_is_recognised() {
     // Guards against a late copy of a direct command that starts a task again, long after its user's cancellation. An
-    // attempt that a direct command started is not forgotten for three leases after the command.
+    // attempt that a direct command started is not forgotten before the worker has seen a newer epoch or session.
     let mut world = World::new();
     world.run_for(3000);
     world.submit_until_accepted(0, &job(1, 0, "standing", 1));
--- a/crates/tidelatch-standin/tests/repeated_requests.rs
+++ b/crates/tidelatch-standin/tests/repeated_requests.rs
@@ -318,3 +318,125 @@
     assert_eq!(world.running_tasks("job-000002"), 1, "{}", world.trace());
     assert_no_breaches(&world);
 }
+
+/// Ages of a repeated start in milliseconds: just over three workers' leases, five minutes, and half an hour.
+const REPEAT_AGES_MS: [u64; 3] = [57_000, 300_000, 1_800_000];
+
+/// Has the task of `REPEATED_JOB` started on an idle machine by a direct command that is delivered again `age_ms` later.
+/// Returns the time by which that has been, in milliseconds.
+fn start_with_repeat(world: &mut World, machine: &str, age_ms: u64) -> u64 {
+    let sent = repeat_direct_start(world, age_ms);
+    world.submit_until_accepted(0, &whole_machine_job(2, 0, "sweep"));
+    let runs = world.run_until(5000, |w| w.running_tasks(REPEATED_JOB) == 1);
+    assert!(runs, "{}", world.trace());
+    assert_eq!(world.machines_of(REPEATED_JOB), [machine]);
+    assert_eq!(sent.get(), 1, "one direct start\n{}", world.trace());
+    world.now + age_ms
+}
+
+/// Guards against a task of a cancelled job that starts because its attempt was forgotten after some time, although
+/// the worker still accepts the command that started it.
+#[test]
+fn a_repeated_direct_start_of_a_cancelled_job_has_no_effect_at_any_age() {
+    for age_ms in REPEAT_AGES_MS {
+        let (mut world, machine) = world_with_idle_machine(1, |_| Delivery::Pass);
+        let repeated_at = start_with_repeat(&mut world, &machine, age_ms);
+        cancel(&mut world, REPEATED_JOB);
+        // Another job keeps the machine in use.
+        world.submit_until_accepted(0, &job(3, 0, "standing", 1));
+        world.run_for(repeated_at + 5000 - world.now);
+        let start = format!("{machine} starts {REPEATED_JOB}/0");
+        assert_eq!(world.trace().matches(&start).count(), 1, "{age_ms}\n{}", world.trace());
+        assert_no_breaches(&world);
+    }
+}
+
+/// Guards against a task that runs on two machines because its first attempt was forgotten after some time, although
+/// the worker still accepts the command that started it.
+#[test]
+fn a_repeated_direct_start_has_no_effect_at_any_age_while_its_task_runs_elsewhere() {
+    for age_ms in REPEAT_AGES_MS {
+        let (mut world, machine) = world_with_idle_machine(2, |_| Delivery::Pass);
+        world.run_ms = 7_200_000;
+        let repeated_at = start_with_repeat(&mut world, &machine, age_ms);
+        // Production work of the same team takes the machine, and the task goes on elsewhere.
+        assert_eq!(run_job(&mut world, 3, 0, "standing"), machine, "{}", world.trace());
+        let has_moved = world.run_until(30_000, |w| w.running_tasks(REPEATED_JOB) == 1);
+        assert!(has_moved, "{}", world.trace());
+        cancel(&mut world, "job-000003");
+        // Another job keeps the machine in use.
+        world.submit_until_accepted(0, &job(4, 0, "standing", 1));
+        world.run_for(repeated_at + 5000 - world.now);
+        let start = format!("{machine} starts {REPEATED_JOB}/0");
+        assert_eq!(world.trace().matches(&start).count(), 1, "{age_ms}\n{}", world.trace());
+        assert_no_breaches(&world);
+    }
+}
+
+/// A job with this many tasks, of which ten fit on a machine.
+fn small_tasks(id: u32, team: u32, tasks: u32) -> Value {
+    let mut submission = job(id, team, "sweep", tasks);
+    submission["vcpus"] = json!(2.0);
+    submission["accelerators"] = json!(0.0);
+    submission["ramGb"] = json!(1.0);
+    submission
+}
+
+/// Guards against machines that list ended attempts for ever, and against a repeated start that is executed once they
+/// are forgotten: with a newer epoch, which changes no owner, the machine refuses what came before it.
+#[test]
+fn ended_attempts_are_forgotten_once_the_epoch_is_raised_and_repeats_are_refused() {
+    let (mut world, machine) = world_with_idle_machine(1, |_| Delivery::Pass);
+    let repeated_at = start_with_repeat(&mut world, &machine, 420_000);
+    cancel(&mut world, REPEATED_JOB);
+    let owners = world.store.get("t/c/epoch").expect("an epoch")["parts"].clone();
+    world.submit_until_accepted(0, &job(3, 0, "standing", 1));
+    world.run_ms = 1000;
+    world.submit_until_accepted(0, &small_tasks(4, 0, 400));
+    let listed = |w: &World| w.workers.get(&machine).map_or(0, |worker| worker.attempts.len());
+    assert!(world.run_until(120_000, |w| listed(w) > 100), "{}", world.trace());
+    assert_eq!(world.epoch(), 1, "{}", world.trace());
+    let is_forgotten = |w: &World| w.epoch() == 2 && listed(w) < 20;
+    assert!(
+        world.run_until(200_000, is_forgotten),
+        "{} attempts\n{}",
+        listed(&world),
+        world.trace()
+    );
+    assert_eq!(world.store.get("t/c/epoch").expect("an epoch")["parts"], owners);
+    let lists_repeated = world.workers[&machine]
+        .attempts
+        .keys()
+        .any(|(task, _)| task.starts_with(REPEATED_JOB));
+    assert!(!lists_repeated, "{}", world.trace());
+    world.run_for(repeated_at + 5000 - world.now);
+    let start = format!("{machine} starts {REPEATED_JOB}/0");
+    assert_eq!(world.trace().matches(&start).count(), 1, "{}", world.trace());
+    assert_eq!(world.running_tasks("job-000003"), 1, "{}", world.trace());
+    assert_no_breaches(&world);
+}
+
+/// Guards against starts that wait for reports for good, and against attempts that are forgotten after all, while the
+/// epoch cannot be raised because the state service is out.
+#[test]
+fn ended_attempts_stay_listed_while_the_epoch_cannot_be_raised() {
+    let (mut world, machine) = world_with_idle_machine(1, |_| Delivery::Pass);
+    let repeated_at = start_with_repeat(&mut world, &machine, 300_000);
+    cancel(&mut world, REPEATED_JOB);
+    world.submit_until_accepted(0, &job(3, 0, "standing", 1));
+    world.run_ms = 1000;
+    world.submit_until_accepted(0, &small_tasks(4, 0, 1000));
+    assert!(
+        world.run_until(60_000, |w| w.running_tasks("job-000004") > 0),
+        "{}",
+        world.trace()
+    );
+    world.store.is_down = true;
+    world.run_for(repeated_at + 5000 - world.now);
+    let start = format!("{machine} starts {REPEATED_JOB}/0");
+    assert_eq!(world.trace().matches(&start).count(), 1, "{}", world.trace());
+    world.store.is_down = false;
+    let is_done = |w: &World| w.store.get("t/j/job-000004").is_some_and(|j| j["st"] == "done");
+    assert!(world.run_until(600_000, is_done), "{}", world.trace());
+    assert_no_breaches(&world);
+}
--- a/crates/tidelatch/src/peers/convert.rs
+++ b/crates/tidelatch/src/peers/convert.rs
@@ -363,6 +363,7 @@
             yielding: convert_all(digest.vacatable_machines),
             wants: convert_all(digest.waiting_tasks),
             spare_room: convert_all(digest.spare_room),
+            needs_newer_epoch: digest.needs_newer_epoch,
         }
     }
 }
@@ -378,6 +379,7 @@
             vacatable_machines: convert_all(digest.yielding),
             waiting_tasks: convert_all(digest.wants),
             spare_room: digest.spare_room.into_iter().filter_map(parse_spare_room).collect(),
+            needs_newer_epoch: digest.needs_newer_epoch,
         }
     }
 }
