Applying member and epoch records is split into functions of their own

The function that applies a shared key had grown with each kind of key. A parameter of the member record's write that nothing read is gone, and so is a statement without effect in the routing of reports.

--- a/crates/tidelatch-core/src/calls.rs
+++ b/crates/tidelatch-core/src/calls.rs
@@ -28,8 +28,8 @@
     NewLease { sent: u64 },
     /// Extends the lease.
     ExtendLease { sent: u64, lease_id: u64 },
-    /// Writes this controller's member record, which acknowledges this epoch.
-    MemberWrite { acknowledged_epoch: u64 },
+    /// Writes this controller's member record.
+    MemberWrite,
     /// Writes the leader record, to become the leader.
     LeaderWrite,
     /// Writes the leader record again, as the leader.
--- a/crates/tidelatch-core/src/controller.rs
+++ b/crates/tidelatch-core/src/controller.rs
@@ -348,7 +348,7 @@
     fn apply_write_refusal(&mut self, purpose: &CallPurpose, result: Option<&(u16, Vec<u8>)>) {
         let Some((status, body)) = result else { return };
         let (what, can_split) = match purpose {
-            CallPurpose::MemberWrite { .. } => ("this controller's member record", false),
+            CallPurpose::MemberWrite => ("this controller's member record", false),
             CallPurpose::LeaderWrite | CallPurpose::LeaderRewrite => ("the leader record", false),
             CallPurpose::EpochWrite => ("the epoch", false),
             CallPurpose::WriteMachineTypes => ("the machine types", false),
@@ -391,7 +391,7 @@
         match purpose {
             CallPurpose::NewLease { sent } => self.on_new_lease(sent, result),
             CallPurpose::ExtendLease { sent, lease_id } => self.on_lease_extension(sent, lease_id, result),
-            CallPurpose::MemberWrite { acknowledged_epoch } => self.on_member_write(acknowledged_epoch, result),
+            CallPurpose::MemberWrite => self.on_member_write(result),
             CallPurpose::LeaderWrite => self.on_leader_write(result),
             CallPurpose::LeaderRewrite => self.on_leader_rewrite(),
             CallPurpose::EpochWrite => self.on_epoch_write(result),
--- a/crates/tidelatch-core/src/machine_view/report_routing.rs
+++ b/crates/tidelatch-core/src/machine_view/report_routing.rs
@@ -62,7 +62,6 @@
             Some(owner) if owner != self.own_name => {
                 // A relayed report reached a controller that is not the owner: the sender does not know the new owner
                 // yet.
-                let _ = owner;
                 self.send_answer(requester, Answer::retry_later(503, 1, "not the owner"));
             }
             _ => {
--- a/crates/tidelatch-core/src/membership/registration.rs
+++ b/crates/tidelatch-core/src/membership/registration.rs
@@ -30,17 +30,16 @@
         }
         self.membership.is_writing_record = true;
         let key = format!("{MEMBER_PREFIX}{}", self.own_name);
-        let acknowledged_epoch = record.acknowledged_epoch;
         self.txn(
             vec![json!({ "k": key, "stamp": self.membership.own_revision })],
             vec![json!({ "write": key, "value": record, "permit": lease_id })],
-            CallPurpose::MemberWrite { acknowledged_epoch },
+            CallPurpose::MemberWrite,
         );
         self.membership.written_record = Some(record);
     }
 
     /// Handles the reply to the write of this controller's member record.
-    pub(crate) fn on_member_write(&mut self, _acknowledged_epoch: u64, result: Option<(u16, Vec<u8>)>) {
+    pub(crate) fn on_member_write(&mut self, result: Option<(u16, Vec<u8>)>) {
         self.membership.is_writing_record = false;
         match result {
             Some((200, body)) => {
--- a/crates/tidelatch-core/src/membership/shared_keys.rs
+++ b/crates/tidelatch-core/src/membership/shared_keys.rs
@@ -110,51 +110,63 @@
         } else if let Some(name) = key.strip_prefix(BOOT_BATCH_PREFIX) {
             self.apply_boot_batch(name, value, revision);
         } else if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
-            let name = ControllerId::new(name);
-            if name == self.own_name {
-                self.membership.own_revision = match value {
-                    Some(_) => self.membership.own_revision.max(revision),
-                    // Deleted at this revision. A greater known revision comes from this controller's own later write.
-                    None if revision >= self.membership.own_revision => Revision(0),
-                    None => self.membership.own_revision,
-                };
-            }
-            let record = value.and_then(|v| serde_json::from_value::<MemberRecord>(v).ok());
-            // A delayed duplicate of an earlier incarnation's write may have replaced the present record.
-            if name == self.own_name
-                && record.as_ref().map(|r| r.incarnation) != Some(self.membership.incarnation)
-                && !self.membership.is_writing_record
-            {
-                self.membership.written_record = None;
-            }
-            match record {
-                Some(record) => {
-                    self.membership.members.insert(name, record);
-                }
-                None => {
-                    self.log(Level::Info, format!("controller {name} has left the membership"));
-                    self.membership.members.remove(&name);
-                }
-            }
+            self.apply_member_record(ControllerId::new(name), value, revision);
         } else if key == LEADER_KEY {
             self.membership.leader = value
                 .and_then(|v| serde_json::from_value(v).ok())
                 .map(|record| (record, revision));
         } else if key == EPOCH_KEY {
-            if let Some(record) = value.and_then(|v| serde_json::from_value::<EpochRecord>(v).ok())
-                && self
-                    .membership
-                    .epoch
-                    .as_ref()
-                    .is_none_or(|(e, _)| e.number < record.number)
-            {
-                self.membership.epoch = Some((record, revision));
-                self.membership.epoch_known_since_ms = self.now.ms;
-            }
+            self.apply_epoch_record(value, revision);
         } else if key == TYPES_KEY
             && let Some(types) = value.and_then(|v| serde_json::from_value::<MachineTypes>(v).ok())
         {
             self.machine_types = types.types;
         }
     }
+
+    /// Applies a controller's member record, or its deletion (`None`).
+    fn apply_member_record(&mut self, name: ControllerId, value: Option<Value>, revision: Revision) {
+        let exists = value.is_some();
+        let record = value.and_then(|v| serde_json::from_value::<MemberRecord>(v).ok());
+        if name == self.own_name {
+            self.apply_own_member_record(record.as_ref(), exists, revision);
+        }
+        match record {
+            Some(record) => {
+                self.membership.members.insert(name, record);
+            }
+            None => {
+                self.log(Level::Info, format!("controller {name} has left the membership"));
+                self.membership.members.remove(&name);
+            }
+        }
+    }
+
+    /// Applies this controller's own member record: its revision, and whether it has to be written again.
+    fn apply_own_member_record(&mut self, record: Option<&MemberRecord>, exists: bool, revision: Revision) {
+        let membership = &mut self.membership;
+        if exists {
+            membership.own_revision = membership.own_revision.max(revision);
+        } else if revision >= membership.own_revision {
+            // A greater known revision comes from this controller's own later write.
+            membership.own_revision = Revision(0);
+        }
+        // A delayed duplicate of an earlier incarnation's write may have replaced the present record.
+        let is_present_record = record.is_some_and(|r| r.incarnation == membership.incarnation);
+        if !is_present_record && !membership.is_writing_record {
+            membership.written_record = None;
+        }
+    }
+
+    /// Applies the epoch record if it is newer than the known one.
+    fn apply_epoch_record(&mut self, value: Option<Value>, revision: Revision) {
+        let Some(record) = value.and_then(|v| serde_json::from_value::<EpochRecord>(v).ok()) else {
+            return;
+        };
+        let known = self.membership.epoch.as_ref().map(|(epoch, _)| epoch.number);
+        if known.is_none_or(|known| known < record.number) {
+            self.membership.epoch = Some((record, revision));
+            self.membership.epoch_known_since_ms = self.now.ms;
+        }
+    }
 }
