Test of a takeover and a hand-over that reach a new owner in one batch of the watch

Now shown: with the earlier rule (a machine that was in the partition when the tenure began) the new owner forgets what was started directly under the same epoch, and a repeat 30 s old starts the task again; with the present rule, by the group's and the epoch's revisions, it does not.

--- a/crates/tidelatch-standin/tests/repeated_requests.rs
+++ b/crates/tidelatch-standin/tests/repeated_requests.rs
@@ -440,3 +440,62 @@
     assert!(world.run_until(600_000, is_done), "{}", world.trace());
     assert_no_breaches(&world);
 }
+
+/// Writes what the owner of a machine would write to hand it over to a partition, with the tasks on it.
+fn hand_over_in_store(world: &mut World, machine: &str, to: u64) {
+    let groups = world.store.keys("t/m/");
+    let lists_machine = |key: &&String| world.store.get(key).is_some_and(|g| !g["m"][machine].is_null());
+    let key = groups.iter().find(lists_machine).expect("the machine's group").clone();
+    let mut remaining = world.store.get(&key).expect("a group").clone();
+    let mut moved = remaining.clone();
+    moved["part"] = json!(to);
+    moved["also"] = json!([remaining["part"]]);
+    let worker = &world.workers[machine];
+    moved["m"] = json!({ machine: [worker.session, worker.sequence] });
+    remaining["m"].as_object_mut().expect("machines").remove(machine);
+    remaining["left"] = json!(true);
+    let conditions = json!([{ "k": key, "stamp": world.store.key_revision(&key) }]);
+    let changes = json!([{ "write": format!("{key}.moved"), "value": moved }, { "write": key, "value": remaining }]);
+    let body = json!({ "if": conditions, "then": changes }).to_string();
+    world.store.request(world.now, "POST", "/txn", &body);
+    assert_eq!(owner_of_machine(world, machine), Some(to), "{}", world.trace());
+}
+
+/// Guards against a task of a cancelled job that starts because a takeover and a hand-over came in one batch of the
+/// watch: the new owner took what the machine's previous owner had started under the same epoch for older.
+#[test]
+fn a_repeated_direct_start_has_no_effect_on_a_machine_handed_over_after_the_epoch_of_a_takeover() {
+    let (mut world, machine) = world_with_idle_machine(1, |_| Delivery::Pass);
+    world.submit_until_accepted(0, &job(3, 0, "standing", 1));
+    world.crash_controller(1);
+    world.run_for(12_000);
+    // The returning controller stands still from the moment at which the leader can give its partition back.
+    world.start_controller(1);
+    while world.store.get("t/c/member/berth-1").is_none() {
+        world.run_for(1);
+    }
+    world.pause(1);
+    let is_given_back = |w: &World| {
+        w.store
+            .get("t/c/epoch")
+            .is_some_and(|e| e["parts"][1]["owner"] == "berth-1")
+    };
+    assert!(world.run_until(2000, is_given_back), "{}", world.trace());
+    let sent = repeat_direct_start(&mut world, 30_000);
+    world.submit_until_accepted(0, &job(2, 0, "sweep", 1));
+    let runs = world.run_until(4000, |w| w.running_tasks(REPEATED_JOB) == 1);
+    assert!(runs && sent.get() == 1, "{}", world.trace());
+    cancel(&mut world, REPEATED_JOB);
+    world.run_for(100);
+    hand_over_in_store(&mut world, &machine, 1);
+    world.resume(1);
+    world.run_for(45_000);
+    let acts = world
+        .trace()
+        .matches("berth-1: acting for partition 1: 0 unfinished jobs, 1 machines")
+        .count();
+    assert_eq!(acts, 1, "{}", world.trace());
+    let start = format!("{machine} starts {REPEATED_JOB}/0");
+    assert_eq!(world.trace().matches(&start).count(), 1, "{}", world.trace());
+    assert_no_breaches(&world);
+}
