--- a/crates/tidelatch-standin/tests/shared_key_listings.rs
+++ b/crates/tidelatch-standin/tests/shared_key_listings.rs
@@ -330,3 +330,43 @@
     );
     assert_no_breaches(&world);
 }
+
+/// Guards against boot batches that stay known for good after they were deleted during a cut: a leader would delete them
+/// again and again.
+#[test]
+fn a_listing_drops_boot_batches_that_were_deleted_during_a_cut() {
+    let mut world = World::new();
+    world.run_ms = 2000;
+    world.run_for(3000);
+    world.submit_until_accepted(0, &job(1, 0, "sweep", 1));
+    let is_up = |w: &World| !w.store.keys("t/u/").is_empty();
+    assert!(world.run_until(30_000, is_up), "{}", world.trace());
+    let batch = world.store.keys("t/u/").pop().expect("a boot batch");
+    // The machine is returned when the job is done, and its boot batch deleted.
+    let is_cut = Rc::new(Cell::new(true));
+    let deletions = Rc::new(Cell::new(0));
+    let (cut, deleted) = (is_cut.clone(), deletions.clone());
+    let deletion = format!("\"delete\":\"{batch}\"");
+    world.set_fault_injector(move |message| {
+        if message.request == "POST /txn" && message.body.contains(&deletion) {
+            deleted.set(deleted.get() + 1);
+        }
+        if is_to_state(message, 1) && cut.get() {
+            Delivery::Reset
+        } else {
+            Delivery::Pass
+        }
+    });
+    let is_gone = |w: &World| w.store.get(&batch).is_none();
+    assert!(world.run_until(90_000, is_gone), "{}", world.trace());
+    assert_eq!(deletions.get(), 1, "{}", world.trace());
+    is_cut.set(false);
+    world.run_for(10_000);
+    // The controller that was cut off becomes the leader.
+    world.crash_controller(0);
+    world.crash_controller(2);
+    assert!(world.run_until(20_000, |w| w.leader() == Some(1)), "{}", world.trace());
+    world.run_for(60_000);
+    assert_eq!(deletions.get(), 1, "{}", world.trace());
+    assert_no_breaches(&world);
+}
