The test of a watch's batch looks at the release of the task itself

With the removal put back where it was, the task was released but not started again, because its machine happened to be handed back to the partition that then waited for it. The test now fails with the removal put back, and passes as it stands.

--- a/crates/tidelatch-standin/tests/shared_key_listings.rs
+++ b/crates/tidelatch-standin/tests/shared_key_listings.rs
@@ -168,6 +168,8 @@
         cancel(&mut handed.world, SECOND_JOB);
         hand_over_in_store(&mut handed.world, &handed.machine, 0, order);
         handed.world.run_for(5000);
+        let trace = handed.world.trace();
+        assert!(!trace.contains("its roster entry is gone"), "{order:?}\n{trace}");
         assert_task_is_not_started_again(handed, order);
     }
 }
